--- /dev/null
+++ b/src/agent_main.cpp
@@ -0,0 +1,16 @@
+#include "process/agent.h"
+#include "process/program.h"
+
+using namespace liftweir;
+
+int main(int argc, const char** argv) {
+    int exit_code = ExitOk;
+    const auto config = program_config(Program::Agent, argc, argv, exit_code);
+    if (!config)
+        return exit_code;
+    asio::io_context io;
+    Agent agent(io, *config);
+    agent.start();
+    run_until_stopped(io, [&] { agent.leave(); });
+    return ExitOk;
+}
--- /dev/null
+++ b/src/connection/endpoint.cpp
@@ -0,0 +1,268 @@
+#include "connection/endpoint.h"
+
+#include "version/keys.h"
+
+#include <algorithm>
+#include <deque>
+
+namespace liftweir {
+
+namespace {
+
+constexpr Duration OrderTimeout = std::chrono::seconds(5);
+constexpr Duration StatusPoll = std::chrono::milliseconds(100);
+constexpr std::string_view FenceHeader = "X-Fence";
+
+// What an engine says of itself at GET /status.
+struct EngineStatus {
+    bool known = false;
+    Epoch fence = NoEpoch;
+    std::string state; // empty, loading, ready
+    std::string model;
+    std::string version;
+    bool resumes = false;
+};
+
+EngineStatus parse_status(const std::string& text) {
+    const auto json = parse_json(text);
+    if (!json || !json->isObject())
+        return {};
+    const Json::Value& j = *json;
+    if (!j["fence"].isUInt64() || !j["state"].isString())
+        return {};
+    return {true,
+            j["fence"].asUInt64(),
+            j["state"].asString(),
+            j["model"].isString() ? j["model"].asString() : "",
+            j["version"].isString() ? j["version"].asString() : "",
+            j["resumes"].isBool() && j["resumes"].asBool()};
+}
+
+// Shared by both kinds: calls over libcurl.
+class HttpEndpoint : public Endpoint {
+  public:
+    HttpEndpoint(asio::io_context& io, std::string url)
+        : io_(io), url_(std::move(url)), client_(make_http_client(io)) {}
+
+    void resume(HttpCallId call) override { client_->resume(call); }
+
+  protected:
+    using WholeAnswer = std::function<void(Expected<int>, const std::string& body)>;
+
+    void ask(HttpCall call, WholeAnswer done) {
+        const auto body = std::make_shared<std::string>();
+        call.timeout = OrderTimeout;
+        client_->start(std::move(call), {nullptr,
+                                         [body](std::string_view bytes) {
+                                             body->append(bytes);
+                                             return true;
+                                         },
+                                         [body, done](Expected<int> status, bool) {
+                                             done(std::move(status), *body);
+                                         }});
+    }
+
+    HttpCallId forward(const Attempt& attempt, std::string path,
+                       std::vector<std::pair<std::string, std::string>> headers,
+                       EndpointCallbacks callbacks) {
+        HttpCall call;
+        call.method = attempt.method;
+        call.url = url_ + std::move(path);
+        call.headers = std::move(headers);
+        if (!attempt.content_type.empty())
+            call.headers.emplace_back("Content-Type", attempt.content_type);
+        call.headers.emplace_back("X-Request-Id", to_text(attempt.id));
+        call.body = attempt.body;
+        call.timeout = std::chrono::milliseconds(attempt.deadline_ms);
+        call.repeatable = attempt.repeatable;
+        return client_->start(std::move(call),
+                              {std::move(callbacks.on_head), std::move(callbacks.on_data),
+                               std::move(callbacks.on_done)});
+    }
+
+    void after(Duration pause, std::function<void()> run) {
+        const auto timer = std::make_shared<asio::steady_timer>(io_, pause);
+        timer->async_wait([timer, run = std::move(run)](asio::error_code error) {
+            if (!error)
+                run();
+        });
+    }
+
+    asio::io_context& io_;
+    std::string url_;
+    std::unique_ptr<HttpClient> client_;
+};
+
+class Engine final : public HttpEndpoint {
+  public:
+    Engine(asio::io_context& io, std::string url, bool checks_fence)
+        : HttpEndpoint(io, std::move(url)), checks_fence_(checks_fence) {}
+
+    // An order of the agent before may still be running: read back until it is over, then empty
+    // the engine under the fence that it shows.
+    void reset(std::function<void(bool)> done) override {
+        status([this, done](const EngineStatus& s) {
+            if (!s.known)
+                return done(false);
+            if (s.state == "loading")
+                return after(StatusPoll, [this, done] { reset(done); });
+            order("unload", s.fence, {}, false, done);
+        });
+    }
+
+    void load(const Assignment& assignment, bool lead, std::function<void(bool)> done) override {
+        current_ = assignment.epoch;
+        order("load", assignment.epoch, assignment, lead, [this, assignment, done](bool ok) {
+            if (!ok)
+                return done(false);
+            await_load(assignment, done);
+        });
+    }
+
+    void release(Epoch epoch, std::function<void(bool)> done) override {
+        current_ = NoEpoch;
+        order("release", epoch, {}, false, std::move(done));
+    }
+
+    HttpCallId start(const Attempt& attempt, EndpointCallbacks callbacks) override {
+        std::vector<std::pair<std::string, std::string>> headers;
+        headers.emplace_back(FenceHeader, std::to_string(attempt.epoch));
+        if (attempt.resume_tokens > 0)
+            headers.emplace_back("X-Resume-Tokens", std::to_string(attempt.resume_tokens));
+        // A fence refusal means that the engine did not run it; it is no answer for the caller.
+        constexpr int FenceRefused = 409;
+        const auto refused = std::make_shared<bool>(false);
+        callbacks.on_head = [refused, head = callbacks.on_head](int status,
+                                                                const std::string& type) {
+            *refused = status == FenceRefused;
+            if (!*refused)
+                head(status, type);
+        };
+        callbacks.on_data = [refused, data = callbacks.on_data](std::string_view bytes) {
+            return *refused || data(bytes);
+        };
+        callbacks.on_done = [done = callbacks.on_done](Expected<int> status, bool sent) {
+            if (status && *status == FenceRefused)
+                done(fail(FailureKind::NoEndpoint, "the engine holds another epoch"), false);
+            else
+                done(std::move(status), sent);
+        };
+        return forward(attempt, attempt.path, std::move(headers), std::move(callbacks));
+    }
+
+    void cancel(HttpCallId call, const AttemptId& attempt) override {
+        client_->cancel(call);
+        HttpCall request;
+        request.method = "POST";
+        request.url = url_ + "/cancel";
+        request.headers = {{"Content-Type", "application/json"}};
+        Json::Value body;
+        body["id"] = to_text(attempt);
+        request.body = to_text(body);
+        ask(std::move(request), [](const Expected<int>&, const std::string&) {});
+    }
+
+    bool can_resume_streams() const override { return resumes_; }
+
+  private:
+    void status(std::function<void(const EngineStatus&)> done) {
+        HttpCall call;
+        call.url = url_ + "/status";
+        ask(std::move(call), [this, done](const Expected<int>& code, const std::string& body) {
+            constexpr int Ok = 200;
+            const EngineStatus s = code && *code == Ok ? parse_status(body) : EngineStatus{};
+            resumes_ = s.resumes;
+            done(s);
+        });
+    }
+
+    void order(const std::string& kind, Epoch fence, const Assignment& assignment, bool lead,
+               std::function<void(bool)> done) {
+        Json::Value body;
+        body["order"] = kind;
+        body["fence"] = Json::UInt64(fence);
+        if (kind == "load") {
+            body["model"] = assignment.model.model;
+            body["version"] = assignment.model.version;
+            body["adapters"] = Json::arrayValue;
+            for (const std::string& adapter : assignment.model.adapters)
+                body["adapters"].append(adapter);
+            body["role"] = lead ? "lead" : "member";
+            body["group_size"] = Json::UInt64(assignment.members.size());
+        }
+        HttpCall call;
+        call.method = "POST";
+        call.url = url_ + "/orders";
+        call.headers = {{"Content-Type", "application/json"}};
+        call.body = to_text(body);
+        orders_.emplace_back(std::move(call), std::move(done));
+        if (orders_.size() == 1)
+            send_next_order();
+    }
+
+    // One order at a time: two on two connections could reach the engine in either order, and an
+    // engine that does not check fences would obey both.
+    void send_next_order() {
+        ask(orders_.front().first, [this](const Expected<int>& code, const std::string&) {
+            constexpr int FirstError = 300;
+            const auto done = std::move(orders_.front().second);
+            orders_.pop_front();
+            if (!orders_.empty())
+                send_next_order();
+            done(code && *code < FirstError);
+        });
+    }
+
+    // An engine that does not check fences may still be obeying an older order: what counts is
+    // that it reports the ordered model as ready.
+    void await_load(const Assignment& assignment, std::function<void(bool)> done) {
+        status([this, assignment, done](const EngineStatus& s) {
+            if (current_ != assignment.epoch)
+                return;
+            const bool same = s.model == assignment.model.model &&
+                              s.version == assignment.model.version &&
+                              (!checks_fence_ || s.fence == assignment.epoch);
+            if (s.known && s.state == "ready" && same)
+                return done(true);
+            if (s.known && s.state == "empty")
+                return done(false);
+            after(StatusPoll, [this, assignment, done] { await_load(assignment, done); });
+        });
+    }
+
+    std::deque<std::pair<HttpCall, std::function<void(bool)>>> orders_;
+    bool checks_fence_;
+    bool resumes_ = false;
+    Epoch current_ = NoEpoch;
+};
+
+class Service final : public HttpEndpoint {
+  public:
+    using HttpEndpoint::HttpEndpoint;
+
+    void reset(std::function<void(bool)> done) override { done(true); }
+    void load(const Assignment&, bool, std::function<void(bool)> done) override { done(false); }
+    void release(Epoch, std::function<void(bool)> done) override { done(true); }
+    HttpCallId start(const Attempt& attempt, EndpointCallbacks callbacks) override {
+        return forward(attempt, attempt.path, {}, std::move(callbacks));
+    }
+    void cancel(HttpCallId call, const AttemptId&) override { client_->cancel(call); }
+    bool can_resume_streams() const override { return false; }
+};
+
+} // namespace
+
+std::string to_text(const AttemptId& id) {
+    return std::to_string(id.entry) + "-" + std::to_string(id.sequence) + "-" +
+           std::to_string(id.attempt);
+}
+
+std::unique_ptr<Endpoint> make_engine(asio::io_context& io, std::string url, bool checks_fence) {
+    return std::make_unique<Engine>(io, std::move(url), checks_fence);
+}
+
+std::unique_ptr<Endpoint> make_service(asio::io_context& io, std::string url) {
+    return std::make_unique<Service>(io, std::move(url));
+}
+
+} // namespace liftweir
--- /dev/null
+++ b/src/connection/link.cpp
@@ -0,0 +1,349 @@
+#include "connection/link.h"
+
+#include "connection/codec.h"
+
+#include <algorithm>
+#include <cstring>
+#include <random>
+
+namespace liftweir {
+
+namespace {
+
+// Raised when a message changes in a way that an older reader can not skip.
+constexpr std::uint32_t ProtocolVersion = 1;
+constexpr std::string_view Magic = "liftweir";
+
+constexpr std::uint32_t MaxHandshakeBytes = 1024;
+// A peer that does not read may cost this much, then the link is given up.
+constexpr std::size_t MaxQueuedBytes = 96u << 20;
+constexpr Duration HandshakeTimeout = std::chrono::seconds(3);
+constexpr Duration FirstPause = std::chrono::milliseconds(50);
+constexpr Duration LongestPause = std::chrono::milliseconds(1000);
+
+struct HelloFrame {
+    std::string magic;
+    std::uint32_t protocol = 0;
+    std::string nonce;
+    Identity identity;
+    MSGPACK_DEFINE(magic, protocol, nonce, identity)
+};
+
+struct ProofFrame {
+    std::string mac;
+    MSGPACK_DEFINE(mac)
+};
+
+Duration jittered(Duration pause) {
+    thread_local std::minstd_rand random(std::random_device{}());
+    std::uniform_int_distribution<Duration::rep> pick(pause.count() / 2, pause.count());
+    return Duration(pick(random));
+}
+
+std::string describe(const Identity& identity) {
+    return std::to_string(static_cast<int>(identity.role)) + "|" + identity.name + "|" +
+           std::to_string(identity.incarnation);
+}
+
+} // namespace
+
+LinkCounters& link_counters() {
+    static LinkCounters counters;
+    return counters;
+}
+
+Expected<asio::ip::tcp::endpoint> parse_address(const std::string& address) {
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return fail(FailureKind::BadSettings, "'" + address + "' is not ip:port");
+    asio::error_code error;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
+    const int port = std::atoi(address.c_str() + colon + 1);
+    if (error || port < 0 || port > 65535 || address.size() == colon + 1)
+        return fail(FailureKind::BadSettings, "'" + address + "' is not ip:port");
+    return asio::ip::tcp::endpoint(ip, static_cast<unsigned short>(port));
+}
+
+Link::Link(asio::ip::tcp::socket socket, const Identity& self, const ClusterKeys& keys, bool dialed)
+    : socket_(std::move(socket)),
+      timer_(socket_.get_executor()),
+      self_(self),
+      keys_(keys),
+      dialed_(dialed),
+      nonce_(random_bytes(NonceBytes)) {
+    asio::error_code ignored;
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+void Link::start(OnUp on_up, OnMessage on_message, OnDown on_down) {
+    on_up_ = std::move(on_up);
+    on_message_ = std::move(on_message);
+    on_down_ = std::move(on_down);
+    arm_handshake_timer();
+    send_frame(encode_struct(HelloFrame{std::string(Magic), ProtocolVersion, nonce_, self_}));
+    read_more();
+}
+
+void Link::arm_handshake_timer() {
+    timer_.expires_after(HandshakeTimeout);
+    timer_.async_wait([self = shared_from_this()](asio::error_code error) {
+        if (!error && !self->up_)
+            self->refuse();
+    });
+}
+
+void Link::send(const Wire& message) {
+    if (closed_)
+        return;
+    link_counters().messages_out.fetch_add(1, std::memory_order_relaxed);
+    send_frame(encode(message));
+}
+
+void Link::send_frame(std::string body) {
+    const auto length = static_cast<std::uint32_t>(body.size());
+    char header[sizeof length];
+    std::memcpy(header, &length, sizeof length);
+    pending_.append(header, sizeof header);
+    pending_ += body;
+    queued_bytes_ = pending_.size() + writing_.size();
+    if (queued_bytes_ > MaxQueuedBytes) {
+        close();
+        return;
+    }
+    // One write per turn of the loop: messages sent in one turn leave in one packet.
+    if (!write_active_) {
+        write_active_ = true;
+        asio::post(socket_.get_executor(), [self = shared_from_this()] { self->write_next(); });
+    }
+}
+
+void Link::write_next() {
+    if (closed_ || pending_.empty()) {
+        write_active_ = false;
+        return;
+    }
+    writing_.clear();
+    writing_.swap(pending_);
+    asio::async_write(socket_, asio::buffer(writing_),
+                      [self = shared_from_this()](asio::error_code error, std::size_t bytes) {
+                          link_counters().bytes_out.fetch_add(bytes, std::memory_order_relaxed);
+                          if (error) {
+                              self->close();
+                              return;
+                          }
+                          self->writing_.clear();
+                          self->queued_bytes_ = self->pending_.size();
+                          self->write_next();
+                      });
+}
+
+// Reads what is there and takes all whole frames out of it: at high token rates one read
+// carries hundreds of frames.
+void Link::read_more() {
+    constexpr std::size_t ReadBytes = 64 * 1024;
+    const std::size_t had = in_.size();
+    in_.resize(had + ReadBytes);
+    socket_.async_read_some(
+        asio::buffer(in_.data() + had, ReadBytes),
+        [self = shared_from_this(), had](asio::error_code error, std::size_t bytes) {
+            if (error || self->closed_) {
+                self->close();
+                return;
+            }
+            self->in_.resize(had + bytes);
+            link_counters().bytes_in.fetch_add(bytes, std::memory_order_relaxed);
+            self->take_frames();
+        });
+}
+
+void Link::take_frames() {
+    std::size_t at = 0;
+    while (!closed_) {
+        std::uint32_t length = 0;
+        if (in_.size() - at < sizeof length)
+            break;
+        std::memcpy(&length, in_.data() + at, sizeof length);
+        if (length > (up_ ? MaxMessageBytes : MaxHandshakeBytes)) {
+            refuse();
+            return;
+        }
+        if (in_.size() - at - sizeof length < length)
+            break;
+        on_frame(std::string_view(in_).substr(at + sizeof length, length));
+        at += sizeof length + length;
+    }
+    if (closed_)
+        return;
+    in_.erase(0, at);
+    read_more();
+}
+
+void Link::on_frame(std::string_view body) {
+    if (!greeted_) {
+        on_hello(body);
+    } else if (!up_) {
+        on_proof(body);
+    } else if (auto message = decode<Wire>(body)) {
+        link_counters().messages_in.fetch_add(1, std::memory_order_relaxed);
+        on_message_(shared_from_this(), std::move(*message));
+    } else {
+        refuse();
+    }
+}
+
+// The direction is part of the signed text, so that a proof can not be sent back to its maker.
+std::string Link::proof_text(bool of_dialer) const {
+    const bool own = of_dialer == dialed_;
+    return std::string(of_dialer ? "dialer|" : "acceptor|") + describe(own ? self_ : peer_) + "|" +
+           (own ? nonce_ : peer_nonce_) + (own ? peer_nonce_ : nonce_);
+}
+
+void Link::on_hello(std::string_view body) {
+    const auto hello = decode_struct<HelloFrame>(body);
+    if (!hello || hello->magic != Magic || hello->protocol != ProtocolVersion ||
+        hello->nonce.size() != NonceBytes) {
+        refuse();
+        return;
+    }
+    greeted_ = true;
+    peer_ = hello->identity;
+    peer_nonce_ = hello->nonce;
+    send_frame(encode_struct(ProofFrame{keys_.sign(proof_text(dialed_))}));
+}
+
+void Link::on_proof(std::string_view body) {
+    const auto proof = decode_struct<ProofFrame>(body);
+    if (!proof || proof->mac.size() != MacBytes ||
+        !keys_.verify(proof_text(!dialed_), proof->mac)) {
+        refuse();
+        return;
+    }
+    up_ = true;
+    timer_.cancel();
+    on_up_(shared_from_this());
+}
+
+void Link::refuse() {
+    link_counters().refused.fetch_add(1, std::memory_order_relaxed);
+    close();
+}
+
+void Link::close() {
+    if (std::exchange(closed_, true))
+        return;
+    up_ = false;
+    asio::error_code ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+    // The owner is told from the loop: it may be in the middle of a call into this link.
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        const auto on_down = std::exchange(self->on_down_, nullptr);
+        self->on_up_ = nullptr;
+        self->on_message_ = nullptr;
+        if (on_down)
+            on_down(self);
+    });
+}
+
+LinkListener::LinkListener(asio::io_context& io, const std::string& address, const Identity& self,
+                           const ClusterKeys& keys)
+    : io_(io), acceptor_(io, parse_address(address).value()), self_(self), keys_(keys) {}
+
+void LinkListener::start(Link::OnUp on_up, Link::OnMessage on_message, Link::OnDown on_down) {
+    on_up_ = std::move(on_up);
+    on_message_ = std::move(on_message);
+    on_down_ = std::move(on_down);
+    accept();
+}
+
+void LinkListener::stop() {
+    asio::error_code ignored;
+    acceptor_.close(ignored);
+}
+
+void LinkListener::accept() {
+    acceptor_.async_accept([this](asio::error_code error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted || !acceptor_.is_open())
+            return;
+        if (!error)
+            std::make_shared<Link>(std::move(socket), self_, keys_, false)
+                ->start(on_up_, on_message_, on_down_);
+        accept();
+    });
+}
+
+Dialer::Dialer(asio::io_context& io, std::string address, const Identity& self,
+               const ClusterKeys& keys)
+    : io_(io),
+      address_(std::move(address)),
+      self_(self),
+      keys_(keys),
+      timer_(io),
+      pause_(FirstPause),
+      alive_(std::make_shared<bool>(true)) {}
+
+Dialer::~Dialer() {
+    *alive_ = false;
+    if (link_)
+        link_->close();
+}
+
+void Dialer::start(Link::OnUp on_up, Link::OnMessage on_message, Link::OnDown on_down) {
+    on_up_ = std::move(on_up);
+    on_message_ = std::move(on_message);
+    on_down_ = std::move(on_down);
+    dial();
+}
+
+bool Dialer::send(const Wire& message) {
+    if (!up())
+        return false;
+    link_->send(message);
+    return true;
+}
+
+void Dialer::dial() {
+    const auto endpoint = parse_address(address_);
+    if (!endpoint)
+        return;
+    auto socket = std::make_shared<asio::ip::tcp::socket>(io_);
+    socket->async_connect(*endpoint, [this, alive = alive_, socket](asio::error_code error) {
+        if (!*alive)
+            return;
+        if (error) {
+            dial_later();
+            return;
+        }
+        link_ = std::make_shared<Link>(std::move(*socket), self_, keys_, true);
+        link_->start(
+            [this, alive](const Link::Ptr& link) {
+                if (!*alive)
+                    return;
+                pause_ = FirstPause;
+                on_up_(link);
+            },
+            [this, alive](const Link::Ptr& link, Wire&& message) {
+                if (*alive)
+                    on_message_(link, std::move(message));
+            },
+            [this, alive](const Link::Ptr& link) {
+                if (!*alive)
+                    return;
+                link_.reset();
+                on_down_(link);
+                dial_later();
+            });
+    });
+}
+
+// Jitter keeps hundreds of agents from dialing a returning control host in one instant.
+void Dialer::dial_later() {
+    timer_.expires_after(jittered(pause_));
+    pause_ = std::min(pause_ * 2, LongestPause);
+    timer_.async_wait([this, alive = alive_](asio::error_code error) {
+        if (!error && *alive)
+            dial();
+    });
+}
+
+} // namespace liftweir
--- /dev/null
+++ b/src/connection/link.h
@@ -0,0 +1,154 @@
+#ifndef LINK_H_INCLUDED
+#define LINK_H_INCLUDED
+
+#include "connection/secret.h"
+#include "connection/wire.h"
+#include "process/clock.h"
+
+#include <asio.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace liftweir {
+
+enum class ProcessRole : std::uint8_t { Control, Entry, Agent };
+
+// Who a process is, as it says in the handshake.
+struct Identity {
+    ProcessRole role = ProcessRole::Agent;
+    std::string name;
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const Identity&) const = default;
+    MSGPACK_DEFINE(role, name, incarnation)
+};
+
+// Counts for the budget of control traffic.
+struct LinkCounters {
+    std::atomic<std::uint64_t> bytes_in{0};
+    std::atomic<std::uint64_t> bytes_out{0};
+    std::atomic<std::uint64_t> messages_in{0};
+    std::atomic<std::uint64_t> messages_out{0};
+    std::atomic<std::uint64_t> refused{0}; // failed handshakes and undecodable frames
+};
+
+LinkCounters& link_counters();
+
+// One authenticated TCP connection that carries length-framed messages both ways. Lives on one
+// io_context thread. Both sides prove knowledge of a cluster key over the other's nonce before
+// any message is taken.
+class Link : public std::enable_shared_from_this<Link> {
+  public:
+    using Ptr = std::shared_ptr<Link>;
+    using OnUp = std::function<void(const Ptr&)>;
+    using OnMessage = std::function<void(const Ptr&, Wire&&)>;
+    using OnDown = std::function<void(const Ptr&)>;
+
+    Link(asio::ip::tcp::socket socket, const Identity& self, const ClusterKeys& keys, bool dialed);
+
+    void start(OnUp on_up, OnMessage on_message, OnDown on_down);
+    void send(const Wire& message);
+    void close();
+
+    bool up() const { return up_; }
+    const Identity& peer() const { return peer_; }
+    std::size_t queued_bytes() const { return queued_bytes_; }
+
+  private:
+    void send_frame(std::string body);
+    void write_next();
+    void read_more();
+    void take_frames();
+    void on_frame(std::string_view body);
+    void on_hello(std::string_view body);
+    void on_proof(std::string_view body);
+    std::string proof_text(bool of_dialer) const;
+    void arm_handshake_timer();
+    void refuse();
+
+    asio::ip::tcp::socket socket_;
+    asio::steady_timer timer_;
+    const Identity& self_;
+    const ClusterKeys& keys_;
+    const bool dialed_;
+    std::string nonce_;
+    std::string peer_nonce_;
+    Identity peer_;
+    bool greeted_ = false;
+    bool up_ = false;
+    bool closed_ = false;
+    OnUp on_up_;
+    OnMessage on_message_;
+    OnDown on_down_;
+    std::string in_;
+    std::string writing_;
+    std::string pending_;
+    bool write_active_ = false;
+    std::size_t queued_bytes_ = 0;
+};
+
+// Accepts links on one address.
+class LinkListener {
+  public:
+    LinkListener(asio::io_context& io, const std::string& address, const Identity& self,
+                 const ClusterKeys& keys);
+    void start(Link::OnUp on_up, Link::OnMessage on_message, Link::OnDown on_down);
+    void stop();
+
+  private:
+    void accept();
+
+    asio::io_context& io_;
+    asio::ip::tcp::acceptor acceptor_;
+    const Identity& self_;
+    const ClusterKeys& keys_;
+    Link::OnUp on_up_;
+    Link::OnMessage on_message_;
+    Link::OnDown on_down_;
+};
+
+// Keeps one link to an address, and dials again with growing, jittered pauses.
+class Dialer {
+  public:
+    Dialer(asio::io_context& io, std::string address, const Identity& self,
+           const ClusterKeys& keys);
+    ~Dialer();
+    Dialer(const Dialer&) = delete;
+    Dialer& operator=(const Dialer&) = delete;
+
+    void start(Link::OnUp on_up, Link::OnMessage on_message, Link::OnDown on_down);
+    bool up() const { return link_ && link_->up(); }
+    // False where no link is up: the message was not sent and never will be.
+    bool send(const Wire& message);
+    const std::string& address() const { return address_; }
+
+  private:
+    void dial();
+    void dial_later();
+
+    asio::io_context& io_;
+    std::string address_;
+    const Identity& self_;
+    const ClusterKeys& keys_;
+    asio::steady_timer timer_;
+    Duration pause_;
+    Link::Ptr link_;
+    std::shared_ptr<bool> alive_;
+    Link::OnUp on_up_;
+    Link::OnMessage on_message_;
+    Link::OnDown on_down_;
+};
+
+// Splits "ip:port". Fails with BadSettings.
+Expected<asio::ip::tcp::endpoint> parse_address(const std::string& address);
+
+} // namespace liftweir
+
+MSGPACK_ADD_ENUM(liftweir::ProcessRole)
+
+#endif // LINK_H_INCLUDED
--- /dev/null
+++ b/src/connection/relay.h
@@ -0,0 +1,43 @@
+#ifndef RELAY_H_INCLUDED
+#define RELAY_H_INCLUDED
+
+#include "connection/wire.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace liftweir {
+
+// Turns an endpoint's bytes into numbered chunks for the entry host. Streams of server-sent
+// events are cut at event boundaries, so that a chunk never holds half a token.
+class Relay {
+  public:
+    Relay(AttemptId id, bool streamed, std::uint32_t resumed_tokens, std::uint32_t window)
+        : id_(id), streamed_(streamed), tokens_(resumed_tokens), window_(window) {}
+
+    // False while the entry host has not drained its window; the bytes were not taken.
+    bool take(std::string_view bytes);
+    void credit(std::uint32_t bytes);
+    // The next chunk, if whole events are there.
+    std::optional<Chunk> next_chunk();
+    // End record of a whole answer; nothing where a stream stopped before its end mark.
+    std::optional<End> finish() const;
+
+    std::uint32_t tokens() const { return tokens_; }
+
+  private:
+    AttemptId id_;
+    bool streamed_;
+    std::uint32_t tokens_;
+    std::uint32_t window_; // 0: unbounded
+    std::uint64_t unacknowledged_ = 0;
+    std::uint64_t bytes_ = 0;
+    std::uint32_t chunks_ = 0;
+    std::string buffer_;
+    bool end_mark_ = false;
+};
+
+} // namespace liftweir
+
+#endif // RELAY_H_INCLUDED
--- /dev/null
+++ b/src/connection/secret.cpp
@@ -0,0 +1,83 @@
+#include "connection/secret.h"
+
+#include "process/clock.h"
+
+#include <algorithm>
+#include <cstring>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+#include <openssl/sha.h>
+
+namespace liftweir {
+
+namespace {
+
+std::string hmac(std::string_view key, std::string_view text) {
+    std::string mac(MacBytes, '\0');
+    unsigned length = 0;
+    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
+         reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+         reinterpret_cast<unsigned char*>(mac.data()), &length);
+    return mac;
+}
+
+} // namespace
+
+std::string ClusterKeys::sign(std::string_view text) const {
+    return hmac(keys_.front(), text);
+}
+
+bool ClusterKeys::verify(std::string_view text, std::string_view mac) const {
+    return std::any_of(keys_.begin(), keys_.end(), [&](const std::string& key) {
+        const std::string expected = hmac(key, text);
+        return mac.size() <= expected.size() && mac.size() >= ShortMacBytes &&
+               equal_in_constant_time(std::string_view(expected).substr(0, mac.size()), mac);
+    });
+}
+
+std::string ClusterKeys::seal(std::string_view body) const {
+    return std::string(body) + sign(body).substr(0, ShortMacBytes);
+}
+
+std::string_view ClusterKeys::unseal(std::string_view datagram) const {
+    if (datagram.size() <= ShortMacBytes)
+        return {};
+    const auto body = datagram.substr(0, datagram.size() - ShortMacBytes);
+    return verify(body, datagram.substr(body.size())) ? body : std::string_view{};
+}
+
+std::string random_bytes(std::size_t count) {
+    std::string bytes(count, '\0');
+    RAND_bytes(reinterpret_cast<unsigned char*>(bytes.data()), static_cast<int>(count));
+    return bytes;
+}
+
+// Milliseconds of wall time in the high bits: a restart takes longer than the clock's error, and
+// the low bits keep two starts in one millisecond apart.
+std::uint64_t new_incarnation() {
+    std::uint64_t noise = 0;
+    std::memcpy(&noise, random_bytes(sizeof noise).data(), sizeof noise);
+    constexpr unsigned NoiseBits = 20;
+    return (static_cast<std::uint64_t>(wall_millis()) << NoiseBits) |
+           (noise & ((1u << NoiseBits) - 1));
+}
+
+std::string sha256_hex(std::string_view text) {
+    unsigned char digest[SHA256_DIGEST_LENGTH];
+    SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(), digest);
+    constexpr char Hex[] = "0123456789abcdef";
+    std::string out;
+    for (const unsigned char byte : digest) {
+        out += Hex[byte >> 4];
+        out += Hex[byte & 15];
+    }
+    return out;
+}
+
+bool equal_in_constant_time(std::string_view a, std::string_view b) {
+    return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+} // namespace liftweir
--- /dev/null
+++ b/src/connection/secret.h
@@ -0,0 +1,40 @@
+#ifndef SECRET_H_INCLUDED
+#define SECRET_H_INCLUDED
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace liftweir {
+
+constexpr std::size_t NonceBytes = 16;
+constexpr std::size_t MacBytes = 32;
+constexpr std::size_t ShortMacBytes = 16; // on datagrams
+
+// Shared keys of one fabric of processes. The first one signs; all of them verify, so that keys
+// can be rotated without a moment in which two processes share none.
+class ClusterKeys {
+  public:
+    explicit ClusterKeys(std::vector<std::string> keys) : keys_(std::move(keys)) {}
+
+    std::string sign(std::string_view text) const;
+    bool verify(std::string_view text, std::string_view mac) const;
+    // Appends a shortened MAC to a datagram, and takes it off again. Empty where it is wrong.
+    std::string seal(std::string_view body) const;
+    std::string_view unseal(std::string_view datagram) const;
+
+  private:
+    std::vector<std::string> keys_;
+};
+
+std::string random_bytes(std::size_t count);
+// Random and, from one start of a process to the next, increasing.
+std::uint64_t new_incarnation();
+std::string sha256_hex(std::string_view text);
+bool equal_in_constant_time(std::string_view a, std::string_view b);
+
+} // namespace liftweir
+
+#endif // SECRET_H_INCLUDED
--- /dev/null
+++ b/src/connection/wire.h
@@ -0,0 +1,245 @@
+#ifndef WIRE_H_INCLUDED
+#define WIRE_H_INCLUDED
+
+#include "process/raft.h"
+#include "request/outcome.h"
+#include "version/state.h"
+
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace liftweir {
+
+// Messages between the system's own processes. Alternatives and fields are only ever appended:
+// a rolling upgrade mixes neighbouring releases.
+
+// ---- control to control
+
+struct RaftPacket {
+    NodeId from = NoNode;
+    std::string body; // an encoded RaftMessage
+    MSGPACK_DEFINE(from, body)
+};
+
+// ---- agent to control
+
+enum class AgentPhase : std::uint8_t { Idle, Loading, Ready, Draining, Releasing };
+
+struct AgentStatus {
+    HostSpec spec; // empty name once control knows it
+    HostName host;
+    Incarnation incarnation = 0;
+    Epoch held = NoEpoch;
+    AgentPhase phase = AgentPhase::Idle;
+    bool gate_open = false; // as lead
+    std::uint32_t in_flight = 0;
+    bool leaving = false;
+    std::vector<HostName> missing; // as lead: members without a fresh echo
+    Epoch fence = NoEpoch;         // orders up to this epoch are refused
+    MSGPACK_DEFINE(spec, host, incarnation, held, phase, gate_open, in_flight, leaving, missing,
+                   fence)
+};
+
+// ---- control to agent
+
+struct Assignment {
+    Epoch epoch = NoEpoch; // NoEpoch: hold nothing
+    ModelSpec model;
+    std::vector<Member> members; // the first one leads
+    bool draining = false;
+    std::uint32_t echo_timeout_ms = 1500;
+    std::uint32_t slots = 32;
+    std::uint32_t queue = 256;
+
+    auto operator<=>(const Assignment&) const = default;
+    MSGPACK_DEFINE(epoch, model, members, draining, echo_timeout_ms, slots, queue)
+};
+
+struct AgentOrder {
+    Term term = 0; // of the leader that gives it
+    bool registered = false;
+    bool has_assignment = false;
+    Assignment assignment;
+    Epoch fence = NoEpoch; // release everything up to this epoch
+    MSGPACK_DEFINE(term, registered, has_assignment, assignment, fence)
+};
+
+struct NotLeaderReply {
+    NodeId leader = NoNode; // NoNode where unknown
+    MSGPACK_DEFINE(leader)
+};
+
+// ---- entry to control
+
+struct Renew {
+    std::string entry;
+    Incarnation incarnation = 0;
+    std::uint64_t sequence = 0;
+    Version table = 0;
+    Version lease = 0;
+    bool want_delta = false;
+    MSGPACK_DEFINE(entry, incarnation, sequence, table, lease, want_delta)
+};
+
+// One control host's word that its log holds no lease-relevant command above `logged`.
+struct Vouch {
+    NodeId node = NoNode;
+    std::uint64_t sequence = 0; // of the Renew; 0 for an unasked push
+    Version logged = 0;
+    Version table = 0;
+    Voters voters;
+    NodeId leader = NoNode;
+    bool registered = false; // this incarnation of the entry host
+    bool has_delta = false;
+    TableDelta delta;
+    Index voters_index = 0; // of the log entry that set the voters
+    MSGPACK_DEFINE(node, sequence, logged, table, voters, leader, registered, has_delta, delta,
+                   voters_index)
+};
+
+struct CommandRequest {
+    std::uint64_t id = 0;
+    std::string command; // an encoded Command
+    MSGPACK_DEFINE(id, command)
+};
+
+struct CommandReply {
+    std::uint64_t id = 0;
+    bool ok = false;
+    FailureKind failure = FailureKind::NoQuorum;
+    std::string detail;
+    Version version = 0;
+    bool has_claim = false;
+    ClaimRecord claim;
+    MSGPACK_DEFINE(id, ok, failure, detail, version, has_claim, claim)
+};
+
+// ---- entry to agent
+
+struct Attempt {
+    AttemptId id;
+    HostName host;               // whom it is for
+    Incarnation incarnation = 0; // in which incarnation
+    Epoch epoch = NoEpoch;       // NoEpoch for a plain service
+    std::string customer;
+    std::string method;
+    std::string path;
+    std::string content_type;
+    std::string body;
+    std::string adapter;
+    std::uint32_t deadline_ms = 0; // from receipt
+    std::uint32_t class_weight = 10;
+    std::uint32_t customer_weight = 10;
+    std::uint32_t shed_order = 50;
+    std::string traffic_class;
+    bool early_refusal = true;
+    std::uint32_t resume_tokens = 0; // tokens that the caller already has
+    std::uint32_t window = 0;        // bytes that may be in flight towards the entry host
+    std::uint32_t tokens_hint = 0;   // expected length of the answer, 0 where unknown
+    std::uint32_t slots = 0;         // calls in flight at a plain service
+    bool repeatable = false;
+    bool streamed = false; // the answer is a stream of server-sent events
+    MSGPACK_DEFINE(id, host, incarnation, epoch, customer, method, path, content_type, body,
+                   adapter, deadline_ms, class_weight, customer_weight, shed_order, traffic_class,
+                   early_refusal, resume_tokens, window, tokens_hint, slots, repeatable, streamed)
+};
+
+struct CancelAttempt {
+    AttemptId id;
+    MSGPACK_DEFINE(id)
+};
+
+struct Credit {
+    AttemptId id;
+    std::uint32_t bytes = 0;
+    MSGPACK_DEFINE(id, bytes)
+};
+
+// ---- agent to entry
+
+struct GateState {
+    HostName host;
+    Incarnation incarnation = 0;
+    Epoch epoch = NoEpoch; // NoEpoch: no group is held
+    bool open = false;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    bool can_resume = false;
+    MSGPACK_DEFINE(host, incarnation, epoch, open, running, waiting, can_resume)
+};
+
+// The attempt was not run and never will be.
+struct Refused {
+    AttemptId id;
+    FailureKind reason = FailureKind::NoEndpoint;
+    std::uint32_t retry_after_ms = 0; // 0 where another endpoint may take it at once
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    MSGPACK_DEFINE(id, reason, retry_after_ms, running, waiting)
+};
+
+struct Head {
+    AttemptId id;
+    std::uint32_t status = 0;
+    std::string content_type;
+    MSGPACK_DEFINE(id, status, content_type)
+};
+
+struct Chunk {
+    AttemptId id;
+    std::uint32_t number = 0; // from 0, without gaps
+    std::uint32_t tokens = 0; // generated so far, resumed ones included
+    std::string bytes;
+    MSGPACK_DEFINE(id, number, tokens, bytes)
+};
+
+// Without it a stream is a failure, never an answer.
+struct End {
+    AttemptId id;
+    std::uint32_t chunks = 0;
+    std::uint64_t bytes = 0;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    MSGPACK_DEFINE(id, chunks, bytes, running, waiting)
+};
+
+// The attempt ended without a whole answer. Where `started` is false it never reached the
+// endpoint and never will.
+struct Broken {
+    AttemptId id;
+    bool started = true;
+    FailureKind reason = FailureKind::EndpointFailed;
+    MSGPACK_DEFINE(id, started, reason)
+};
+
+using Wire = std::variant<RaftPacket, AgentStatus, AgentOrder, NotLeaderReply, Renew, Vouch,
+                          CommandRequest, CommandReply, Attempt, CancelAttempt, Credit, GateState,
+                          Refused, Head, Chunk, End, Broken>;
+
+// ---- member to member, by UDP
+
+// Asks a member whether it holds its part of the group. Its echo carries the same epoch and
+// sequence, so an echo proves the member's state at some time after the ping was sent.
+struct Ping {
+    Epoch epoch = NoEpoch;
+    std::uint64_t sequence = 0;
+    Incarnation from = 0;
+    Incarnation to = 0;
+    MSGPACK_DEFINE(epoch, sequence, from, to)
+};
+
+struct Echo {
+    Epoch epoch = NoEpoch;
+    std::uint64_t sequence = 0;
+    Incarnation from = 0;
+    MSGPACK_DEFINE(epoch, sequence, from)
+};
+
+using Datagram = std::variant<Ping, Echo>;
+
+} // namespace liftweir
+
+MSGPACK_ADD_ENUM(liftweir::AgentPhase)
+
+#endif // WIRE_H_INCLUDED
--- /dev/null
+++ b/src/process/agent.cpp
@@ -0,0 +1,615 @@
+#include "process/agent.h"
+
+#include "connection/codec.h"
+#include "process/logging.h"
+#include "process/metrics.h"
+#include "process/observe.h"
+#include "process/timeline.h"
+#include "request/outcome.h"
+
+#include <algorithm>
+
+namespace liftweir {
+
+namespace {
+
+constexpr Duration TickEvery = std::chrono::milliseconds(25);
+// The loop is never blocked for so long by itself: the process was paused.
+constexpr Duration PauseSuspected = std::chrono::milliseconds(400);
+constexpr Duration ReportEvery = std::chrono::milliseconds(500);
+// A control host that does not answer for this long is not asked any longer.
+constexpr Duration ControlSilence = std::chrono::milliseconds(1200);
+constexpr Duration ResetPause = std::chrono::milliseconds(500);
+// Tables of entry hosts follow a leaving notice within this time; refusals cover the rest.
+constexpr Duration LeavingGrace = std::chrono::milliseconds(1500);
+constexpr Duration LeavingDeadline = std::chrono::seconds(120);
+constexpr std::size_t SeenKept = 200000;
+constexpr std::size_t DefaultSlots = 32;
+constexpr std::size_t DefaultQueue = 256;
+constexpr std::size_t DatagramBytes = 512;
+
+} // namespace
+
+Agent::Agent(asio::io_context& io, const ProcessConfig& config)
+    : io_(io),
+      config_(config),
+      identity_{ProcessRole::Agent, config.name, new_incarnation()},
+      keys_(config.cluster_keys),
+      ping_socket_(io),
+      ping_buffer_(DatagramBytes, '\0'),
+      timer_(io),
+      queue_(DefaultSlots, DefaultQueue) {
+    endpoint_ = config.engine_url.empty()
+                    ? make_service(io, config.service_url)
+                    : make_engine(io, config.engine_url, config.engine_checks_fence);
+    Timeline::instance().name(config.name, identity_.incarnation);
+}
+
+Agent::~Agent() = default;
+
+void Agent::start() {
+    const auto ping = parse_address(config_.ping).value();
+    ping_socket_.open(ping.address().is_v4() ? asio::ip::udp::v4() : asio::ip::udp::v6());
+    ping_socket_.bind({ping.address(), ping.port()});
+    listener_ = std::make_unique<LinkListener>(io_, config_.listen, identity_, keys_);
+    listener_->start(
+        [this](const Link::Ptr& link) {
+            entries_.insert(link);
+            link->send(gate_state());
+        },
+        [this](const Link::Ptr& link, Wire&& m) { on_entry_message(link, std::move(m)); },
+        [this](const Link::Ptr& link) { on_entry_down(link); });
+    http_ = serve_http(
+        io_, config_.http, HttpServerLimits{.body_bytes = 4096, .connections = 64},
+        [this](const std::shared_ptr<HttpExchange>& exchange) {
+            if (!serve_observability(*exchange, keys_, [this] { return admits(); }))
+                respond_json(*exchange, 404,
+                             error_body({FailureKind::NotFound, "no such page"}, Outcome::NotRun));
+        });
+    for (const auto& [node, address] : config_.control) {
+        const std::size_t index = control_.size();
+        control_nodes_.push_back(node);
+        control_.push_back(std::make_unique<Dialer>(io_, address, identity_, keys_));
+        control_.back()->start(
+            [this, index](const Link::Ptr&) {
+                if (index == current_)
+                    report_due_ = {};
+            },
+            [this, index](const Link::Ptr&, Wire&& m) { on_control(index, std::move(m)); },
+            [](const Link::Ptr&) {});
+    }
+    Metrics::instance().gauge("liftweir_in_flight",
+                              [this] { return static_cast<double>(in_flight()); });
+    record({.kind = EventKind::ProcessStarted, .host = config_.name, .detail = "agent"});
+    last_tick_ = heard_ = BootClock::now();
+    receive_datagram();
+    arm_tick();
+    const auto try_reset = std::make_shared<std::function<void()>>();
+    *try_reset = [this, try_reset] {
+        endpoint_->reset([this, try_reset](bool ok) {
+            endpoint_reset_ = ok;
+            if (ok)
+                return;
+            const auto timer = std::make_shared<asio::steady_timer>(io_, ResetPause);
+            timer->async_wait([timer, try_reset](asio::error_code) { (*try_reset)(); });
+        });
+    };
+    (*try_reset)();
+}
+
+void Agent::arm_tick() {
+    timer_.expires_after(TickEvery);
+    timer_.async_wait([this](asio::error_code error) {
+        if (error)
+            return;
+        tick();
+        arm_tick();
+    });
+}
+
+void Agent::tick() {
+    const Time now = BootClock::now();
+    check_pause(now);
+    if (gate_)
+        for (const DuePing& due : gate_->due_pings(now))
+            send_datagram(due.address, due.ping);
+    check_gate(now);
+    start_waiting();
+    if (now >= report_due_)
+        report();
+    maybe_stop();
+}
+
+// After a pause everything that rested on time is void. The gate sees that by itself, since the
+// boot clock went on; what has to go at once is the work that the pause outlived.
+void Agent::check_pause(Time now) {
+    const Duration gap = now - std::exchange(last_tick_, now);
+    if (gap < PauseSuspected)
+        return;
+    log(LogLevel::Warning, "the process was paused",
+        {{"milliseconds", std::to_string(to_millis(gap))}});
+    report_due_ = {};
+}
+
+void Agent::check_gate(Time now) {
+    const bool open = gate_ && gate_->open(now);
+    if (open == was_open_)
+        return;
+    was_open_ = open;
+    if (open) {
+        record({.kind = EventKind::GateOpened,
+                .host = config_.name,
+                .group = gate_->assignment().epoch});
+    } else {
+        std::string missing;
+        if (gate_)
+            for (const HostName& name : gate_->missing(now))
+                missing += (missing.empty() ? "" : ",") + name;
+        record({.kind = EventKind::GateClosed,
+                .host = config_.name,
+                .group = gate_ ? gate_->assignment().epoch : fence_,
+                .cause = missing.empty() ? "released" : "no echo from " + missing});
+        break_all(FailureKind::EndpointFailed);
+    }
+    tell_gate();
+    report_due_ = {};
+}
+
+void Agent::leave() {
+    if (std::exchange(leaving_, true)) {
+        record({.kind = EventKind::ProcessStopped,
+                .host = config_.name,
+                .detail = std::to_string(in_flight()) + " in flight were cut",
+                .cause = "second signal"});
+        io_.stop();
+        return;
+    }
+    record({.kind = EventKind::ProcessDraining, .host = config_.name});
+    leaving_since_ = BootClock::now();
+    tell_gate();
+    report_due_ = {};
+}
+
+void Agent::maybe_stop() {
+    if (!leaving_)
+        return;
+    const Time now = BootClock::now();
+    const bool idle = in_flight() == 0 && (!gate_ || phase_ == AgentPhase::Idle);
+    if (!idle)
+        drained_since_ = now;
+    const bool late = now - leaving_since_ > LeavingDeadline;
+    const bool settled =
+        idle && now - leaving_since_ > LeavingGrace && now - drained_since_ > LeavingGrace / 3;
+    if (!late && !settled)
+        return;
+    record({.kind = EventKind::ProcessStopped,
+            .host = config_.name,
+            .detail = late ? std::to_string(in_flight()) + " in flight were cut" : "drained"});
+    io_.stop();
+}
+
+// ---- control
+
+AgentStatus Agent::status() const {
+    AgentStatus s;
+    if (!registered_) {
+        s.spec = {
+            config_.name,         config_.site,
+            config_.zone,         config_.domain,
+            config_.accelerators, config_.service.empty() ? HostRole::Engine : HostRole::Service,
+            config_.service,      config_.listen,
+            config_.ping,         config_.http};
+    }
+    s.host = config_.name;
+    s.incarnation = identity_.incarnation;
+    s.held = gate_ ? gate_->assignment().epoch : NoEpoch;
+    s.phase = phase_;
+    s.gate_open = was_open_;
+    s.in_flight = static_cast<std::uint32_t>(in_flight());
+    s.leaving = leaving_;
+    s.fence = fence_;
+    if (gate_ && gate_->leads() && !was_open_)
+        s.missing = gate_->missing(BootClock::now());
+    return s;
+}
+
+void Agent::report() {
+    const Time now = BootClock::now();
+    report_due_ = now + ReportEvery;
+    if (!endpoint_reset_ || control_.empty())
+        return;
+    if (now - heard_ > ControlSilence) {
+        current_ = (current_ + 1) % control_.size();
+        heard_ = now;
+    }
+    control_[current_]->send(status());
+}
+
+void Agent::on_control(std::size_t index, Wire&& message) {
+    if (const auto* elsewhere = std::get_if<NotLeaderReply>(&message)) {
+        const auto leader =
+            std::find(control_nodes_.begin(), control_nodes_.end(), elsewhere->leader);
+        if (index != current_ || leader == control_nodes_.end())
+            return;
+        const auto next = static_cast<std::size_t>(leader - control_nodes_.begin());
+        if (next != current_)
+            report_due_ = {};
+        current_ = next;
+    } else if (const auto* order = std::get_if<AgentOrder>(&message)) {
+        // An order of a deposed leader that did not yet notice is older than what was obeyed.
+        if (order->term < term_)
+            return;
+        term_ = order->term;
+        heard_ = BootClock::now();
+        current_ = index;
+        on_order(*order);
+    }
+}
+
+void Agent::on_order(const AgentOrder& order) {
+    registered_ = order.registered;
+    if (!order.registered) {
+        report_due_ = std::min(report_due_, BootClock::now() + ReportEvery / 5);
+        return;
+    }
+    if (order.has_assignment) {
+        hold(order.assignment);
+    } else if (order.fence != NoEpoch && (order.fence > fence_ || gate_)) {
+        drop_group(order.fence, "released by control");
+    }
+}
+
+// An epoch that was released, or one below it, is never taken again: an order for it was delayed.
+void Agent::hold(const Assignment& assignment) {
+    if (assignment.epoch <= fence_ || phase_ == AgentPhase::Releasing)
+        return;
+    if (gate_ && gate_->assignment().epoch > assignment.epoch)
+        return;
+    if (gate_ && gate_->assignment().epoch == assignment.epoch) {
+        if (assignment.draining && !gate_->assignment().draining) {
+            gate_->set_draining(true);
+            phase_ = AgentPhase::Draining;
+            tell_gate();
+            report_due_ = {};
+        }
+        return;
+    }
+    if (gate_)
+        drop_group(gate_->assignment().epoch, "another group was assigned");
+    gate_ =
+        std::make_unique<Gate>(assignment, config_.name, identity_.incarnation, BootClock::now());
+    queue_.resize(assignment.slots, assignment.queue);
+    phase_ = AgentPhase::Loading;
+    record({.kind = EventKind::LoadStarted,
+            .host = config_.name,
+            .group = assignment.epoch,
+            .detail = assignment.model.model + " version " + assignment.model.version});
+    load(assignment.epoch);
+}
+
+void Agent::load(Epoch epoch) {
+    const auto current = [this, epoch] { return gate_ && gate_->assignment().epoch == epoch; };
+    endpoint_->load(gate_->assignment(), gate_->leads(), [this, epoch, current](bool ok) {
+        if (!current())
+            return;
+        if (ok) {
+            gate_->set_engine_ready(true);
+            phase_ = gate_->assignment().draining ? AgentPhase::Draining : AgentPhase::Ready;
+            record({.kind = EventKind::LoadFinished, .host = config_.name, .group = epoch});
+            report_due_ = {};
+            return;
+        }
+        record({.kind = EventKind::LoadFailed, .host = config_.name, .group = epoch});
+        const auto timer = std::make_shared<asio::steady_timer>(io_, ResetPause);
+        timer->async_wait([this, timer, epoch, current](asio::error_code error) {
+            if (!error && current())
+                load(epoch);
+        });
+    });
+}
+
+// From here on no ping of this group is echoed and nothing is forwarded for it.
+void Agent::drop_group(Epoch fence, const std::string& cause) {
+    const Epoch held = gate_ ? gate_->assignment().epoch : NoEpoch;
+    fence_ = std::max(fence_, fence);
+    if (held == NoEpoch) {
+        report_due_ = {};
+        return;
+    }
+    gate_.reset();
+    phase_ = AgentPhase::Releasing;
+    check_gate(BootClock::now());
+    break_all(FailureKind::EndpointFailed);
+    record({.kind = EventKind::HostReleased, .host = config_.name, .group = held, .cause = cause});
+    endpoint_->release(held, [this](bool) {
+        if (phase_ == AgentPhase::Releasing)
+            phase_ = AgentPhase::Idle;
+        report_due_ = {};
+    });
+    report_due_ = {};
+}
+
+// ---- members
+
+void Agent::send_datagram(const std::string& address, const Datagram& datagram) {
+    const auto to = parse_address(address);
+    if (!to)
+        return;
+    const std::string sealed = keys_.seal(encode(datagram));
+    asio::error_code ignored;
+    ping_socket_.send_to(asio::buffer(sealed), {to->address(), to->port()}, 0, ignored);
+    link_counters().bytes_out.fetch_add(sealed.size(), std::memory_order_relaxed);
+}
+
+void Agent::receive_datagram() {
+    ping_socket_.async_receive_from(
+        asio::buffer(ping_buffer_), ping_sender_,
+        [this](asio::error_code error, std::size_t bytes) {
+            if (error == asio::error::operation_aborted)
+                return;
+            link_counters().bytes_in.fetch_add(bytes, std::memory_order_relaxed);
+            const auto body = keys_.unseal(std::string_view(ping_buffer_).substr(0, bytes));
+            const auto datagram = decode<Datagram>(body);
+            if (!error && datagram && gate_) {
+                if (const auto* ping = std::get_if<Ping>(&*datagram)) {
+                    if (const auto echo = gate_->answer(*ping))
+                        send_datagram(ping_sender_.address().to_string() + ":" +
+                                          std::to_string(ping_sender_.port()),
+                                      *echo);
+                } else {
+                    gate_->on_echo(std::get<Echo>(*datagram), BootClock::now());
+                }
+            }
+            receive_datagram();
+        });
+}
+
+// ---- entry hosts
+
+bool Agent::admits() const {
+    if (leaving_ || (gate_ && gate_->assignment().draining))
+        return false;
+    return config_.service.empty() ? was_open_ : true;
+}
+
+GateState Agent::gate_state() const {
+    GateState state;
+    state.host = config_.name;
+    state.incarnation = identity_.incarnation;
+    state.epoch = gate_ ? gate_->assignment().epoch : NoEpoch;
+    state.open = admits();
+    state.running = static_cast<std::uint32_t>(queue_.running());
+    state.waiting = static_cast<std::uint32_t>(queue_.waiting());
+    state.can_resume = endpoint_->can_resume_streams();
+    return state;
+}
+
+void Agent::tell_gate() {
+    for (const Link::Ptr& link : entries_)
+        link->send(gate_state());
+}
+
+void Agent::on_entry_message(const Link::Ptr& link, Wire&& message) {
+    if (link->peer().role != ProcessRole::Entry)
+        return;
+    if (auto* attempt = std::get_if<Attempt>(&message))
+        on_attempt(link, std::move(*attempt));
+    else if (const auto* cancel = std::get_if<CancelAttempt>(&message))
+        on_cancel(cancel->id);
+    else if (const auto* credit = std::get_if<Credit>(&message))
+        on_credit(*credit);
+}
+
+// Nobody is left to read the answers. Calls that may not be repeated run to their end: the
+// endpoint has them, and cutting them would only make their outcome less certain.
+void Agent::on_entry_down(const Link::Ptr& link) {
+    entries_.erase(link);
+    std::vector<AttemptId> orphans;
+    for (const auto& [id, work] : work_)
+        if (work->link == link && (work->attempt.repeatable || !work->running))
+            orphans.push_back(id);
+    for (const AttemptId& id : orphans)
+        on_cancel(id);
+}
+
+void Agent::remember(const AttemptId& id) {
+    if (!seen_.insert(id).second)
+        return;
+    seen_order_.push_back(id);
+    if (seen_order_.size() > SeenKept) {
+        seen_.erase(seen_order_.front());
+        seen_order_.pop_front();
+    }
+}
+
+std::optional<FailureKind> Agent::refusal(const Attempt& attempt) const {
+    if (leaving_)
+        return FailureKind::Draining;
+    if (attempt.host != config_.name || attempt.incarnation != identity_.incarnation ||
+        seen_.contains(attempt.id))
+        return FailureKind::NoEndpoint;
+    if (!config_.service.empty())
+        return std::nullopt;
+    if (!gate_ || gate_->assignment().epoch != attempt.epoch || !gate_->open(BootClock::now()))
+        return FailureKind::NoEndpoint;
+    if (gate_->assignment().draining)
+        return FailureKind::Draining;
+    return std::nullopt;
+}
+
+void Agent::on_attempt(const Link::Ptr& link, Attempt&& attempt) {
+    const AttemptId id = attempt.id;
+    if (const auto reason = refusal(attempt))
+        return refuse(link, id, *reason, {});
+    remember(id);
+    if (attempt.slots > 0)
+        queue_.resize(attempt.slots, DefaultQueue);
+    const Time now = BootClock::now();
+    auto work = std::make_unique<Work>();
+    work->link = link;
+    work->deadline = now + std::chrono::milliseconds(attempt.deadline_ms);
+    const QueueItem item{id,
+                         attempt.traffic_class,
+                         attempt.customer,
+                         attempt.class_weight,
+                         attempt.customer_weight,
+                         attempt.shed_order,
+                         std::max(1.0, static_cast<double>(attempt.tokens_hint)),
+                         work->deadline,
+                         attempt.early_refusal};
+    work->attempt = std::move(attempt);
+    const Admission admission = queue_.offer(item, now);
+    if (!admission.admitted)
+        return refuse(link, id, admission.reason, admission.retry_after);
+    work_.emplace(id, std::move(work));
+    if (admission.shed) {
+        const auto shed = work_.find(*admission.shed);
+        if (shed != work_.end()) {
+            refuse(shed->second->link, *admission.shed, FailureKind::Overloaded,
+                   admission.retry_after);
+            work_.erase(shed);
+        }
+    }
+    start_waiting();
+}
+
+void Agent::refuse(const Link::Ptr& link, const AttemptId& id, FailureKind reason,
+                   Duration retry_after) {
+    remember(id);
+    Metrics::instance()
+        .counter("liftweir_refused_total", "reason=\"" + std::string(name_of(reason)) + "\"")
+        .add();
+    link->send(Refused{id, reason, static_cast<std::uint32_t>(to_millis(retry_after)),
+                       static_cast<std::uint32_t>(queue_.running()),
+                       static_cast<std::uint32_t>(queue_.waiting())});
+}
+
+void Agent::start_waiting() {
+    std::vector<QueueItem> expired;
+    while (true) {
+        // The gate is asked again right before each forward: time passed in the queue.
+        if (config_.service.empty() && queue_.waiting() > 0 &&
+            (!gate_ || !gate_->open(BootClock::now())))
+            break;
+        const auto item = queue_.start_next(BootClock::now(), expired);
+        if (!item)
+            break;
+        const auto found = work_.find(item->id);
+        if (found == work_.end())
+            queue_.finished({});
+        else
+            start(*found->second);
+    }
+    for (const QueueItem& item : expired) {
+        const auto found = work_.find(item.id);
+        if (found == work_.end())
+            continue;
+        refuse(found->second->link, item.id, FailureKind::DeadlineTooNear, {});
+        work_.erase(found);
+    }
+}
+
+void Agent::start(Work& work) {
+    const AttemptId id = work.attempt.id;
+    work.running = true;
+    work.started = BootClock::now();
+    const auto left = work.deadline - work.started;
+    work.attempt.deadline_ms =
+        static_cast<std::uint32_t>(std::max<std::int64_t>(1, to_millis(left)));
+    work.relay = std::make_unique<Relay>(id, work.attempt.streamed, work.attempt.resume_tokens,
+                                         work.attempt.window);
+    static Counter& started = Metrics::instance().counter("liftweir_attempts_started_total");
+    started.add();
+    const auto with_work = [this, id](auto run) {
+        const auto found = work_.find(id);
+        if (found != work_.end())
+            run(*found->second);
+    };
+    EndpointCallbacks callbacks;
+    callbacks.on_head = [with_work, id](int status, const std::string& type) {
+        with_work([&](Work& w) {
+            w.link->send(Head{id, static_cast<std::uint32_t>(status), type});
+            // An error is answered as plain JSON even where a stream was asked for.
+            if (type.find("event-stream") == std::string::npos && w.attempt.streamed)
+                w.relay = std::make_unique<Relay>(id, false, 0, w.attempt.window);
+        });
+    };
+    callbacks.on_data = [this, with_work](std::string_view bytes) {
+        bool taken = true;
+        with_work([&](Work& w) {
+            taken = w.relay->take(bytes);
+            pass_on(w);
+        });
+        return taken;
+    };
+    callbacks.on_done = [this, id](const Expected<int>& result, bool sent) {
+        on_done(id, result, sent);
+    };
+    work.call = endpoint_->start(work.attempt, std::move(callbacks));
+}
+
+void Agent::pass_on(Work& work) {
+    while (auto chunk = work.relay->next_chunk())
+        work.link->send(*chunk);
+}
+
+void Agent::on_done(const AttemptId& id, const Expected<int>& result, bool started) {
+    const auto found = work_.find(id);
+    if (found == work_.end())
+        return;
+    const auto work = std::move(found->second);
+    work_.erase(found);
+    queue_.finished(BootClock::now() - work->started);
+    const auto end = result ? work->relay->finish() : std::nullopt;
+    if (end) {
+        End message = *end;
+        message.running = static_cast<std::uint32_t>(queue_.running());
+        message.waiting = static_cast<std::uint32_t>(queue_.waiting());
+        work->link->send(message);
+    } else {
+        const FailureKind kind = result ? FailureKind::EndpointFailed : result.error().kind;
+        work->link->send(Broken{id, started, kind});
+    }
+    start_waiting();
+}
+
+// Leaves a tombstone: a copy of the attempt that arrives later does not start.
+void Agent::on_cancel(const AttemptId& id) {
+    remember(id);
+    const auto found = work_.find(id);
+    if (found == work_.end())
+        return;
+    const auto work = std::move(found->second);
+    work_.erase(found);
+    if (work->running) {
+        endpoint_->cancel(work->call, id);
+        queue_.finished(BootClock::now() - work->started);
+    } else {
+        queue_.remove(id);
+    }
+    work->link->send(Broken{id, work->running, FailureKind::Cancelled});
+    start_waiting();
+}
+
+void Agent::on_credit(const Credit& credit) {
+    const auto found = work_.find(credit.id);
+    if (found == work_.end() || !found->second->relay)
+        return;
+    found->second->relay->credit(credit.bytes);
+    endpoint_->resume(found->second->call);
+}
+
+void Agent::break_all(FailureKind reason) {
+    queue_.take_all();
+    for (auto& [id, work] : std::exchange(work_, {})) {
+        if (!work->running) {
+            refuse(work->link, id, FailureKind::NoEndpoint, {});
+            continue;
+        }
+        endpoint_->cancel(work->call, id);
+        queue_.finished(BootClock::now() - work->started);
+        work->link->send(Broken{id, true, reason});
+    }
+}
+
+} // namespace liftweir
--- /dev/null
+++ b/src/process/agent.h
@@ -0,0 +1,122 @@
+#ifndef AGENT_H_INCLUDED
+#define AGENT_H_INCLUDED
+
+#include "connection/endpoint.h"
+#include "connection/httpserver.h"
+#include "connection/link.h"
+#include "connection/relay.h"
+#include "process/config.h"
+#include "process/gate.h"
+#include "request/fairqueue.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace liftweir {
+
+// The agent program: the gate before one endpoint. Holds at most one group, obeys only the
+// leading control host, and tells "not run" only of work that its endpoint never saw.
+class Agent {
+  public:
+    Agent(asio::io_context& io, const ProcessConfig& config);
+    ~Agent();
+
+    void start();
+    // First call: takes no new work, finishes what runs, then stops the loop. Second: cuts.
+    void leave();
+
+  private:
+    struct Work {
+        Attempt attempt;
+        Link::Ptr link;
+        Time deadline{};
+        Time started{};
+        HttpCallId call = 0;
+        bool running = false;
+        std::unique_ptr<Relay> relay;
+    };
+
+    void arm_tick();
+    void tick();
+    void check_pause(Time now);
+    void check_gate(Time now);
+    void maybe_stop();
+
+    // control
+    void report();
+    void on_control(std::size_t index, Wire&& message);
+    void on_order(const AgentOrder& order);
+    void hold(const Assignment& assignment);
+    void load(Epoch epoch);
+    void drop_group(Epoch fence, const std::string& cause);
+    AgentStatus status() const;
+
+    // members
+    void receive_datagram();
+    void send_datagram(const std::string& address, const Datagram& datagram);
+
+    // entry hosts
+    void on_entry_message(const Link::Ptr& link, Wire&& message);
+    void on_entry_down(const Link::Ptr& link);
+    void on_attempt(const Link::Ptr& link, Attempt&& attempt);
+    std::optional<FailureKind> refusal(const Attempt& attempt) const;
+    void refuse(const Link::Ptr& link, const AttemptId& id, FailureKind reason,
+                Duration retry_after);
+    void on_cancel(const AttemptId& id);
+    void on_credit(const Credit& credit);
+    void start_waiting();
+    void start(Work& work);
+    void pass_on(Work& work);
+    void on_done(const AttemptId& id, const Expected<int>& result, bool started);
+    void break_all(FailureKind reason);
+    void remember(const AttemptId& id);
+    void tell_gate();
+    GateState gate_state() const;
+    bool admits() const;
+    std::size_t in_flight() const { return work_.size(); }
+
+    asio::io_context& io_;
+    ProcessConfig config_;
+    Identity identity_;
+    ClusterKeys keys_;
+    std::unique_ptr<Endpoint> endpoint_;
+    std::vector<std::unique_ptr<Dialer>> control_;
+    std::vector<NodeId> control_nodes_;
+    std::size_t current_ = 0; // control host that is believed to lead
+    Time heard_{};            // last answer of a leading control host
+    Time report_due_{};
+    Term term_ = 0;
+    bool registered_ = false;
+    bool endpoint_reset_ = false;
+    std::unique_ptr<LinkListener> listener_;
+    std::set<Link::Ptr> entries_;
+    std::unique_ptr<HttpServer> http_;
+    asio::ip::udp::socket ping_socket_;
+    asio::ip::udp::endpoint ping_sender_;
+    std::string ping_buffer_;
+    asio::steady_timer timer_;
+    Time last_tick_{};
+
+    std::unique_ptr<Gate> gate_;
+    AgentPhase phase_ = AgentPhase::Idle;
+    Epoch fence_ = NoEpoch;
+    bool was_open_ = false;
+    bool leaving_ = false;
+    Time leaving_since_{};
+    Time drained_since_{};
+
+    FairQueue queue_;
+    std::map<AttemptId, std::unique_ptr<Work>> work_;
+    // Attempts that were seen or cancelled: a late copy of one of them must not start.
+    std::set<AttemptId> seen_;
+    std::deque<AttemptId> seen_order_;
+};
+
+} // namespace liftweir
+
+#endif // AGENT_H_INCLUDED
--- /dev/null
+++ b/src/process/clock.h
@@ -0,0 +1,32 @@
+#ifndef CLOCK_H_INCLUDED
+#define CLOCK_H_INCLUDED
+
+#include <chrono>
+#include <cstdint>
+
+namespace liftweir {
+
+// Clock that goes on while the machine is suspended. All leases are measured with it.
+struct BootClock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<BootClock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now();
+};
+
+using Time = BootClock::time_point;
+using Duration = BootClock::duration;
+
+// Wall time in milliseconds since the Unix epoch; for display and windows of hours only.
+std::int64_t wall_millis();
+
+constexpr std::int64_t to_millis(Duration d) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
+} // namespace liftweir
+
+#endif // CLOCK_H_INCLUDED
--- /dev/null
+++ b/src/process/control.h
@@ -0,0 +1,113 @@
+#ifndef CONTROL_H_INCLUDED
+#define CONTROL_H_INCLUDED
+
+#include "connection/httpserver.h"
+#include "connection/link.h"
+#include "process/config.h"
+#include "process/inforce.h"
+#include "process/placement.h"
+#include "process/replica.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace liftweir {
+
+// The control program: drives one replica and, while it leads, the planner. Single-threaded; all
+// decisions are in the state machines that it drives.
+class Control {
+  public:
+    // Fails with Damaged or Storage.
+    static Expected<std::unique_ptr<Control>> open(asio::io_context& io,
+                                                   const ProcessConfig& config);
+    ~Control();
+
+    void start();
+    void stop();
+
+    // For the administration interface.
+    Replica& replica() { return *replica_; }
+    const Planner& planner() const { return planner_; }
+    const ProcessConfig& config() const { return config_; }
+    const Identity& identity() const { return identity_; }
+    const ClusterKeys& keys() const { return keys_; }
+    std::map<std::string, PlacementSettings> placement_by_site() const;
+    void propose(const Command& command, Replica::Answer answer);
+    void propose_voters(const Voters& voters, Replica::Answer answer);
+    void read(Replica::ReadAnswer answer);
+    // Calls back once the settings version is in force at every entry host.
+    void when_in_force(Version version, std::function<void()> done);
+    void pump_soon();
+    Time now() const { return BootClock::now(); }
+
+  private:
+    Control(asio::io_context& io, const ProcessConfig& config, std::unique_ptr<Storage> storage,
+            std::unique_ptr<Replica> replica);
+
+    void arm_tick();
+    void tick();
+    void pump();
+    void send_raft(const std::vector<RaftEnvelope>& messages);
+    void note_leadership();
+    void plan();
+    void plan_retirements();
+    void expire_claims();
+    void on_applied(Index index, const Command& command, const ApplyResult& result);
+    void push_tables();
+    void push_orders();
+
+    void on_message(const Link::Ptr& link, Wire&& message);
+    void on_down(const Link::Ptr& link);
+    void on_agent_status(const Link::Ptr& link, const AgentStatus& status);
+    void on_renew(const Link::Ptr& link, const Renew& renew);
+    void on_command(const Link::Ptr& link, const CommandRequest& request);
+    Vouch make_vouch(const Renew& renew) const;
+    AgentOrder order_for(const Host& host, const AgentStatus& status) const;
+
+    struct AgentSession {
+        Link::Ptr link;
+        AgentStatus status;
+        bool registering = false;
+    };
+    struct EntrySession {
+        Link::Ptr link;
+        Renew renew;
+        Time heard{};
+    };
+
+    asio::io_context& io_;
+    ProcessConfig config_;
+    Identity identity_;
+    ClusterKeys keys_;
+    std::unique_ptr<Storage> storage_;
+    std::unique_ptr<Replica> replica_;
+    Planner planner_;
+    InForce in_force_;
+    std::unique_ptr<LinkListener> listener_;
+    std::unique_ptr<HttpServer> http_;
+    std::map<NodeId, std::unique_ptr<Dialer>> peers_;
+    std::map<HostName, AgentSession> agents_;
+    std::map<std::string, EntrySession> entries_;
+    mutable std::map<std::string, PlacementSettings> placement_cache_;
+    mutable Version placement_cache_version_ = 0;
+    mutable std::size_t placement_cache_sites_ = 0;
+    asio::steady_timer timer_;
+    bool pump_posted_ = false;
+    bool led_ = false;
+    std::size_t planned_open_ = 0; // planner commands that are not yet applied
+    Version pushed_table_ = 0;
+    Version pushed_lease_ = 0;
+    Version ordered_table_ = 0;
+    Time plan_due_{};
+    Time expire_due_{};
+};
+
+// Serves the administration interface of a control host.
+HttpHandler admin_handler(Control& control);
+
+} // namespace liftweir
+
+#endif // CONTROL_H_INCLUDED
--- /dev/null
+++ b/src/process/entry.cpp
@@ -0,0 +1,266 @@
+#include "process/entry.h"
+
+#include "connection/codec.h"
+#include "process/logging.h"
+#include "process/metrics.h"
+#include "process/observe.h"
+#include "process/timeline.h"
+
+#include <algorithm>
+#include <random>
+
+namespace liftweir {
+
+namespace {
+
+constexpr Duration TickEvery = std::chrono::milliseconds(25);
+// Three questions fit into one lease, so that one lost answer does not end it.
+constexpr Duration RenewEvery = std::chrono::milliseconds(320);
+constexpr Duration ResendEvery = std::chrono::milliseconds(300);
+// What must be told to control is repeated for so long; later the retirement of this entry host
+// or the claims' window settles it.
+constexpr Duration ResendFor = std::chrono::minutes(10);
+// The balancer sees "not ready" within this time and sends no more.
+constexpr Duration LeavingGrace = std::chrono::seconds(2);
+constexpr Duration LeavingDeadline = std::chrono::seconds(120);
+
+Voters voters_of(const ProcessConfig& config) {
+    Voters voters;
+    for (const auto& [node, address] : config.control)
+        voters.insert(node);
+    return voters;
+}
+
+} // namespace
+
+Entry::Entry(asio::io_context& io, const ProcessConfig& config)
+    : io_(io),
+      shared_(config),
+      builder_(config.site),
+      lease_(voters_of(config), shared_.identity.incarnation),
+      timer_(io) {
+    Timeline::instance().name(config.name, shared_.identity.incarnation);
+    shared_.submit = [this](Command command, EntryShared::CommandAnswer answer) {
+        asio::post(io_, [this, command = std::move(command), answer = std::move(answer)] {
+            submit(command, answer);
+        });
+    };
+}
+
+Entry::~Entry() {
+    for (const auto& shard : shards_)
+        shard->stop();
+    for (std::thread& thread : threads_)
+        thread.join();
+}
+
+void Entry::start() {
+    const ProcessConfig& config = shared_.config;
+    for (const auto& [node, address] : config.control) {
+        auto dialer = std::make_unique<Dialer>(io_, address, shared_.identity, shared_.keys);
+        dialer->start([this](const Link::Ptr&) { renew_due_ = {}; },
+                      [this](const Link::Ptr&, Wire&& message) {
+                          if (const auto* vouch = std::get_if<Vouch>(&message))
+                              on_vouch(*vouch);
+                          else if (const auto* reply = std::get_if<CommandReply>(&message))
+                              on_reply(*reply);
+                      },
+                      [](const Link::Ptr&) {});
+        control_.emplace(node, std::move(dialer));
+    }
+    const auto ready = [this] { return !shared_.leaving && shared_.lease_holds(BootClock::now()); };
+    metrics_ = serve_http(
+        io_, config.metrics, HttpServerLimits{.body_bytes = 4096, .connections = 64},
+        [this, ready](const std::shared_ptr<HttpExchange>& exchange) {
+            if (!serve_observability(*exchange, shared_.keys, ready))
+                respond_json(*exchange, 404,
+                             error_body({FailureKind::NotFound, "no such page"}, Outcome::NotRun));
+        });
+    Metrics::instance().gauge("liftweir_in_flight",
+                              [this] { return static_cast<double>(shared_.calls.load()); });
+    Metrics::instance().gauge("liftweir_retry_budget", [this] { return shared_.retries.left(); });
+    std::random_device device;
+    for (std::uint32_t i = 0; i < config.threads; ++i)
+        shards_.push_back(std::make_unique<Shard>(shared_, device()));
+    for (const auto& shard : shards_)
+        threads_.emplace_back([&shard] { shard->run(); });
+    record({.kind = EventKind::ProcessStarted, .host = config.name, .detail = "entry"});
+    arm_tick();
+}
+
+void Entry::arm_tick() {
+    timer_.expires_after(TickEvery);
+    timer_.async_wait([this](asio::error_code error) {
+        if (error)
+            return;
+        tick();
+        arm_tick();
+    });
+}
+
+void Entry::tick() {
+    const Time now = BootClock::now();
+    if (now >= renew_due_)
+        renew(now);
+    resend_pending(now);
+    note_lease(now);
+    maybe_stop(now);
+}
+
+Dialer* Entry::control_to_ask() {
+    const auto leader = control_.find(leader_);
+    if (leader != control_.end() && leader->second->up())
+        return leader->second.get();
+    for (const auto& [node, dialer] : control_)
+        if (dialer->up())
+            return dialer.get();
+    return nullptr;
+}
+
+// Every control host is asked for its word; only one of them for changes, so that a change
+// crosses the link once.
+void Entry::renew(Time now) {
+    renew_due_ = now + RenewEvery;
+    const Dialer* source = control_to_ask();
+    for (const auto& [node, dialer] : control_) {
+        if (!dialer->up())
+            continue;
+        Renew renew;
+        renew.entry = shared_.config.name;
+        renew.incarnation = shared_.identity.incarnation;
+        renew.sequence = lease_.asked(node, now);
+        renew.table = builder_.version();
+        renew.lease = builder_.lease_version();
+        renew.want_delta = dialer.get() == source;
+        dialer->send(renew);
+    }
+}
+
+void Entry::on_vouch(const Vouch& vouch) {
+    if (vouch.leader != NoNode)
+        leader_ = vouch.leader;
+    if (vouch.has_delta && builder_.apply(vouch.delta))
+        publish();
+    lease_.on_vouch(vouch, builder_.lease_version(), BootClock::now());
+    // The lease is extended only after the tables that it vouches for are published.
+    shared_.lease_until.store(lease_.valid_until().time_since_epoch().count(),
+                              std::memory_order_release);
+    note_lease(BootClock::now());
+    if (lease_.behind())
+        renew_due_ = std::min(renew_due_, BootClock::now() + RenewEvery / 8);
+    if (!vouch.registered && !std::exchange(registering_, true)) {
+        const ProcessConfig& config = shared_.config;
+        submit(
+            RegisterEntry{{config.name, shared_.identity.incarnation, config.metrics, config.site}},
+            [this](const CommandReply&) {
+                registering_ = false;
+                renew_due_ = {};
+            });
+    }
+}
+
+void Entry::publish() {
+    const auto table = builder_.build();
+    shared_.table.store(table, std::memory_order_release);
+    set_log_level(table->log_level);
+    for (const auto& shard : shards_)
+        shard->table_changed();
+    // Tell control at once: a change is in force when every entry host has said so.
+    renew_due_ = {};
+}
+
+void Entry::note_lease(Time now) {
+    const bool holds = shared_.lease_holds(now);
+    if (holds == had_lease_)
+        return;
+    had_lease_ = holds;
+    record({.kind = holds ? EventKind::LeaseRegained : EventKind::LeaseLost,
+            .host = shared_.config.name,
+            .detail = "version " + std::to_string(builder_.lease_version())});
+}
+
+// ---- commands
+
+void Entry::submit(Command command, EntryShared::CommandAnswer answer) {
+    const Time now = BootClock::now();
+    const std::uint64_t id = next_id_++;
+    Pending& pending = pending_[id];
+    pending = {std::move(command), std::move(answer), now, {}};
+    send_pending(id, pending);
+}
+
+void Entry::send_pending(std::uint64_t id, Pending& pending) {
+    pending.sent = BootClock::now();
+    if (Dialer* dialer = control_to_ask())
+        dialer->send(CommandRequest{id, encode(pending.command)});
+}
+
+// Every command of an entry host is idempotent, so it is simply asked again.
+void Entry::resend_pending(Time now) {
+    for (auto it = pending_.begin(); it != pending_.end();) {
+        Pending& pending = it->second;
+        if (now - pending.first_sent > ResendFor) {
+            it = pending_.erase(it);
+            continue;
+        }
+        if (now - pending.sent > ResendEvery)
+            send_pending(it->first, pending);
+        ++it;
+    }
+}
+
+void Entry::on_reply(const CommandReply& reply) {
+    const auto found = pending_.find(reply.id);
+    if (found == pending_.end())
+        return;
+    const bool no_leader = !reply.ok && (reply.failure == FailureKind::NotLeader ||
+                                         reply.failure == FailureKind::NoQuorum);
+    // The call's own timer decides how long this is worth waiting for.
+    if (no_leader) {
+        leader_ = static_cast<NodeId>(std::atoi(reply.detail.c_str()));
+        return;
+    }
+    const Pending pending = std::move(found->second);
+    pending_.erase(found);
+    if (pending.answer)
+        pending.answer(reply);
+}
+
+// ---- leaving
+
+void Entry::leave() {
+    if (shared_.leaving.load()) {
+        record({.kind = EventKind::ProcessStopped,
+                .host = shared_.config.name,
+                .detail = std::to_string(shared_.calls.load()) + " in flight were cut",
+                .cause = "second signal"});
+        io_.stop();
+        return;
+    }
+    // Readiness goes first; new requests are still served until the balancer has noticed.
+    leaving_since_ = BootClock::now();
+    record({.kind = EventKind::ProcessDraining, .host = shared_.config.name});
+    shared_.leaving.store(true);
+}
+
+void Entry::maybe_stop(Time now) {
+    if (leaving_since_ == Time{})
+        return;
+    if (now - leaving_since_ > LeavingGrace && std::exchange(accepting_, false)) {
+        shared_.draining.store(true);
+        for (const auto& shard : shards_)
+            shard->stop_accepting();
+    }
+    const bool late = now - leaving_since_ > LeavingDeadline;
+    const bool idle = !accepting_ && shared_.calls.load() == 0 && pending_.empty() &&
+                      now - leaving_since_ > LeavingGrace + LeavingGrace / 4;
+    if (!idle && !late)
+        return;
+    record({.kind = EventKind::ProcessStopped,
+            .host = shared_.config.name,
+            .detail =
+                late ? std::to_string(shared_.calls.load()) + " in flight were cut" : "drained"});
+    io_.stop();
+}
+
+} // namespace liftweir
--- /dev/null
+++ b/src/process/entry.h
@@ -0,0 +1,68 @@
+#ifndef ENTRY_H_INCLUDED
+#define ENTRY_H_INCLUDED
+
+#include "process/leasekeeper.h"
+#include "process/shard.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace liftweir {
+
+// The entry program: one thread that talks to control and publishes tables, and the shards that
+// serve callers.
+class Entry {
+  public:
+    Entry(asio::io_context& io, const ProcessConfig& config);
+    ~Entry();
+
+    void start();
+    // First call: not ready, finishes streams, then stops the loop. Second: cuts.
+    void leave();
+
+  private:
+    struct Pending {
+        Command command;
+        EntryShared::CommandAnswer answer; // null: repeated until control has it
+        Time first_sent{};
+        Time sent{};
+    };
+
+    void arm_tick();
+    void tick();
+    void renew(Time now);
+    void submit(Command command, EntryShared::CommandAnswer answer);
+    void send_pending(std::uint64_t id, Pending& pending);
+    void resend_pending(Time now);
+    void on_vouch(const Vouch& vouch);
+    void on_reply(const CommandReply& reply);
+    void publish();
+    void note_lease(Time now);
+    void maybe_stop(Time now);
+    Dialer* control_to_ask();
+
+    asio::io_context& io_;
+    EntryShared shared_;
+    TableBuilder builder_;
+    LeaseKeeper lease_;
+    std::map<NodeId, std::unique_ptr<Dialer>> control_;
+    NodeId leader_ = NoNode;
+    std::map<std::uint64_t, Pending> pending_;
+    std::uint64_t next_id_ = 1;
+    bool registering_ = false;
+    bool had_lease_ = false;
+    Time renew_due_{};
+    Time leaving_since_{};
+    bool accepting_ = true;
+    std::unique_ptr<HttpServer> metrics_;
+    std::vector<std::unique_ptr<Shard>> shards_;
+    std::vector<std::thread> threads_;
+    asio::steady_timer timer_;
+};
+
+} // namespace liftweir
+
+#endif // ENTRY_H_INCLUDED
--- /dev/null
+++ b/src/process/metrics.cpp
@@ -0,0 +1,161 @@
+#include "process/metrics.h"
+
+#include "connection/link.h"
+
+#include <boost/histogram.hpp>
+#include <boost/histogram/accumulators/thread_safe.hpp>
+
+#include <fstream>
+#include <sstream>
+#include <sys/resource.h>
+#include <unistd.h>
+
+namespace liftweir {
+
+namespace {
+
+namespace bh = boost::histogram;
+
+// From 10 us to 100 s, ten bins a decade: a quantile is exact to 26 %.
+constexpr unsigned Bins = 70;
+constexpr double Lowest = 1e-5;
+constexpr double Highest = 100;
+
+using Axis = bh::axis::regular<double, bh::axis::transform::log>;
+using Storage = bh::dense_storage<bh::accumulators::thread_safe<std::uint64_t>>;
+using Histogram = bh::histogram<std::tuple<Axis>, Storage>;
+
+std::string with_labels(const std::string& name, const std::string& labels,
+                        const std::string& extra = "") {
+    const std::string all = labels + (labels.empty() || extra.empty() ? "" : ",") + extra;
+    return all.empty() ? name : name + "{" + all + "}";
+}
+
+} // namespace
+
+struct LatencyHistogram::Impl {
+    Histogram histogram = bh::make_histogram_with(Storage(), Axis(Bins, Lowest, Highest));
+    std::atomic<double> sum{0};
+
+    std::uint64_t at(int bin) const { return histogram.at(bin).load(); }
+};
+
+LatencyHistogram::LatencyHistogram() : impl_(std::make_unique<Impl>()) {}
+LatencyHistogram::~LatencyHistogram() = default;
+
+void LatencyHistogram::add(double seconds) {
+    impl_->histogram(seconds);
+    impl_->sum.fetch_add(seconds, std::memory_order_relaxed);
+}
+
+double LatencyHistogram::quantile(double q) const {
+    std::uint64_t total = 0;
+    for (int bin = -1; bin <= static_cast<int>(Bins); ++bin)
+        total += impl_->at(bin);
+    if (total == 0)
+        return 0;
+    std::uint64_t seen = 0;
+    for (int bin = -1; bin < static_cast<int>(Bins); ++bin) {
+        seen += impl_->at(bin);
+        if (static_cast<double>(seen) >= q * static_cast<double>(total))
+            return bin < 0 ? Lowest : impl_->histogram.axis().bin(bin).upper();
+    }
+    return Highest;
+}
+
+void LatencyHistogram::print(const std::string& name, const std::string& labels,
+                             std::string& out) const {
+    constexpr int BinsPerLine = 5; // every half decade is enough for a dashboard
+    std::uint64_t seen = impl_->at(-1);
+    std::ostringstream text;
+    for (int bin = 0; bin < static_cast<int>(Bins); ++bin) {
+        seen += impl_->at(bin);
+        if ((bin + 1) % BinsPerLine == 0)
+            text << with_labels(name + "_bucket", labels,
+                                "le=\"" + std::to_string(impl_->histogram.axis().bin(bin).upper()) +
+                                    "\"")
+                 << " " << seen << "\n";
+    }
+    seen += impl_->at(static_cast<int>(Bins));
+    text << with_labels(name + "_bucket", labels, "le=\"+Inf\"") << " " << seen << "\n"
+         << with_labels(name + "_sum", labels) << " " << impl_->sum.load() << "\n"
+         << with_labels(name + "_count", labels) << " " << seen << "\n";
+    out += text.str();
+}
+
+Metrics& Metrics::instance() {
+    static Metrics metrics;
+    return metrics;
+}
+
+Counter& Metrics::counter(const std::string& name, const std::string& labels) {
+    const std::lock_guard lock(mutex_);
+    return counters_[{name, labels}];
+}
+
+LatencyHistogram& Metrics::histogram(const std::string& name, const std::string& labels) {
+    const std::lock_guard lock(mutex_);
+    return histograms_[{name, labels}];
+}
+
+void Metrics::gauge(const std::string& name, std::function<double()> read) {
+    const std::lock_guard lock(mutex_);
+    gauges_[name] = std::move(read);
+}
+
+std::string Metrics::text() const {
+    const std::lock_guard lock(mutex_);
+    std::ostringstream out;
+    std::string last;
+    const auto header = [&](const std::string& name, const char* type) {
+        if (std::exchange(last, name) != name)
+            out << "# TYPE " << name << " " << type << "\n";
+    };
+    for (const auto& [key, counter] : counters_) {
+        header(key.first, "counter");
+        out << with_labels(key.first, key.second) << " " << counter.value() << "\n";
+    }
+    for (const auto& [name, read] : gauges_) {
+        header(name, "gauge");
+        out << name << " " << read() << "\n";
+    }
+    for (const auto& [key, histogram] : histograms_) {
+        header(key.first, "histogram");
+        std::string text;
+        histogram.print(key.first, key.second, text);
+        out << text;
+    }
+    const LinkCounters& links = link_counters();
+    out << "# TYPE liftweir_link_bytes_total counter\n"
+        << "liftweir_link_bytes_total{direction=\"in\"} " << links.bytes_in << "\n"
+        << "liftweir_link_bytes_total{direction=\"out\"} " << links.bytes_out << "\n"
+        << "# TYPE liftweir_link_messages_total counter\n"
+        << "liftweir_link_messages_total{direction=\"in\"} " << links.messages_in << "\n"
+        << "liftweir_link_messages_total{direction=\"out\"} " << links.messages_out << "\n"
+        << "# TYPE liftweir_link_refused_total counter\n"
+        << "liftweir_link_refused_total " << links.refused << "\n"
+        << "# TYPE process_cpu_seconds_total counter\n"
+        << "process_cpu_seconds_total " << processor_seconds() << "\n"
+        << "# TYPE process_resident_memory_bytes gauge\n"
+        << "process_resident_memory_bytes " << resident_bytes() << "\n";
+    return out.str();
+}
+
+double processor_seconds() {
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    const auto seconds = [](const timeval& t) {
+        return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_usec) * 1e-6;
+    };
+    return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
+double resident_bytes() {
+    std::ifstream file("/proc/self/statm");
+    double pages = 0;
+    double resident = 0;
+    file >> pages >> resident;
+    return resident * static_cast<double>(::sysconf(_SC_PAGESIZE));
+}
+
+} // namespace liftweir
--- /dev/null
+++ b/src/process/metrics.h
@@ -0,0 +1,66 @@
+#ifndef METRICS_H_INCLUDED
+#define METRICS_H_INCLUDED
+
+#include <atomic>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace liftweir {
+
+class Counter {
+  public:
+    void add(std::uint64_t n = 1) { value_.fetch_add(n, std::memory_order_relaxed); }
+    std::uint64_t value() const { return value_.load(std::memory_order_relaxed); }
+
+  private:
+    std::atomic<std::uint64_t> value_{0};
+};
+
+// Latencies in seconds on a logarithmic axis (Boost.Histogram, thread-safe storage).
+class LatencyHistogram {
+  public:
+    LatencyHistogram();
+    ~LatencyHistogram();
+    void add(double seconds);
+    // Upper edge of the bin in which the quantile falls; 0 where nothing was added.
+    double quantile(double q) const;
+    void print(const std::string& name, const std::string& labels, std::string& out) const;
+
+  private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+// Everything that /metrics shows. Registering takes a lock; adding to a metric does not.
+class Metrics {
+  public:
+    static Metrics& instance();
+
+    // `labels` in Prometheus form, e.g. class="standard".
+    Counter& counter(const std::string& name, const std::string& labels = "");
+    LatencyHistogram& histogram(const std::string& name, const std::string& labels = "");
+    void gauge(const std::string& name, std::function<double()> read);
+    // Prometheus text format.
+    std::string text() const;
+
+  private:
+    using Key = std::pair<std::string, std::string>;
+
+    mutable std::mutex mutex_;
+    std::map<Key, Counter> counters_;
+    std::map<Key, LatencyHistogram> histograms_;
+    std::map<std::string, std::function<double()>> gauges_;
+};
+
+// Processor seconds and resident bytes of this process.
+double processor_seconds();
+double resident_bytes();
+
+} // namespace liftweir
+
+#endif // METRICS_H_INCLUDED
--- /dev/null
+++ b/src/process/placement.h
@@ -0,0 +1,148 @@
+#ifndef PLACEMENT_H_INCLUDED
+#define PLACEMENT_H_INCLUDED
+
+#include "connection/wire.h"
+#include "process/outage.h"
+#include "process/timeline.h"
+#include "version/state.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace liftweir {
+
+enum class PlacementPolicy : std::uint8_t { Priced, Rebuild, Wait };
+
+// One model that a site wants.
+struct WantedModel {
+    ModelSpec spec;
+    std::size_t replicas = 0;
+    std::size_t hosts_per_group = 4;
+    double weight_mb = 1000;
+
+    auto operator<=>(const WantedModel&) const = default;
+};
+
+// The part of a site's settings that decides placement.
+struct PlacementSettings {
+    PlacementPolicy policy = PlacementPolicy::Priced;
+    double downtime_weight = 1;
+    double stranded_weight = 0.1;
+    Duration silent_after = std::chrono::milliseconds(2000);
+    OutagePrior outage;
+    double store_mb_per_second = 1000;
+    std::size_t loads_at_once = 2;
+    Duration drain_timeout = std::chrono::seconds(120);
+    std::vector<WantedModel> models;
+};
+
+PlacementSettings placement_settings(const SiteSettings& settings);
+
+enum class Repair : std::uint8_t { Wait, Replace, Move, Merge, Leave };
+
+std::string_view name_of(Repair repair);
+
+// One way to deal with a broken group, with its price.
+struct RepairChoice {
+    Repair repair = Repair::Wait;
+    std::vector<HostName> members; // of the new group
+    Epoch other = NoEpoch;         // second broken group of a merge
+    Duration downtime{};
+    double stranded_accelerator_seconds = 0;
+    double price = 0;
+};
+
+struct RepairDecision {
+    Epoch group = NoEpoch;
+    std::vector<RepairChoice> choices; // cheapest first
+    std::string reason;
+};
+
+// Decides which hosts form each group and what happens to broken ones. Runs on the leading
+// control host only; it holds observations, never the truth: its commands are checked again when
+// they are applied.
+class Planner {
+  public:
+    // A new leader gives every host the full silence before it believes that it is gone.
+    void reset(Time now);
+    void observe(const AgentStatus& status, Time now);
+    std::vector<Command> plan(const State& state,
+                              const std::map<std::string, PlacementSettings>& by_site, Time now);
+
+    bool silent(const Host& host, const PlacementSettings& settings, Time now) const;
+    bool serving(Epoch epoch) const;
+    const std::map<Epoch, RepairDecision>& decisions() const { return decisions_; }
+    std::vector<Event> take_events();
+    // Group seconds and live accelerator seconds lost so far, for the measures of the users.
+    double downtime_seconds() const { return downtime_seconds_; }
+    double stranded_accelerator_seconds() const { return stranded_seconds_; }
+
+  private:
+    struct HostView {
+        AgentStatus status;
+        Time heard{};
+        bool was_silent = false;
+        Time silent_since{};
+        std::optional<ModelSpec> resident; // weights that its engine holds
+
+        bool holds(const ModelSpec& spec) const {
+            return resident && resident->model == spec.model && resident->version == spec.version;
+        }
+    };
+    struct GroupView {
+        bool open = false;
+        bool ever_open = false;
+        Time first_seen{};
+        Time draining_since{};
+    };
+    struct Pass; // one run of plan()
+
+    void account(const Pass& pass);
+    void note_silence(Pass& pass);
+    void acknowledge_releases(Pass& pass);
+    void finish_drains(Pass& pass);
+    void drain_leaving(Pass& pass);
+    void repair_broken(Pass& pass);
+    void repair(Pass& pass, const Group& group, const std::vector<HostName>& missing);
+    void drop_stuck(Pass& pass);
+    void roll_versions(Pass& pass);
+    void meet_wants(Pass& pass);
+
+    RepairDecision price(Pass& pass, const Group& group, const std::vector<HostName>& missing);
+    void price_replace(Pass& pass, const Group& group, const std::vector<HostName>& survivors,
+                       Duration remaining, RepairDecision& out);
+    void price_move(Pass& pass, const Group& group, double idle, Duration remaining,
+                    RepairDecision& out);
+    void price_merge(Pass& pass, const Group& group, const std::vector<HostName>& survivors,
+                     Duration remaining, RepairDecision& out);
+    std::vector<HostName> free_hosts(const Pass& pass, const std::string& domain,
+                                     const ModelSpec& spec) const;
+    std::optional<std::vector<HostName>> pick_domain(const Pass& pass, const WantedModel& wanted,
+                                                     const std::string& not_domain) const;
+    Duration load_time(const Pass& pass, const std::vector<HostName>& hosts,
+                       const WantedModel& wanted) const;
+    std::vector<HostName> missing_members(const Pass& pass, const Group& group) const;
+    bool usable(const Pass& pass, const Host& host) const;
+    bool form(Pass& pass, const WantedModel& wanted, const std::vector<HostName>& hosts,
+              const std::string& reason);
+    void emit(EventKind kind, const std::string& host, Epoch group, std::string detail);
+
+    std::map<HostName, HostView> hosts_;
+    std::map<Epoch, GroupView> groups_;
+    std::map<Epoch, RepairDecision> decisions_;
+    std::map<Epoch, std::vector<HostName>> intended_; // hosts promised to a repair, by old group
+    OutageStats outages_;
+    std::vector<Event> events_;
+    Time started_{};
+    Time accounted_{};
+    double downtime_seconds_ = 0;
+    double stranded_seconds_ = 0;
+};
+
+} // namespace liftweir
+
+#endif // PLACEMENT_H_INCLUDED
--- /dev/null
+++ b/src/process/shard.h
@@ -0,0 +1,98 @@
+#ifndef SHARD_H_INCLUDED
+#define SHARD_H_INCLUDED
+
+#include "connection/httpserver.h"
+#include "connection/link.h"
+#include "process/config.h"
+#include "request/call.h"
+#include "request/callerapi.h"
+#include "request/retry.h"
+#include "request/routing.h"
+#include "version/table.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace liftweir {
+
+// What the threads of an entry host share. Everything here is atomic or immutable.
+struct EntryShared {
+    ProcessConfig config;
+    Identity identity;
+    ClusterKeys keys;
+    std::atomic<std::shared_ptr<const Table>> table;
+    std::atomic<std::int64_t> lease_until{0}; // boot clock, ns
+    std::atomic<bool> leaving{false};         // not ready, but still serving
+    std::atomic<bool> draining{false};        // takes no new request
+    std::atomic<std::uint64_t> next_sequence{1};
+    std::atomic<std::uint64_t> calls{0}; // in progress
+    RetryBudget retries;
+
+    // Hands a command to the thread that talks to control. The answer comes on any thread.
+    using CommandAnswer = std::function<void(const CommandReply&)>;
+    std::function<void(Command, CommandAnswer)> submit;
+
+    explicit EntryShared(const ProcessConfig& c);
+    bool lease_holds(Time now) const {
+        return now.time_since_epoch().count() < lease_until.load(std::memory_order_acquire);
+    }
+};
+
+// One thread of an entry host: its own listener, its own links to the agents, its own calls.
+// Requests never leave the thread that accepted them.
+class Shard {
+  public:
+    Shard(EntryShared& shared, std::uint64_t seed);
+    ~Shard();
+
+    void run();
+    // Thread-safe.
+    void table_changed();
+    void stop_accepting();
+    void stop();
+
+  private:
+    class CallPlacer;
+    struct Active;
+
+    void on_request(std::shared_ptr<HttpExchange> exchange);
+    void admit(const std::shared_ptr<HttpExchange>& exchange,
+               const std::shared_ptr<const Table>& table, const Customer& customer);
+    void run_actions(Active& active, CallActions actions);
+    void perform(Active& active, SendAttempt& action);
+    void perform(Active& active, CancelSent& action);
+    void perform(Active& active, SendClaim& action);
+    void perform(Active& active, SendCloseClaim& action);
+    void perform(Active& active, SendDropClaim& action);
+    void perform(Active& active, BeginStream& action);
+    void perform(Active& active, StreamBytes& action);
+    void perform(Active& active, EndStream& action);
+    void perform(Active& active, WholeAnswer& action);
+    void perform(Active& active, FailCall& action);
+    void arm_timer(Active& active);
+    void finish(std::uint64_t sequence);
+    void note_end(const AttemptId& id, std::uint32_t running, std::uint32_t waiting);
+    Active* find(std::uint64_t sequence);
+
+    void sync_dialers();
+    void apply_gate(const GateState& state);
+    void on_agent_message(const std::string& address, Wire&& message);
+    void on_link_down(const std::string& address);
+
+    EntryShared& shared_;
+    asio::io_context io_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_;
+    std::unique_ptr<HttpServer> http_;
+    Router router_;
+    std::map<std::string, std::unique_ptr<Dialer>> dialers_; // by agent address
+    std::map<std::string, GateState> gates_;
+    std::unordered_map<std::uint64_t, std::unique_ptr<Active>> calls_;
+};
+
+} // namespace liftweir
+
+#endif // SHARD_H_INCLUDED
--- /dev/null
+++ b/src/process/storage.cpp
@@ -0,0 +1,174 @@
+#include "process/storage.h"
+
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <sstream>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace liftweir {
+
+namespace {
+
+constexpr const char* LockName = "lock";
+constexpr const char* TemporarySuffix = ".tmp";
+
+tl::unexpected<Failure> os_failure(const std::string& what) {
+    return fail(FailureKind::Storage, what + ": " + std::strerror(errno));
+}
+
+class Descriptor {
+  public:
+    explicit Descriptor(int fd) : fd_(fd) {}
+    ~Descriptor() {
+        if (fd_ >= 0)
+            ::close(fd_);
+    }
+    Descriptor(const Descriptor&) = delete;
+    Descriptor& operator=(const Descriptor&) = delete;
+    Descriptor(Descriptor&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+    Descriptor& operator=(Descriptor&&) = delete;
+
+    int get() const { return fd_; }
+
+  private:
+    int fd_;
+};
+
+Expected<void> write_all(int fd, std::string_view bytes, const std::string& name) {
+    while (!bytes.empty()) {
+        const ssize_t written = ::write(fd, bytes.data(), bytes.size());
+        if (written < 0 && errno == EINTR)
+            continue;
+        if (written < 0)
+            return os_failure("write " + name);
+        bytes.remove_prefix(static_cast<std::size_t>(written));
+    }
+    return {};
+}
+
+class Folder final : public Storage {
+  public:
+    Folder(std::string path, Descriptor folder, Descriptor lock)
+        : path_(std::move(path)), folder_(std::move(folder)), lock_(std::move(lock)) {}
+
+    Expected<std::vector<std::string>> list() override {
+        std::vector<std::string> names;
+        std::error_code error;
+        for (const auto& item : std::filesystem::directory_iterator(path_, error))
+            if (item.path().filename() != LockName)
+                names.push_back(item.path().filename());
+        if (error)
+            return fail(FailureKind::Storage, "list " + path_ + ": " + error.message());
+        return names;
+    }
+
+    Expected<std::string> read(const std::string& name) override {
+        std::ifstream file(at(name), std::ios::binary);
+        if (!file)
+            return os_failure("open " + name);
+        std::ostringstream content;
+        content << file.rdbuf();
+        return content.str();
+    }
+
+    Expected<void> append(const std::string& name, std::string_view bytes) override {
+        const auto fd = open_for_append(name);
+        if (!fd)
+            return tl::make_unexpected(fd.error());
+        return write_all(*fd, bytes, name);
+    }
+
+    Expected<void> sync(const std::string& name) override {
+        const auto fd = open_for_append(name);
+        if (!fd)
+            return tl::make_unexpected(fd.error());
+        if (::fdatasync(*fd) != 0)
+            return os_failure("sync " + name);
+        return sync_folder_once(name);
+    }
+
+    Expected<void> truncate(const std::string& name, std::size_t bytes) override {
+        if (::truncate(at(name).c_str(), static_cast<off_t>(bytes)) != 0)
+            return os_failure("truncate " + name);
+        return sync(name);
+    }
+
+    Expected<void> replace(const std::string& name, std::string_view bytes) override {
+        const std::string temporary = at(name) + TemporarySuffix;
+        const Descriptor fd(
+            ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
+        if (fd.get() < 0)
+            return os_failure("open " + temporary);
+        if (auto written = write_all(fd.get(), bytes, name); !written)
+            return written;
+        if (::fsync(fd.get()) != 0)
+            return os_failure("sync " + name);
+        if (::rename(temporary.c_str(), at(name).c_str()) != 0)
+            return os_failure("rename " + name);
+        return sync_folder();
+    }
+
+    Expected<void> remove(const std::string& name) override {
+        open_.erase(name);
+        if (::unlink(at(name).c_str()) != 0)
+            return os_failure("remove " + name);
+        return sync_folder();
+    }
+
+  private:
+    std::string at(const std::string& name) const { return path_ + "/" + name; }
+
+    Expected<int> open_for_append(const std::string& name) {
+        const auto known = open_.find(name);
+        if (known != open_.end())
+            return known->second.get();
+        Descriptor fd(::open(at(name).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600));
+        if (fd.get() < 0)
+            return os_failure("open " + name);
+        return open_.emplace(name, std::move(fd)).first->second.get();
+    }
+
+    Expected<void> sync_folder() {
+        if (::fsync(folder_.get()) != 0)
+            return os_failure("sync " + path_);
+        return {};
+    }
+
+    // A new file's name is durable only once its folder is synced; once is enough.
+    Expected<void> sync_folder_once(const std::string& name) {
+        if (name == folder_synced_for_)
+            return {};
+        folder_synced_for_ = name;
+        return sync_folder();
+    }
+
+    std::string path_;
+    Descriptor folder_;
+    Descriptor lock_;
+    std::map<std::string, Descriptor> open_;
+    std::string folder_synced_for_;
+};
+
+} // namespace
+
+Expected<std::unique_ptr<Storage>> open_folder(const std::string& path) {
+    std::error_code error;
+    std::filesystem::create_directories(path, error);
+    if (error)
+        return fail(FailureKind::Storage, "make " + path + ": " + error.message());
+    Descriptor folder(::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+    if (folder.get() < 0)
+        return os_failure("open " + path);
+    Descriptor lock(::open((path + "/" + LockName).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
+    if (lock.get() < 0 || ::flock(lock.get(), LOCK_EX | LOCK_NB) != 0)
+        return os_failure("lock " + path);
+    return std::make_unique<Folder>(path, std::move(folder), std::move(lock));
+}
+
+} // namespace liftweir
--- /dev/null
+++ b/src/process/storage.h
@@ -0,0 +1,37 @@
+#ifndef STORAGE_H_INCLUDED
+#define STORAGE_H_INCLUDED
+
+#include "process/failure.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace liftweir {
+
+// The few file operations that the log store needs, so that tests can inject short writes,
+// failed syncs, a full disk and a crash between any two steps. Names are relative to one data
+// folder. Every failure is FailureKind::Storage.
+class Storage {
+  public:
+    virtual ~Storage() = default;
+
+    virtual Expected<std::vector<std::string>> list() = 0;
+    virtual Expected<std::string> read(const std::string& name) = 0;
+    virtual Expected<void> append(const std::string& name, std::string_view bytes) = 0;
+    // Syncs the file's bytes, and the folder if the file is new.
+    virtual Expected<void> sync(const std::string& name) = 0;
+    virtual Expected<void> truncate(const std::string& name, std::size_t bytes) = 0;
+    // Writes the whole file under a temporary name, syncs, renames and syncs the folder.
+    virtual Expected<void> replace(const std::string& name, std::string_view bytes) = 0;
+    virtual Expected<void> remove(const std::string& name) = 0;
+};
+
+// Storage on a folder of the file system. The folder is made if it is missing, and locked
+// against a second process.
+Expected<std::unique_ptr<Storage>> open_folder(const std::string& path);
+
+} // namespace liftweir
+
+#endif // STORAGE_H_INCLUDED
--- /dev/null
+++ b/src/version/settings.h
@@ -0,0 +1,100 @@
+#ifndef SETTINGS_H_INCLUDED
+#define SETTINGS_H_INCLUDED
+
+#include "version/keys.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <msgpack.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace liftweir {
+
+using Version = std::uint64_t;
+
+// One value at one level of the tree. An unset value stays as a tombstone, so that a process that
+// missed the change learns of it from a delta.
+struct Setting {
+    std::string text; // JSON; empty for a tombstone
+    Version version = 0;
+    std::string author;
+
+    auto operator<=>(const Setting&) const = default;
+    MSGPACK_DEFINE(text, version, author)
+};
+
+struct SettingChange {
+    std::string path; // level: organisation, organisation/region or organisation/region/site
+    std::string key;
+    std::string text; // JSON; empty to unset
+
+    auto operator<=>(const SettingChange&) const = default;
+    MSGPACK_DEFINE(path, key, text)
+};
+
+// A setting with its place in the tree, as sent to the processes.
+struct PlacedSetting {
+    std::string path;
+    std::string key;
+    Setting setting;
+
+    auto operator<=>(const PlacedSetting&) const = default;
+    MSGPACK_DEFINE(path, key, setting)
+};
+
+// Where a resolved value comes from: one step per level, the deciding one last.
+struct ExplainStep {
+    std::string path; // empty for the built-in default
+    std::string text;
+    Version version = 0;
+    std::string author;
+};
+
+// The tree of settings: a value at a lower level overrides the same key above it.
+class SettingsTree {
+  public:
+    // Fails with BadSettings.
+    static Expected<void> check(const SettingChange& change);
+    void apply(const SettingChange& change, Version version, const std::string& author);
+    void put(const PlacedSetting& item);
+
+    std::optional<Setting> at(const std::string& path, const std::string& key) const;
+    std::vector<ExplainStep> explain(const std::string& site, const std::string& key) const;
+    std::vector<PlacedSetting> changed_since(Version version) const;
+    // Every key that any level on the way to `site` sets, with its deciding value.
+    std::map<std::string, std::string> resolve(const std::string& site) const;
+    std::vector<std::string> paths() const;
+    bool operator==(const SettingsTree&) const = default;
+
+    MSGPACK_DEFINE(levels_)
+
+  private:
+    std::map<std::string, std::map<std::string, Setting>> levels_;
+};
+
+// The settings of one site at one version, with defaults filled in. Immutable.
+class SiteSettings {
+  public:
+    SiteSettings() = default;
+    SiteSettings(const SettingsTree& tree, const std::string& site);
+
+    bool boolean(const std::string& key) const;
+    std::int64_t integer(const std::string& key) const;
+    double number(const std::string& key) const;
+    std::string text(const std::string& key) const;
+    std::vector<std::string> texts(const std::string& key) const;
+    // Names chosen by operators under a prefix: names_under("models").
+    std::vector<std::string> names_under(const std::string& prefix) const;
+
+  private:
+    Json::Value value(const std::string& key) const;
+
+    std::map<std::string, Json::Value> values_;
+};
+
+} // namespace liftweir
+
+#endif // SETTINGS_H_INCLUDED
--- /dev/null
+++ b/tests/faults/cluster.py
@@ -0,0 +1,334 @@
+"""Starts the real processes on loopback, and drives and observes them for tests and the demo."""
+import hashlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+BUILD = os.environ.get("LIFTWEIR_BUILD", os.path.join(ROOT, "build", "release"))
+ADMIN = "admin-token"
+SITE = "utility/city/north"
+KEYS = {"geology": "key-geology", "archive-desk": "key-desk"}
+
+
+def digest(text):
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+_used = set()
+
+
+def free_port():
+    """A port that is free for TCP and UDP and was not given out before."""
+    while True:
+        with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+            tcp.bind(("127.0.0.1", 0))
+            port = tcp.getsockname()[1]
+            try:
+                udp.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _used:
+            _used.add(port)
+            return port
+
+
+def address():
+    return "127.0.0.1:%d" % free_port()
+
+
+def wait_for(condition, what, seconds=30.0, every=0.05):
+    """Polls until the condition is true and returns its value; fails loudly at the bound."""
+    end = time.monotonic() + seconds
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > end:
+            raise AssertionError("not within %.0f s: %s" % (seconds, what))
+        time.sleep(every)
+
+
+def http(method, url, body=None, headers=None, timeout=30):
+    """Returns (status, headers, body) and (0, {}, reason) where nothing answered."""
+    data = None if body is None else (body if isinstance(body, bytes) else json.dumps(body).encode())
+    request = urllib.request.Request(url, data=data, method=method, headers=headers or {})
+    if body is not None and not isinstance(body, bytes):
+        request.add_header("Content-Type", "application/json")
+    try:
+        with urllib.request.build_opener(urllib.request.ProxyHandler({})).open(
+                request, timeout=timeout) as answer:
+            return answer.status, dict(answer.headers), answer.read()
+    except urllib.error.HTTPError as error:
+        return error.code, dict(error.headers), error.read()
+    except (OSError, ValueError, urllib.error.URLError, EOFError) as error:
+        return 0, {}, str(error).encode()
+    except Exception as error:  # http.client raises many kinds on a cut answer
+        return 0, {}, repr(error).encode()
+
+
+class Process:
+    def __init__(self, name, args, log):
+        self.name, self.args, self.log = name, args, log
+        self.popen = None
+        self.start()
+
+    def start(self):
+        with open(self.log, "ab") as out:
+            self.popen = subprocess.Popen(self.args, stdout=out, stderr=out)
+
+    @property
+    def pid(self):
+        return self.popen.pid
+
+    def signal(self, number):
+        self.popen.send_signal(number)
+
+    def kill(self):
+        if self.popen.poll() is None:
+            self.popen.kill()
+        self.popen.wait()
+
+    def pause(self):
+        self.signal(signal.SIGSTOP)
+
+    def go_on(self):
+        self.signal(signal.SIGCONT)
+
+    def exit_code(self, seconds=30):
+        return self.popen.wait(timeout=seconds)
+
+
+class Cluster:
+    """A whole system. `domains` gives the engine hosts of each fabric domain."""
+
+    def __init__(self, controls=3, entries=2, domains=(4, 4), services=2, engine=None, settings=None,
+                 threads=1, accelerators=8, folder=None, start=True, fence=True):
+        self.folder = folder or tempfile.mkdtemp(prefix="liftweir-")
+        self.processes = {}
+        self.engine_args = engine or {}
+        self.threads, self.accelerators, self.fence = threads, accelerators, fence
+        self.control_links = {i + 1: address() for i in range(controls)}
+        self.control_http = {i + 1: address() for i in range(controls)}
+        self.entry_http, self.entry_metrics = {}, {}
+        self.engines, self.services, self.domain_of = {}, {}, {}
+        self.link_via = {}  # name -> {node: address}, to put a fault proxy between
+        self.entries, self.domains, self.service_count = entries, domains, services
+        self.settings = settings or {}
+        self.gave_up = False
+        if start:
+            self.start()
+
+    # ---- processes
+
+    def binary(self, name):
+        return os.path.join(BUILD, name)
+
+    def config(self, name, **values):
+        path = os.path.join(self.folder, name + ".json")
+        base = {"name": name, "zone": values.pop("zone", "zone-1"), "cluster_keys":
+                ["a-shared-cluster-key"],
+                "control": {str(n): a for n, a in
+                            self.link_via.get(name, self.control_links).items()}}
+        base.update(values)
+        with open(path, "w") as out:
+            json.dump(base, out)
+        return path
+
+    def spawn(self, name, binary, args):
+        log = os.path.join(self.folder, name + ".log")
+        process = Process(name, [self.binary(binary)] + args, log)
+        self.processes[name] = process
+        return process
+
+    def start_control(self, node, **extra):
+        name = "control-%d" % node
+        path = self.config(name, zone="zone-%d" % node, node=node, listen=self.control_links[node],
+                           http=self.control_http[node], data=os.path.join(self.folder, name),
+                           bootstrap_admin_digest=digest(ADMIN), **extra)
+        return self.spawn(name, "liftweir-control", ["--config", path])
+
+    def start_entry(self, index):
+        name = "entry-%d" % index
+        self.entry_http.setdefault(index, address())
+        self.entry_metrics.setdefault(index, address())
+        path = self.config(name, zone="zone-%d" % (index % 3 + 1), site=SITE,
+                           http=self.entry_http[index], metrics=self.entry_metrics[index],
+                           threads=self.threads)
+        return self.spawn(name, "liftweir-entry", ["--config", path])
+
+    def start_engine(self, name):
+        http_address = self.engines.setdefault(name, address())
+        args = ["--http", http_address]
+        for key, value in self.engine_args.items():
+            args += ["--" + key, str(value)]
+        if not self.fence:
+            args += ["--fence", "0"]
+        return self.spawn("engine-" + name, "fake-engine", args)
+
+    def start_agent(self, name, domain, zone="zone-1"):
+        self.domain_of[name] = domain
+        old = getattr(self, "agent_addresses", {})
+        self.agent_addresses = old
+        listen, ping, http_address = old.setdefault(name, (address(), address(), address()))
+        path = self.config(name, zone=zone, site=SITE, listen=listen, ping=ping, http=http_address,
+                           domain=domain, accelerators=self.accelerators,
+                           engine_url="http://" + self.engines[name],
+                           engine_checks_fence=self.fence)
+        return self.spawn(name, "liftweir-agent", ["--config", path])
+
+    def start_service(self, name, service="quotes"):
+        http_address = self.services.setdefault(name, address())
+        self.spawn("service-" + name, "fake-service", ["--http", http_address])
+        old = getattr(self, "agent_addresses", {})
+        self.agent_addresses = old
+        listen, ping, agent_http = old.setdefault(name, (address(), address(), address()))
+        path = self.config(name, site=SITE, listen=listen, ping=ping, http=agent_http,
+                           service=service, service_url="http://" + http_address)
+        return self.spawn(name, "liftweir-agent", ["--config", path])
+
+    def start(self):
+        for node in self.control_links:
+            self.start_control(node)
+        for d, count in enumerate(self.domains):
+            for i in range(count):
+                name = "host-%s%d" % ("abcdefghij"[d], i + 1)
+                self.start_engine(name)
+                self.start_agent(name, "fabric-%s" % "abcdefghij"[d], "zone-%d" % (d % 3 + 1))
+        for i in range(self.service_count):
+            self.start_service("host-q%d" % (i + 1))
+        for i in range(self.entries):
+            self.start_entry(i + 1)
+        self.first_settings()
+
+    def first_settings(self):
+        changes = {"models/archive/replicas": len(self.domains), "models/archive/weight_mb": 100,
+                   "models/archive/class": "affordability", "classes/affordability/weight": 50,
+                   "classes/affordability/shed_order": 90, "services/quotes/repeatable": False}
+        for customer, key in KEYS.items():
+            changes["customers/%s/key_digest" % customer] = digest(key)
+        changes.update(self.settings)
+        wait_for(lambda: self.set_many(changes), "the first settings are accepted")
+
+    def stop(self):
+        for process in self.processes.values():
+            if process.popen.poll() is None:
+                process.popen.kill()
+        for process in self.processes.values():
+            process.popen.wait()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *unused):
+        self.stop()
+
+    # ---- operators
+
+    def rpc_at(self, node, method, params=None, timeout=10, token=ADMIN):
+        status, _, body = http("POST", "http://%s/admin" % self.control_http[node],
+                               {"jsonrpc": "2.0", "id": 1, "method": method, "params": params or {}},
+                               {"Authorization": "Bearer " + token}, timeout)
+        if status != 200:
+            return {"error": {"message": "unreachable"}}
+        return json.loads(body)
+
+    def rpc(self, method, params=None, timeout=10):
+        """Result of the leading control host, or None while none leads."""
+        for node in self.control_http:
+            answer = self.rpc_at(node, method, params, timeout)
+            if "result" in answer:
+                return answer["result"]
+            if answer["error"]["message"] not in ("unreachable", "not_leader", "no_quorum"):
+                raise AssertionError("%s: %s" % (method, answer["error"]))
+        return None
+
+    def set_many(self, changes, path=SITE, order=None):
+        now = self.rpc("settings.get")
+        if now is None:
+            return None
+        rows = [{"path": path, "key": k, "value": v} for k, v in changes.items()]
+        return self.rpc("settings.set", {"order": order or "order-%d" % time.time_ns(),
+                                         "base": now["version"], "changes": rows})
+
+    def set(self, key, value, path=SITE):
+        return wait_for(lambda: self.set_many({key: value}, path), "setting " + key)
+
+    def leader(self):
+        status = self.rpc("status")
+        return status["node"] if status else None
+
+    def groups(self):
+        return self.rpc("groups.list") or []
+
+    def serving(self):
+        return [g for g in self.groups() if g["serving"]]
+
+    def wait_serving(self, count, seconds=40):
+        return wait_for(lambda: len(self.serving()) >= count and self.serving(),
+                        "%d groups serve; groups: %s" % (count, self.groups()), seconds)
+
+    def ctl(self, *words, check=True):
+        env = dict(os.environ, LIFTWEIR_TOKEN=ADMIN,
+                   LIFTWEIR_CONTROL=",".join(self.control_http.values()))
+        done = subprocess.run([self.binary("liftweirctl")] + list(words), env=env,
+                              capture_output=True, text=True, timeout=60)
+        if check and done.returncode != 0:
+            raise AssertionError("liftweirctl %s: %s" % (" ".join(words), done.stderr))
+        return done
+
+    # ---- callers
+
+    def url(self, entry=1):
+        return "http://" + self.entry_http[entry]
+
+    def wait_ready(self):
+        for index in self.entry_http:
+            wait_for(lambda: http("GET", self.url(index) + "/readyz")[0] == 200,
+                     "entry %d is ready" % index)
+
+    def complete(self, prompt, tokens=8, entry=1, stream=True, timeout=60, headers=None,
+                 key="key-geology"):
+        head = {"Authorization": "Bearer " + key}
+        head.update(headers or {})
+        return http("POST", self.url(entry) + "/v1/completions",
+                    {"model": "archive", "prompt": prompt, "max_tokens": tokens, "stream": stream},
+                    head, timeout)
+
+    def save(self, quote, idempotency=None, entry=1, path="/save", timeout=30, key="key-geology"):
+        head = {"Authorization": "Bearer " + key}
+        if idempotency:
+            head["Idempotency-Key"] = idempotency
+        return http("POST", self.url(entry) + "/services/quotes" + path, {"id": quote}, head, timeout)
+
+    def wait_models(self, seconds=40):
+        """Every entry host has an endpoint for the model and one for the service."""
+        for index in self.entry_http:
+            wait_for(lambda: self.complete("ready?", 1, index)[0] == 200,
+                     "entry %d completes" % index, seconds, 0.1)
+
+    def executions(self):
+        """How often each thing was saved, over all stand-ins of the service."""
+        total = {}
+        for name, where in self.services.items():
+            _, _, body = http("GET", "http://%s/counts" % where)
+            for key, count in json.loads(body or b"{}").items():
+                total[key] = total.get(key, 0) + count
+        return total
+
+
+def stream_text(body):
+    """(text, whole) of a streamed answer."""
+    text, whole = "", False
+    for line in body.decode().split("\n"):
+        if line == "data: [DONE]":
+            whole = True
+        elif line.startswith("data: {\"choices\"") or line.startswith("data: {\"id\""):
+            text += json.loads(line[6:])["choices"][0]["text"]
+    return text, whole
--- /dev/null
+++ b/tests/faults/test_whole.py
@@ -0,0 +1,93 @@
+"""The whole path on real processes."""
+import json
+
+import pytest
+
+from cluster import Cluster, http, stream_text, wait_for
+
+
+@pytest.fixture(scope="module")
+def cluster():
+    with Cluster(domains=(5, 4)) as c:
+        c.wait_serving(2)
+        c.wait_models()
+        yield c
+
+
+def test_two_groups_within_their_domains(cluster):
+    groups = cluster.serving()
+    members = [m for g in groups for m in g["members"]]
+    assert len(members) == len(set(members)) == 8
+    for group in groups:
+        assert {cluster.domain_of[m] for m in group["members"]} == {group["domain"]}
+
+
+def test_streamed_and_whole_answers_agree(cluster):
+    status, _, body = cluster.complete("shelf 4 core 12", 20)
+    text, whole = stream_text(body)
+    assert status == 200 and whole and len(text.split()) == 20
+    status, headers, body = cluster.complete("shelf 4 core 12", 20, entry=2, stream=False)
+    assert status == 200 and headers["Liftweir-Outcome"] == "completed"
+    assert json.loads(body)["choices"][0]["text"] == text
+
+
+def test_a_saved_quote_runs_once_through_both_entries(cluster):
+    first = wait_for(lambda: (lambda a: a if a[0] == 200 else None)(
+        cluster.save("q-once", "key-once")), "saved")
+    again = cluster.save("q-once", "key-once", entry=2)
+    assert again[0] == 200 and again[2] == first[2]
+    assert again[1]["Liftweir-Replayed"] == "true"
+    assert cluster.executions()["q-once"] == 1
+    other = cluster.save("another", "key-once")
+    assert other[0] == 422 and other[1]["Liftweir-Outcome"] == "not-run"
+
+
+def test_strangers_change_nothing_and_learn_nothing(cluster):
+    assert http("POST", cluster.url() + "/v1/completions", {})[0] == 401
+    assert http("GET", cluster.url() + "/v1/models")[0] == 401
+    for where in [cluster.control_http[1], cluster.entry_metrics[1],
+                  cluster.agent_addresses["host-a1"][2]]:
+        assert http("GET", "http://" + where + "/metrics")[0] == 401
+        assert http("GET", "http://" + where + "/events")[0] == 401
+    for node in cluster.control_http:
+        answer = cluster.rpc_at(node, "settings.get", token="wrong")
+        assert answer["error"]["message"] == "unauthorized"
+
+
+def test_bad_requests_get_typed_errors(cluster):
+    head = {"Authorization": "Bearer key-geology"}
+    url = cluster.url() + "/v1/completions"
+    deep = b"[" * 5000
+    for body, want in [(b"{", 400), (deep, 400), (b"[]", 400), (b"{\"model\":\"none\"}", 404)]:
+        status, headers, answer = http("POST", url, body, head)
+        assert status == want and headers["Liftweir-Outcome"] == "not-run"
+        assert json.loads(answer)["error"]["type"] in ("bad_request", "not_found")
+    assert http("POST", cluster.url() + "/services/none/x", {}, head)[0] == 404
+
+
+def test_settings_explain_and_typed_conflict(cluster):
+    base = cluster.rpc("settings.get")["version"]
+    change = [{"path": "utility", "key": "models/archive/deadline_ms", "value": 30000}]
+    first = cluster.rpc("settings.set", {"order": "o-1", "base": base, "changes": change})
+    assert first["in_force"]
+    again = cluster.rpc("settings.set", {"order": "o-1", "base": base, "changes": change})
+    assert again["version"] == first["version"]
+    done = cluster.ctl("settings", "set", "utility", "models/archive/deadline_ms", "1000",
+                       "--base", str(base), check=False)
+    assert done.returncode == 4 and "models/archive/deadline_ms" in done.stderr
+    steps = json.loads(cluster.ctl("settings", "explain", "models/archive/deadline_ms", "--site",
+                                   "utility/city/north", "--json").stdout)
+    assert [s["path"] for s in steps] == ["(default)", "utility"]
+    bad = cluster.ctl("settings", "set", "utility", "models/archive/replica", "1", check=False)
+    assert bad.returncode == 2 and "models/archive/replicas" in bad.stderr
+
+
+def test_the_time_line_names_every_process(cluster):
+    rows = [json.loads(line) for line in cluster.ctl("timeline", "--json").stdout.splitlines()]
+    processes = {row["process"] for row in rows}
+    assert {"control-1", "control-2", "control-3", "entry-1", "host-a1"} <= processes
+    order = [(row["ms"], row["counter"]) for row in rows]
+    assert order == sorted(order)
+    formed = next(i for i, r in enumerate(rows) if r["kind"] == "group_formed")
+    opened = next(i for i, r in enumerate(rows) if r["kind"] == "gate_opened")
+    assert formed < opened
--- /dev/null
+++ b/tools/lint.py
@@ -0,0 +1,74 @@
+"""Formatter, linters and the rules of the house: file sizes, share of tests, generated docs."""
+import concurrent.futures
+import glob
+import os
+import subprocess
+import sys
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+BUILD = os.path.join(ROOT, "build", "release")
+LONGEST_FILE = 600
+
+
+def sources(*patterns):
+    out = []
+    for pattern in patterns:
+        out += glob.glob(os.path.join(ROOT, pattern), recursive=True)
+    return sorted(out)
+
+
+def lines(files):
+    return sum(len(open(name, encoding="utf-8").readlines()) for name in files)
+
+
+def run(args):
+    done = subprocess.run(args, cwd=ROOT, capture_output=True, text=True)
+    return done.returncode, done.stdout + done.stderr
+
+
+def tidy(name):
+    code, text = run(["clang-tidy", "--quiet", "-p", BUILD, name])
+    return name, code, text
+
+
+def main():
+    failures = []
+    code_files = sources("src/**/*.cpp", "src/**/*.h")
+    test_files = sources("tests/**/*.cpp", "tests/**/*.h", "tests/**/*.py")
+    code, text = run(["clang-format", "--dry-run", "-Werror"] +
+                     [f for f in code_files + test_files if not f.endswith(".py")])
+    if code:
+        failures.append("clang-format:\n" + text[:4000])
+    tidied = [f for f in code_files if f.endswith(".cpp") and not f.endswith("rpcclient.cpp")]
+    with concurrent.futures.ThreadPoolExecutor(os.cpu_count()) as pool:
+        for name, code, text in pool.map(tidy, tidied):
+            if code:
+                failures.append("clang-tidy %s:\n%s" % (os.path.relpath(name, ROOT), text[:3000]))
+    code, text = run(["cppcheck", "--quiet", "--std=c++20", "--language=c++", "--inline-suppr",
+                      "--enable=warning,performance,portability", "--error-exitcode=1",
+                      "--suppress=missingIncludeSystem", "--suppress=unknownMacro",
+                      "--suppress=passedByValue", "-j", str(os.cpu_count()), "-Isrc", "src"])
+    if code:
+        failures.append("cppcheck:\n" + text[:4000])
+    for name in code_files + test_files:
+        count = len(open(name, encoding="utf-8").readlines())
+        if count > LONGEST_FILE:
+            failures.append("%s has %d lines; at most %d" % (os.path.relpath(name, ROOT), count,
+                                                             LONGEST_FILE))
+    code, text = run([os.path.join(BUILD, "liftweirctl"), "keys"])
+    page = os.path.join(ROOT, "docs", "SETTINGS.md")
+    if code or not os.path.exists(page) or open(page, encoding="utf-8").read() != text:
+        failures.append("docs/SETTINGS.md is not what `liftweirctl keys` prints")
+    src, tests = lines(code_files), lines(test_files)
+    share = tests / (src + tests)
+    print("lines: src %d, tests %d; tests are %.0f %% of all code" % (src, tests, 100 * share))
+    if share > 1 / 3:
+        failures.append("tests are more than a third of the code")
+    for failure in failures:
+        print(failure)
+    print("lint: %s" % ("%d failures" % len(failures) if failures else "clean"))
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
