--- /dev/null
+++ b/tests/unit/gate_test.cpp
@@ -0,0 +1,329 @@
+#include "process/gate.h"
+#include "process/inforce.h"
+#include "process/leasekeeper.h"
+#include "request/fairqueue.h"
+#include "request/limits.h"
+#include "request/retry.h"
+#include "request/routing.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace liftweir {
+namespace {
+
+using std::chrono::milliseconds;
+constexpr Time Start{std::chrono::seconds(100)};
+
+Assignment pair_of_hosts() {
+    Assignment a;
+    a.epoch = 7;
+    a.members = {{"lead", 1, "a", "p"}, {"other", 2, "b", "q"}};
+    return a;
+}
+
+TEST(Gate, OpensOnlyAfterTheOldGroupsMustHaveClosed) {
+    Gate gate(pair_of_hosts(), "lead", 1, Start);
+    gate.set_engine_ready(true);
+    const auto pings = gate.due_pings(Start);
+    ASSERT_EQ(pings.size(), 1u);
+    gate.on_echo({7, pings[0].ping.sequence, 2}, Start);
+    EXPECT_FALSE(gate.open(Start + milliseconds(100)));
+    const Time later = Start + milliseconds(1500);
+    gate.on_echo({7, gate.due_pings(later).at(0).ping.sequence, 2}, later);
+    EXPECT_TRUE(gate.open(later));
+}
+
+// What counts is when the ping left: an echo that was held back proves only the past.
+TEST(Gate, ALateEchoProvesOnlyThePast) {
+    Gate gate(pair_of_hosts(), "lead", 1, Start);
+    gate.set_engine_ready(true);
+    const auto ping = gate.due_pings(Start).at(0).ping;
+    const Time late = Start + milliseconds(1600);
+    gate.on_echo({7, ping.sequence, 2}, late);
+    EXPECT_FALSE(gate.open(late));
+    EXPECT_EQ(gate.missing(late), std::vector<HostName>{"other"});
+}
+
+TEST(Gate, AMemberEchoesOnlyWhatItHoldsInItsOwnIncarnation) {
+    Gate member(pair_of_hosts(), "other", 2, Start);
+    EXPECT_FALSE(member.answer({7, 1, 1, 2})) << "the engine is not ready";
+    member.set_engine_ready(true);
+    EXPECT_TRUE(member.answer({7, 1, 1, 2}));
+    EXPECT_FALSE(member.answer({6, 1, 1, 2}));
+    EXPECT_FALSE(member.answer({7, 1, 1, 3}));
+}
+
+// Random losses and delays: the gate is never open when the member last echoed a ping older than
+// the timeout.
+TEST(Gate, IsNeverOpenOnOldProof) {
+    rc::check([] {
+        Gate gate(pair_of_hosts(), "lead", 1, Start);
+        gate.set_engine_ready(true);
+        Time now = Start;
+        Time newest_proof{};
+        std::vector<std::pair<Time, Echo>> wire;
+        for (const int action : *rc::gen::container<std::vector<int>>(200, rc::gen::inRange(0, 8))) {
+            now += milliseconds(action * 40);
+            for (const DuePing& due : gate.due_pings(now))
+                wire.emplace_back(now, Echo{7, due.ping.sequence, 2});
+            if (!wire.empty() && action % 2 == 0) {
+                const auto at = wire.begin() + static_cast<std::ptrdiff_t>(action) %
+                                                   static_cast<std::ptrdiff_t>(wire.size());
+                gate.on_echo(at->second, now);
+                newest_proof = std::max(newest_proof, at->first);
+                wire.erase(at);
+            }
+            if (gate.open(now))
+                RC_ASSERT(now - newest_proof < milliseconds(1500));
+        }
+    });
+}
+
+Vouch vouch(NodeId node, std::uint64_t sequence, Version logged) {
+    Vouch v;
+    v.node = node;
+    v.sequence = sequence;
+    v.logged = logged;
+    v.registered = true;
+    v.voters = {1, 2, 3};
+    return v;
+}
+
+TEST(LeaseKeeper, NeedsAMajorityThatKnowsNothingNewer) {
+    LeaseKeeper lease({1, 2, 3}, 9);
+    const auto a = lease.asked(1, Start);
+    const auto b = lease.asked(2, Start + milliseconds(10));
+    lease.on_vouch(vouch(1, a, 5), 5, Start + milliseconds(50));
+    EXPECT_EQ(lease.valid_until(), Time{});
+    lease.on_vouch(vouch(2, b, 6), 5, Start + milliseconds(60));
+    EXPECT_EQ(lease.valid_until(), Time{}) << "host 2 has logged something newer";
+    EXPECT_TRUE(lease.behind());
+    const auto c = lease.asked(2, Start + milliseconds(100));
+    lease.on_vouch(vouch(2, c, 6), 6, Start + milliseconds(900));
+    EXPECT_EQ(lease.valid_until(), Start + SettingsLease) << "counts from the older question";
+}
+
+TEST(LeaseKeeper, APushProvesNoTime) {
+    LeaseKeeper lease({1}, 9);
+    lease.asked(1, Start);
+    lease.on_vouch(vouch(1, 0, 5), 5, Start);
+    EXPECT_EQ(lease.valid_until(), Time{});
+}
+
+TEST(InForce, WaitsForEveryEntryOrForTheLeases) {
+    InForce force;
+    force.reset(Start);
+    const Time now = Start + std::chrono::seconds(10);
+    force.committed(4, now);
+    EXPECT_FALSE(force.reached(4, {"a", "b"}, now));
+    force.acknowledged("a", 4);
+    EXPECT_FALSE(force.reached(4, {"a", "b"}, now));
+    force.acknowledged("b", 5);
+    EXPECT_TRUE(force.reached(4, {"a", "b"}, now));
+    force.committed(9, now);
+    EXPECT_TRUE(force.reached(9, {"a", "b"}, now + SettingsLeaseWait));
+}
+
+TEST(InForce, ANewLeaderWaitsOutTheLeasesThatItDoesNotKnow) {
+    InForce force;
+    force.reset(Start);
+    force.acknowledged("a", 4);
+    EXPECT_FALSE(force.reached(4, {"a"}, Start + milliseconds(10)));
+    EXPECT_TRUE(force.reached(4, {"a"}, Start + SettingsLeaseWait));
+}
+
+QueueItem item(std::uint64_t n, const std::string& cls, const std::string& customer,
+               std::uint32_t weight, std::uint32_t shed = 50) {
+    return {{1, n, 1}, cls, customer, weight, 10, shed, 1, Start + std::chrono::hours(1), true};
+}
+
+// Shares under contention follow the weights; the small class is not starved.
+TEST(FairQueue, SharesFollowWeights) {
+    FairQueue queue(1, 10000);
+    std::uint64_t n = 0;
+    for (int i = 0; i < 400; ++i) {
+        queue.offer(item(++n, "big", "a", 30), Start);
+        queue.offer(item(++n, "small", "b", 10), Start);
+    }
+    int big = 0;
+    std::vector<QueueItem> expired;
+    for (int i = 0; i < 200; ++i) {
+        const auto next = queue.start_next(Start, expired);
+        ASSERT_TRUE(next);
+        big += next->traffic_class == "big" ? 1 : 0;
+        queue.finished(milliseconds(10));
+    }
+    EXPECT_NEAR(big, 150, 5);
+}
+
+TEST(FairQueue, ABusyCustomerDoesNotDelayAQuietOne) {
+    FairQueue queue(1, 10000);
+    for (std::uint64_t n = 1; n <= 500; ++n)
+        queue.offer(item(n, "c", "loud", 10), Start);
+    std::vector<QueueItem> expired;
+    for (int i = 0; i < 100; ++i) {
+        queue.start_next(Start, expired);
+        queue.finished(milliseconds(10));
+    }
+    queue.offer(item(1000, "c", "quiet", 10), Start);
+    int position = 0;
+    while (queue.start_next(Start, expired)->customer != "quiet") {
+        queue.finished(milliseconds(10));
+        ++position;
+    }
+    EXPECT_LE(position, 2);
+}
+
+TEST(FairQueue, RefusesAtOnceWhatCanNotMeetItsDeadline) {
+    FairQueue queue(1, 100);
+    std::vector<QueueItem> expired;
+    for (std::uint64_t n = 1; n <= 10; ++n)
+        ASSERT_TRUE(queue.offer(item(n, "c", "a", 10), Start).admitted);
+    queue.start_next(Start, expired);
+    queue.finished(std::chrono::seconds(1));
+    queue.start_next(Start, expired);
+    QueueItem late = item(11, "c", "a", 10);
+    late.deadline = Start + std::chrono::seconds(3);
+    const Admission refused = queue.offer(late, Start);
+    EXPECT_FALSE(refused.admitted);
+    EXPECT_EQ(refused.reason, FailureKind::DeadlineTooNear);
+    EXPECT_GE(refused.retry_after, std::chrono::seconds(3));
+}
+
+TEST(FairQueue, AFullQueueShedsTheLeastImportantClassFirst) {
+    FairQueue queue(1, 2);
+    std::vector<QueueItem> expired;
+    queue.offer(item(1, "low", "a", 10, 10), Start);
+    queue.start_next(Start, expired);
+    queue.offer(item(2, "low", "a", 10, 10), Start);
+    queue.offer(item(3, "low", "a", 10, 10), Start);
+    const Admission low = queue.offer(item(4, "low", "a", 10, 10), Start);
+    EXPECT_FALSE(low.admitted);
+    const Admission high = queue.offer(item(5, "high", "a", 10, 90), Start);
+    EXPECT_TRUE(high.admitted);
+    EXPECT_EQ(high.shed, (AttemptId{1, 3, 1}));
+}
+
+// Counts stay right and the bound holds, whatever is offered, started, removed or finished.
+TEST(FairQueue, CountsStayRight) {
+    rc::check([] {
+        FairQueue queue(3, 5);
+        std::set<std::uint64_t> waiting;
+        std::size_t running = 0;
+        std::uint64_t n = 0;
+        for (const int action : *rc::gen::container<std::vector<int>>(120, rc::gen::inRange(0, 9))) {
+            std::vector<QueueItem> expired;
+            if (action < 5) {
+                const auto a = queue.offer(item(++n, std::to_string(action % 2),
+                                                std::to_string(action % 3), 10,
+                                                static_cast<std::uint32_t>(action)),
+                                           Start);
+                if (a.admitted)
+                    waiting.insert(n);
+                if (a.shed)
+                    RC_ASSERT(waiting.erase(a.shed->sequence) == 1);
+            } else if (action < 7) {
+                if (const auto next = queue.start_next(Start, expired)) {
+                    RC_ASSERT(waiting.erase(next->id.sequence) == 1);
+                    ++running;
+                }
+            } else if (action == 7 && running > 0) {
+                queue.finished(milliseconds(5));
+                --running;
+            } else if (!waiting.empty()) {
+                RC_ASSERT(queue.remove({1, *waiting.begin(), 1}));
+                waiting.erase(waiting.begin());
+            }
+            RC_ASSERT(queue.waiting() == waiting.size());
+            RC_ASSERT(queue.running() == running && running <= 3);
+        }
+    });
+}
+
+TEST(Limits, ARateIsKeptAndTheWaitIsTold) {
+    CustomerLimits limits;
+    const CustomerRates rates{10, 1e6, 1000};
+    int admitted = 0;
+    for (int i = 0; i < 100; ++i)
+        admitted += limits.admit(rates, Start) ? 0 : 1;
+    EXPECT_NEAR(admitted, 11, 1);
+    const auto wait = limits.admit(rates, Start);
+    ASSERT_TRUE(wait);
+    EXPECT_FALSE(limits.admit(rates, Start + *wait + milliseconds(1)));
+}
+
+TEST(Limits, TokensUsedDelayLaterRequests) {
+    CustomerLimits limits;
+    const CustomerRates rates{1000, 100, 1000};
+    ASSERT_FALSE(limits.admit(rates, Start));
+    limits.finished(rates, 500, Start);
+    EXPECT_TRUE(limits.admit(rates, Start));
+    EXPECT_FALSE(limits.admit(rates, Start + std::chrono::seconds(5)));
+}
+
+TEST(RetryBudget, IsPaidForBySuccesses) {
+    RetryBudget budget;
+    int free = 0;
+    while (budget.take())
+        ++free;
+    EXPECT_LE(free, 10);
+    for (int i = 0; i < 100; ++i)
+        budget.earn(0.1);
+    int earned = 0;
+    while (budget.take())
+        ++earned;
+    EXPECT_EQ(earned, 10);
+}
+
+std::vector<Target> targets(int count) {
+    std::vector<Target> out;
+    for (int i = 0; i < count; ++i) {
+        Target t;
+        t.host = "h" + std::to_string(i);
+        t.epoch = static_cast<Epoch>(i) + 1;
+        t.stats = std::make_shared<TargetStats>();
+        t.stats->open = true;
+        out.push_back(t);
+    }
+    return out;
+}
+
+TEST(Router, OnePrefixMeetsOneGroupUntilItIsLoaded) {
+    Router router("z", 1);
+    auto groups = targets(5);
+    RoutingRules rules;
+    RouteQuery query;
+    query.prefix = 12345;
+    const Target* first = router.pick(groups, rules, query, Start);
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(router.pick(groups, rules, query, Start), first);
+    first->stats->in_flight = 50;
+    EXPECT_NE(router.pick(groups, rules, query, Start), first);
+}
+
+TEST(Router, AvoidsClosedFailedAndSlowGroupsButNeverAllOfThem) {
+    Router router("z", 1);
+    auto groups = targets(4);
+    RoutingRules rules;
+    rules.prefix_affinity = false;
+    for (Target& t : groups) {
+        t.stats->samples = 100;
+        t.stats->first_token_s = 0.1;
+    }
+    groups[0].stats->first_token_s = 2;
+    groups[1].stats->open = false;
+    RouteQuery query;
+    query.avoid = {groups[2].stats.get()};
+    for (int i = 0; i < 30; ++i)
+        EXPECT_TRUE(router.pick(groups, rules, {}, Start) != &groups[1]);
+    EXPECT_EQ(Router::slow_targets({&groups[0], &groups[1], &groups[2], &groups[3]}, rules),
+              std::vector<const Target*>{&groups[0]});
+    for (Target& t : groups)
+        t.stats->first_token_s = 5;
+    EXPECT_TRUE(
+        Router::slow_targets({&groups[0], &groups[1], &groups[2], &groups[3]}, rules).empty());
+}
+
+} // namespace
+} // namespace liftweir
