Fault proxy, checker and fault tests on real processes

Cause: the promises were proved on single state machines only. The checker is shown to catch planted violations.

--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -28,6 +28,21 @@
 constexpr std::size_t DefaultQueue = 256;
 constexpr std::size_t DatagramBytes = 512;
 
+HostSpec host_spec(const ProcessConfig& c) {
+    HostSpec spec;
+    spec.name = c.name;
+    spec.site = c.site;
+    spec.zone = c.zone;
+    spec.domain = c.domain;
+    spec.accelerators = c.accelerators;
+    spec.role = c.service.empty() ? HostRole::Engine : HostRole::Service;
+    spec.service = c.service;
+    spec.address = c.advertise.empty() ? c.listen : c.advertise;
+    spec.ping_address = c.advertise_ping.empty() ? c.ping : c.advertise_ping;
+    spec.http = c.http;
+    return spec;
+}
+
 } // namespace
 
 Agent::Agent(asio::io_context& io, const ProcessConfig& config)
@@ -192,14 +207,8 @@
 
 AgentStatus Agent::status() const {
     AgentStatus s;
-    if (!registered_) {
-        s.spec = {
-            config_.name,         config_.site,
-            config_.zone,         config_.domain,
-            config_.accelerators, config_.service.empty() ? HostRole::Engine : HostRole::Service,
-            config_.service,      config_.listen,
-            config_.ping,         config_.http};
-    }
+    if (!registered_)
+        s.spec = host_spec(config_);
     s.host = config_.name;
     s.incarnation = identity_.incarnation;
     s.held = gate_ ? gate_->assignment().epoch : NoEpoch;
--- a/src/process/config.cpp
+++ b/src/process/config.cpp
@@ -99,6 +99,8 @@
         {"domain", ForAgent, 0, "text", is_text, text_into(&C::domain)},
         {"accelerators", ForAgent, 0, "number", is_count, count_into(&C::accelerators)},
         {"ping", ForAgent, ForAgent, "ip:port", is_address, text_into(&C::ping)},
+        {"advertise", ForAgent, 0, "ip:port", is_address, text_into(&C::advertise)},
+        {"advertise_ping", ForAgent, 0, "ip:port", is_address, text_into(&C::advertise_ping)},
         {"engine_url", ForAgent, 0, "URL", is_text, text_into(&C::engine_url)},
         {"service_url", ForAgent, 0, "URL", is_text, text_into(&C::service_url)},
         {"service", ForAgent, 0, "text", is_text, text_into(&C::service)},
--- a/src/process/config.h
+++ b/src/process/config.h
@@ -34,6 +34,9 @@
     std::string domain;
     std::uint32_t accelerators = 0;
     std::string ping; // ip:port, UDP
+    // What other processes dial, where it is not what this one binds; empty: the same.
+    std::string advertise;
+    std::string advertise_ping;
     std::string engine_url;
     std::string service_url;
     std::string service;
--- a/tests/faults/cluster.py
+++ b/tests/faults/cluster.py
@@ -9,6 +9,9 @@
 import time
 import urllib.error
 import urllib.request
+import zlib
+
+from proxy import FaultProxy
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 BUILD = os.environ.get("LIFTWEIR_BUILD", os.path.join(ROOT, "build", "release"))
@@ -109,7 +112,8 @@
     """A whole system. `domains` gives the engine hosts of each fabric domain."""
 
     def __init__(self, controls=3, entries=2, domains=(4, 4), services=2, engine=None, settings=None,
-                 threads=1, accelerators=8, folder=None, start=True, fence=True):
+                 threads=1, accelerators=8, folder=None, start=True, fence=True, proxied=False):
+        self.proxy = FaultProxy() if proxied else None
         self.folder = folder or tempfile.mkdtemp(prefix="liftweir-")
         self.processes = {}
         self.engine_args = engine or {}
@@ -121,12 +125,38 @@
         self.link_via = {}  # name -> {node: address}, to put a fault proxy between
         self.entries, self.domains, self.service_count = entries, domains, services
         self.settings = settings or {}
-        self.gave_up = False
+        self.agent_addresses = {}
+        if proxied:
+            for i in range(controls):
+                self.proxy_control("control-%d" % (i + 1))
+            for i in range(entries):
+                self.proxy_control("entry-%d" % (i + 1))
+            for d, count in enumerate(domains):
+                for i in range(count):
+                    self.proxy_control("host-%s%d" % ("abcdefghij"[d], i + 1))
         if start:
             self.start()
 
     # ---- processes
 
+    def proxy_control(self, name):
+        """Puts a proxy into every link of this process to the control hosts."""
+        self.link_via[name] = {n: a if name == "control-%d" % n else
+                               self.proxy.tcp("%s>control-%d" % (name, n), a)
+                               for n, a in self.control_links.items()}
+
+    def links(self, name):
+        """Names of the proxied links that touch a process."""
+        return [link for link in self.proxy.names()
+                if name in link.split(">")]
+
+    def cut(self, name, mode="silent"):
+        for link in self.links(name):
+            self.proxy.set(link, mode)
+
+    def heal(self):
+        self.proxy.heal()
+
     def binary(self, name):
         return os.path.join(BUILD, name)
 
@@ -174,23 +204,27 @@
 
     def start_agent(self, name, domain, zone="zone-1"):
         self.domain_of[name] = domain
-        old = getattr(self, "agent_addresses", {})
-        self.agent_addresses = old
-        listen, ping, http_address = old.setdefault(name, (address(), address(), address()))
+        listen, ping, http_address = self.agent_addresses.setdefault(name, (address(), address(), address()))
         path = self.config(name, zone=zone, site=SITE, listen=listen, ping=ping, http=http_address,
                            domain=domain, accelerators=self.accelerators,
                            engine_url="http://" + self.engines[name],
-                           engine_checks_fence=self.fence)
+                           engine_checks_fence=self.fence, **self.advertised(name, listen, ping))
         return self.spawn(name, "liftweir-agent", ["--config", path])
 
+    def advertised(self, name, listen, ping):
+        """Addresses of the fault proxy before an agent, if there is one."""
+        if self.proxy is None:
+            return {}
+        return {"advertise": self.proxy.tcp(name, listen), "advertise_ping":
+                self.proxy.udp(name, ping)}
+
     def start_service(self, name, service="quotes"):
         http_address = self.services.setdefault(name, address())
         self.spawn("service-" + name, "fake-service", ["--http", http_address])
-        old = getattr(self, "agent_addresses", {})
-        self.agent_addresses = old
-        listen, ping, agent_http = old.setdefault(name, (address(), address(), address()))
+        listen, ping, agent_http = self.agent_addresses.setdefault(name, (address(), address(), address()))
         path = self.config(name, site=SITE, listen=listen, ping=ping, http=agent_http,
-                           service=service, service_url="http://" + http_address)
+                           service=service, service_url="http://" + http_address,
+                           **self.advertised(name, listen, ping))
         return self.spawn(name, "liftweir-agent", ["--config", path])
 
     def start(self):
@@ -222,6 +256,8 @@
                 process.popen.kill()
         for process in self.processes.values():
             process.popen.wait()
+        if self.proxy:
+            self.proxy.close()
 
     def __enter__(self):
         return self
@@ -258,7 +294,15 @@
                                          "base": now["version"], "changes": rows})
 
     def set(self, key, value, path=SITE):
-        return wait_for(lambda: self.set_many({key: value}, path), "setting " + key)
+        """Sets one key; asks again where another operator was first."""
+        def once():
+            try:
+                return self.set_many({key: value}, path)
+            except AssertionError as error:
+                if "conflict" not in str(error):
+                    raise
+                return None
+        return wait_for(once, "setting " + key)
 
     def leader(self):
         status = self.rpc("status")
@@ -323,6 +367,12 @@
         return total
 
 
+def expected_text(prompt, tokens):
+    """What the stand-in for an engine generates."""
+    start = zlib.crc32(prompt.encode())
+    return "".join("w%d " % ((start + 7919 * i) % 100000) for i in range(tokens))
+
+
 def stream_text(body):
     """(text, whole) of a streamed answer."""
     text, whole = "", False
--- /dev/null
+++ b/tests/faults/soak.py
@@ -0,0 +1,110 @@
+"""Random faults, alone and together, from a seed that is printed. Judges all promises at the end."""
+import argparse
+import random
+import sys
+import time
+
+from checker import Follower, judge
+from cluster import Cluster
+
+
+class Schedule:
+    """Picks faults and heals them again; everything it does follows from the seed."""
+
+    def __init__(self, cluster, follower, seed):
+        self.cluster, self.follower, self.random = cluster, follower, random.Random(seed)
+
+    def agents(self):
+        return sorted(self.cluster.domain_of)
+
+    def pause(self, name):
+        self.cluster.processes[name].pause()
+        if name in self.cluster.domain_of:
+            self.follower.down(name)
+        return lambda: (self.cluster.processes[name].go_on(), self.follower.up(name))
+
+    def kill(self, name):
+        self.cluster.processes[name].kill()
+        if name in self.cluster.domain_of:
+            self.follower.down(name)
+        return lambda: (self.cluster.processes[name].start(), self.follower.up(name))
+
+    def cut(self, name, mode):
+        self.cluster.cut(name, mode)
+
+        def heal():
+            for link in self.cluster.links(name):
+                self.cluster.proxy.set(link, "refuse")
+                self.cluster.proxy.set(link, "pass")
+        return heal
+
+    def one(self):
+        r = self.random
+        agent = r.choice(self.agents())
+        control = "control-%d" % r.choice(sorted(self.cluster.control_links))
+        entry = "entry-%d" % r.choice(sorted(self.cluster.entry_http))
+        what = r.choice(["pause agent", "kill agent", "cut agent", "slow agent", "one way",
+                         "pause control", "kill control", "cut control", "cut entry",
+                         "kill entry", "domain"])
+        if what == "domain":
+            domain = r.choice(sorted(set(self.cluster.domain_of.values())))
+            heals = [self.pause(n) for n, d in sorted(self.cluster.domain_of.items()) if d == domain]
+            return what + " " + domain, lambda: [heal() for heal in heals]
+        target = {"agent": agent, "control": control, "entry": entry}.get(what.split()[-1], agent)
+        if what.startswith("pause"):
+            return "%s %s" % (what, target), self.pause(target)
+        if what.startswith("kill"):
+            return "%s %s" % (what, target), self.kill(target)
+        mode = {"slow agent": "slow", "one way": r.choice(["silent_in", "silent_out"])}.get(
+            what, "silent")
+        return "%s %s %s" % (what, target, mode), self.cut(target, mode)
+
+
+def run(seed, seconds, say=print):
+    say("seed %d, %.0f s" % (seed, seconds))
+    with Cluster(domains=(5, 5), proxied=True, engine={"load-ms": 200, "token-ms": 3},
+                 settings={"customers/probe/key_digest": "0" * 64}) as cluster:
+        cluster.wait_serving(2)
+        cluster.wait_models()
+        follower = Follower(cluster, seed).start()
+        schedule = Schedule(cluster, follower, seed)
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            faults = {}
+            for _ in range(schedule.random.choice([1, 1, 2])):
+                what, heal = schedule.one()
+                if what.split()[-1] not in " ".join(faults):
+                    faults[what] = heal
+                else:
+                    heal()
+            say("  %5.1f s left: %s" % (end - time.monotonic(), " + ".join(faults)))
+            time.sleep(schedule.random.choice([0.5, 2, 4]))
+            for heal in faults.values():
+                heal()
+            time.sleep(schedule.random.choice([0.2, 2]))
+        cluster.heal()
+        cluster.wait_serving(2, 60)
+        cluster.wait_models(60)
+        time.sleep(0.5)
+        follower.stop()
+        found = judge(cluster, follower.records)
+        whole = sum(1 for c in follower.records.completions if c[5])
+        say("  %d of %d completions whole, %d saves, %d settings probes, %d violations" % (
+            whole, len(follower.records.completions), len(follower.records.saves),
+            len(follower.records.settings), len(found)))
+        return found, whole
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--minutes", type=float, default=1)
+    parser.add_argument("--seed", type=int, default=int(time.time()))
+    options = parser.parse_args()
+    found, _ = run(options.seed, options.minutes * 60)
+    for violation in found:
+        print("VIOLATION (seed %d): %s" % (options.seed, violation))
+    return 1 if found else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/faults/test_faults.py
@@ -0,0 +1,224 @@
+"""Faults on real processes. Each test lets callers and an operator go on, injects its fault, and
+then judges every promise from the records alone."""
+import time
+
+import pytest
+
+from checker import Follower, Records, judge, violations
+from cluster import Cluster, expected_text, http, stream_text, wait_for
+
+
+@pytest.fixture(scope="module")
+def cluster():
+    with Cluster(domains=(5, 5), proxied=True, engine={"load-ms": 200, "token-ms": 3},
+                 settings={"customers/probe/key_digest": "0" * 64}) as c:
+        c.wait_serving(2)
+        c.wait_models()
+        yield c
+
+
+@pytest.fixture
+def followed(cluster):
+    """Two groups serve, callers run; afterwards everything heals and no promise is broken."""
+    cluster.wait_serving(2)
+    cluster.wait_models()
+    follower = Follower(cluster, seed=time.time_ns() % 10 ** 9).start()
+    yield follower
+    cluster.heal()
+    for process in cluster.processes.values():
+        if process.popen.poll() is None:
+            process.go_on()
+        else:
+            process.start()
+    for row in follower.records.downs:
+        row[2] = row[2] or time.time() * 1000
+    cluster.wait_serving(2)
+    cluster.wait_models()
+    time.sleep(0.5)
+    follower.stop()
+    good = [c for c in follower.records.completions if c[5]]
+    assert len(good) > 10 and follower.records.settings and follower.records.saves
+    assert judge(cluster, follower.records) == []
+
+
+def member(cluster, index):
+    group = cluster.wait_serving(2)[0]
+    return group, group["members"][index]
+
+
+def test_a_killed_member_stops_its_group_which_is_rebuilt(cluster, followed):
+    group, victim = member(cluster, 2)
+    cluster.processes[victim].kill()
+    followed.down(victim)
+    wait_for(lambda: group["group"] not in [g["group"] for g in cluster.serving()], "stopped")
+    cluster.wait_serving(2)
+
+
+def test_a_paused_member_past_every_lease(cluster, followed):
+    group, victim = member(cluster, 1)
+    cluster.processes[victim].pause()
+    followed.down(victim)
+    time.sleep(4)
+    cluster.processes[victim].go_on()
+    followed.up(victim)
+    time.sleep(1)
+
+
+def test_a_paused_lead_and_a_second_host_lost_right_after_the_repair(cluster, followed):
+    group, lead = member(cluster, 0)
+    cluster.processes[lead].pause()
+    followed.down(lead)
+    wait_for(lambda: len([g for g in cluster.serving() if g["domain"] == group["domain"]]) == 1 and
+             lead not in cluster.serving()[0]["members"] + cluster.serving()[-1]["members"],
+             "the group is repaired")
+    repaired = [g for g in cluster.serving() if g["domain"] == group["domain"]][0]
+    second = repaired["members"][-1]
+    cluster.processes[second].kill()
+    followed.down(second)
+    time.sleep(3)
+    cluster.processes[lead].go_on()
+    followed.up(lead)
+
+
+def test_a_domain_goes_dark_and_returns(cluster, followed):
+    dark = [n for n, d in cluster.domain_of.items() if d == "fabric-b"]
+    for name in dark:
+        cluster.processes[name].pause()
+        followed.down(name)
+    time.sleep(4)
+    for name in dark:
+        cluster.processes[name].go_on()
+        followed.up(name)
+
+
+def test_a_leading_control_host_is_killed(cluster, followed):
+    node = wait_for(cluster.leader, "a leader")
+    cluster.processes["control-%d" % node].kill()
+    wait_for(lambda: cluster.leader() not in (None, node), "another leader")
+    cluster.set("retries/attempts", 4)
+
+
+def test_a_leading_control_host_is_cut_off_in_silence(cluster, followed):
+    node = wait_for(cluster.leader, "a leader")
+    cluster.cut("control-%d" % node)
+    wait_for(lambda: cluster.leader() not in (None, node), "another leader")
+    answer = cluster.rpc_at(node, "settings.get", timeout=3)
+    assert "error" in answer, "a leader without a majority answered as leader"
+    cluster.set("retries/attempts", 3)
+    time.sleep(2)
+
+
+def test_one_way_cuts_between_agents_and_between_control_hosts(cluster, followed):
+    group, lead = member(cluster, 0)
+    cluster.proxy.set(group["members"][1], "silent_in")  # echoes are lost, pings arrive
+    node = wait_for(cluster.leader, "a leader")
+    other = node % 3 + 1
+    cluster.proxy.set("control-%d>control-%d" % (other, node), "silent_out")
+    time.sleep(4)
+
+
+def test_doubled_reordered_and_truncated_datagrams(cluster, followed):
+    for name, mode in zip(sorted(cluster.domain_of), ["double", "reorder", "truncate", "slow"] * 3):
+        cluster.proxy.set(name, mode)
+    time.sleep(3)
+
+
+def test_an_entry_host_cut_off_from_control_admits_nothing(cluster, followed):
+    cluster.cut("entry-1")
+    def refused():
+        status, headers, _ = cluster.complete("cut off", 2, 1, False, 10)
+        return status == 503 and headers.get("Liftweir-Outcome") == "not-run"
+    wait_for(refused, "entry 1 refuses")
+    assert cluster.complete("not cut off", 2, 2, False)[0] == 200
+    cluster.heal()
+    wait_for(lambda: cluster.complete("healed", 2, 1, False)[0] == 200, "entry 1 serves again")
+
+
+def test_no_control_majority_means_not_run_at_once_and_nothing_is_lost(cluster, followed):
+    for node in (1, 2):
+        cluster.processes["control-%d" % node].kill()
+    def refused():
+        status, headers, _ = cluster.save("nobody", "no-control", 1)
+        return status == 503 and headers.get("Liftweir-Outcome") == "not-run"
+    wait_for(refused, "saves are refused as not run")
+    for node in (1, 2):
+        cluster.processes["control-%d" % node].start()
+    status = wait_for(lambda: (lambda a: a if a[0] == 200 else None)(
+        cluster.save("nobody", "no-control", 2)), "saved after the outage")
+    assert cluster.executions()["nobody"] == 1
+
+
+def test_every_process_restarts_after_hundreds_of_changes(cluster, followed):
+    late = [n for n in cluster.control_links if n != cluster.leader()][0]
+    cluster.processes["control-%d" % late].kill()
+    for n in range(150):
+        cluster.set("once/answer_bytes", 10000 + n)
+    cluster.processes["control-%d" % late].start()
+    cluster.processes["entry-2"].kill()
+    cluster.processes["entry-2"].start()
+    wait_for(lambda: http("GET", cluster.url(2) + "/readyz")[0] == 200, "entry 2 is ready")
+    first = wait_for(cluster.leader, "a leader")
+    if late != first:
+        cluster.processes["control-%d" % first].kill()
+        wait_for(cluster.leader, "a leader among the others")
+        assert [row for row in cluster.rpc("settings.get")["settings"]
+                if row["key"] == "once/answer_bytes"][0]["value"] == 10149
+
+
+def test_two_entries_with_one_key_at_one_instant_run_it_once(cluster, followed):
+    import threading
+    answers = []
+    for n in range(10):
+        threads = [threading.Thread(target=lambda e=e: answers.append(
+            cluster.save("twin-%d" % n, "twin-key-%d" % n, e))) for e in (1, 2)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+    assert {a[0] for a in answers} <= {200, 409}
+    assert all(cluster.executions()["twin-%d" % n] == 1 for n in range(10))
+
+
+def test_an_entry_killed_in_a_call_leaves_an_unknown_outcome_that_an_operator_resolves(
+        cluster, followed):
+    import threading
+    thread = threading.Thread(target=cluster.save, args=("ghost", "ghost-key", 1, "/vanish", 5))
+    thread.start()
+    wait_for(lambda: cluster.executions().get("ghost") == 1, "the call runs")
+    cluster.processes["entry-1"].kill()
+    cluster.processes["entry-1"].start()
+    thread.join()
+    def unknown():
+        status, headers, _ = cluster.save("ghost", "ghost-key", 2, "/vanish")
+        return status == 409 and headers["Liftweir-Outcome"] == "unknown" and \
+            cluster.rpc("once.show", {"customer": "geology", "key": "ghost-key"})[0][
+                "phase"] == "unknown"
+    wait_for(unknown, "the outcome is told as unknown")
+    assert cluster.executions()["ghost"] == 1
+    cluster.ctl("once", "resolve", "geology", "ghost-key", "ran")
+    status, headers, _ = cluster.save("ghost", "ghost-key", 2, "/vanish")
+    assert (status, headers["Liftweir-Outcome"]) == (409, "completed")
+    assert cluster.executions()["ghost"] == 1
+
+
+def test_the_checker_catches_planted_violations():
+    good = expected_text("p", 4)
+    def found(**rows):
+        records = Records()
+        for name, value in rows.items():
+            if hasattr(records, name):
+                setattr(records, name, value)
+        return violations(records, rows.get("executions", []), rows.get("groups", {}),
+                          rows.get("counts", {}))
+    assert found(completions=[("p", 4, 200, "completed", good, True)]) == []
+    assert found(completions=[("p", 4, 200, "completed", good[:-3], True)])
+    assert found(completions=[("p", 4, 200, "broken", "foreign ", False)])
+    assert found(saves=[("q", "k", 200, "completed")], counts={"q": 2})
+    assert found(saves=[("q", "k", 200, "completed")], counts={})
+    assert found(saves=[("q", "k", 503, "not-run")], counts={"q": 1})
+    assert not found(saves=[("q", "k", 409, "unknown")], counts={"q": 1})
+    groups = {7: ["a", "b"], 9: ["b", "c"]}
+    assert found(downs=[["b", 1000, None]], executions=[(4000, "a", 7)], groups=groups)
+    assert not found(downs=[["b", 1000, None]], executions=[(2000, "a", 7)], groups=groups)
+    assert found(executions=[(1000, "a", 7), (2000, "b", 9), (3000, "a", 7)], groups=groups)
+    assert found(settings=[("old", 1, 200)]) and found(settings=[("new", 1, 401)])
--- /dev/null
+++ b/tests/faults/test_soak.py
@@ -0,0 +1,11 @@
+"""The fixed set of random schedules that CI runs."""
+import pytest
+
+from soak import run
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_random_faults_break_no_promise(seed):
+    found, whole = run(seed, 20)
+    assert found == [], "seed %d" % seed
+    assert whole > 10
--- a/tests/stand/fake-engine.cpp
+++ b/tests/stand/fake-engine.cpp
@@ -3,9 +3,11 @@
 #include "connection/httpclient.h"
 #include "connection/httpserver.h"
 #include "options.h"
+#include "process/clock.h"
 #include "process/observe.h"
 #include "version/keys.h"
 
+#include <boost/crc.hpp>
 #include <deque>
 #include <list>
 #include <set>
@@ -59,6 +61,8 @@
         const std::string_view path = e->path();
         if (path == "/status")
             return respond_json(*e, 200, to_text(status()));
+        if (path == "/executions")
+            return respond_json(*e, 200, to_text(executions_));
         if (path == "/record")
             return respond_json(*e, 200, to_text(record_));
         const Json::Value body = parse_json(e->body()).value_or(Json::Value());
@@ -172,6 +176,10 @@
         s->next = static_cast<unsigned>(std::atoi(e->header("X-Resume-Tokens").c_str()));
         bump(record_["started"]);
         ++running_;
+        Json::Value execution;
+        execution["ms"] = Json::Int64(wall_millis());
+        execution["fence"] = Json::UInt64(fence_);
+        executions_.append(execution);
         e->on_gone([s] { s->gone = true; });
         if (s->streamed)
             e->begin(200, {{"Content-Type", "text/event-stream"}});
@@ -181,8 +189,9 @@
 
     // The text is a function of prompt and position, so that a checker can tell a whole answer.
     static std::string token_text(const Stream& s) {
-        const std::uint64_t h = XXH64(s.prompt.data(), s.prompt.size(), s.next);
-        return "w" + std::to_string(h % 100000) + " ";
+        boost::crc_32_type crc;
+        crc.process_bytes(s.prompt.data(), s.prompt.size());
+        return "w" + std::to_string((crc.checksum() + 7919ull * s.next) % 100000) + " ";
     }
 
     void token(const std::shared_ptr<Stream>& s) {
@@ -247,6 +256,7 @@
     int running_ = 0;
     std::list<std::uint64_t> cache_;
     std::set<std::string> cancelled_;
+    Json::Value executions_ = Json::arrayValue; // when a completion began, under which fence
     Json::Value record_ = Json::objectValue;
     std::unique_ptr<HttpServer> http_;
 };
