--- a/models/log.pml
+++ b/models/log.pml
@@ -14,6 +14,9 @@
 #define LENGTH 2
 #endif
 #define NODES 3
+#ifndef CANDIDATES
+#define CANDIDATES 3            /* nodes that may stand for election */
+#endif
 #define MAJORITY(n) ((n) >= 2)
 #define NONE 0
 #define ID(n) ((n) + 1)
@@ -69,7 +72,7 @@
 end:
     do
     /* Raft::start_election */
-    :: atomic { node[me].role != LEADER && node[me].term < TERMS ->
+    :: atomic { me < CANDIDATES && node[me].role != LEADER && node[me].term < TERMS ->
         node[me].term++; node[me].voted = ID(me); node[me].role = CANDIDATE;
         asks[node[me].term].from[me].made = true;
         asks[node[me].term].from[me].size = node[me].size;
@@ -139,6 +142,7 @@
             k++
            :: else -> break od;
         mark_committed(); t = 0; n = 0 }
+#ifndef NO_CRASH
     /* crash and restart: what was synced is read back, the rest is gone */
     :: atomic { node[me].role != FOLLOWER || node[me].commit > 0 || node[me].unsynced > 0 ||
                 node[me].voted != NONE ->
@@ -150,5 +154,6 @@
         node[me].voted = NONE
 #endif
         }
+#endif
     od
 }
--- a/tests/faults/proxy.py
+++ b/tests/faults/proxy.py
@@ -138,5 +138,11 @@
             writer.close()
 
     def close(self):
+        async def cancel():
+            for task in asyncio.all_tasks():
+                if task is not asyncio.current_task():
+                    task.cancel()
+
+        self._run(cancel())
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join(5)
