--- a/bench/path.py
+++ b/bench/path.py
@@ -100,7 +100,9 @@
                                               "routing/prefix_affinity": True}),
                     ("two choices", {"routing/policy": "two_choices",
                                      "routing/prefix_affinity": False}),
-                    ("least in flight", {"routing/policy": "least_in_flight"}),
+                    ("two choices, no ejection", {"routing/ejection": False}),
+                    ("least in flight", {"routing/policy": "least_in_flight",
+                                         "routing/ejection": True}),
                     ("round robin", {"routing/policy": "round_robin"})]
         for slow in (False, True):
             if slow:  # one group becomes ten times slower
--- a/models/check.py
+++ b/models/check.py
@@ -13,9 +13,10 @@
     "log": ([["TERMS=2", "LENGTH=2"], ["TERMS=3", "LENGTH=1"], FIGURE_8], {
         "VOTE_AMNESIA": ["TERMS=3", "LENGTH=2"], "OLD_TERM_COMMIT": FIGURE_8,
         "NO_LOG_CHECK": ["TERMS=3", "LENGTH=2"], "ACK_BEFORE_SYNC": ["TERMS=3", "LENGTH=2"]}),
-    "group": ([["EPOCHS=2", "RESTARTS=1"]], {
-        name: ["EPOCHS=2", "RESTARTS=1"] for name in
-        ("NO_OPENING_WAIT", "ECHO_RECEIPT", "NO_RELEASE", "ECHO_ANYTHING")}),
+    "group": ([["EPOCHS=3", "RESTARTS=0"], ["EPOCHS=2", "RESTARTS=1"]], {
+        "NO_OPENING_WAIT": ["EPOCHS=2", "RESTARTS=1"], "ECHO_RECEIPT": ["EPOCHS=2", "RESTARTS=1"],
+        "NO_RELEASE": ["EPOCHS=2", "RESTARTS=1"], "ECHO_ANYTHING": ["EPOCHS=2", "RESTARTS=1"],
+        "LAST_GROUP_ONLY": ["EPOCHS=3", "RESTARTS=0"]}),
     "lease": ([[]], {
         name: [] for name in ("RECEIPT_TIME", "ONE_VOUCHER", "VOUCH_APPLIED", "NO_WAIT")}),
 }
--- a/models/group.pml
+++ b/models/group.pml
@@ -4,7 +4,7 @@
  * received at any later time. An echo is received at any time after its ping was sent; what
  * counts is the age of the ping. Time is kept as ages that stop at OLD, so it is not bounded.
  *
- * Mutations: NO_OPENING_WAIT, ECHO_RECEIPT, NO_RELEASE, ECHO_ANYTHING.
+ * Mutations: NO_OPENING_WAIT, ECHO_RECEIPT, NO_RELEASE, ECHO_ANYTHING, LAST_GROUP_ONLY.
  */
 #define HOSTS 3
 #ifndef EPOCHS
@@ -20,7 +20,8 @@
 #define SENT 1
 #define ECHOED 2
 
-typedef Group { bool formed; bool over; byte lead; byte other; byte lead_inc; byte other_inc }
+typedef Group { bool formed; bool over; byte lead; byte other; byte lead_inc; byte other_inc;
+                bool waits }     /* the lead of a member's old group has not released */
 typedef Host {
     byte inc; byte held; byte fence;
     byte held_age;
@@ -28,7 +29,7 @@
     byte proof;                 /* as lead: age of the newest echoed ping */
     byte stage; byte ping_age
 }
-typedef Seen { byte inc; byte bound }   /* what control believes of a host */
+typedef Seen { byte inc; byte bound; bool left[EPOCHS + 1] }  /* as control believes */
 
 Group group[EPOCHS + 1];
 Host host[HOSTS];
@@ -40,7 +41,17 @@
 #ifdef NO_OPENING_WAIT
 #define OPEN(x) (LEADS(x) && host[x].proof < T)
 #else
-#define OPEN(x) (LEADS(x) && host[x].proof < T && host[x].held_age >= T)
+#define OPEN(x) (LEADS(x) && host[x].proof < T && \
+                 (!group[host[x].held].waits || host[x].held_age >= T))
+#endif
+
+/* State::may_be_open */
+#define STILL_BOUND(x, g) (seen[x].left[g] && seen[group[g].lead].bound == g)
+#ifdef LAST_GROUP_ONLY
+#define MAY_BE_OPEN(x) ((seen[x].left[2] && STILL_BOUND(x, 2)) || \
+                        (!seen[x].left[2] && STILL_BOUND(x, 1)))
+#else
+#define MAY_BE_OPEN(x) (STILL_BOUND(x, 1) || STILL_BOUND(x, 2))
 #endif
 
 inline older(v) { if :: v < OLD -> v++ :: else fi }
@@ -92,14 +103,17 @@
             last_epoch++; g = last_epoch;
             group[g].formed = true; group[g].lead = x; group[g].other = y;
             group[g].lead_inc = seen[x].inc; group[g].other_inc = seen[y].inc;
+            group[g].waits = MAY_BE_OPEN(x) || MAY_BE_OPEN(y);
             seen[x].bound = g; seen[y].bound = g
            :: else fi; x = 0; y = 0; g = 0 }
     /* State::on(DissolveGroup) */
     :: atomic { select(g : 1 .. EPOCHS);
         if :: group[g].formed && !group[g].over -> group[g].over = true;
 #ifdef NO_RELEASE
-            if :: seen[group[g].lead].bound == g -> seen[group[g].lead].bound = 0 :: else fi;
-            if :: seen[group[g].other].bound == g -> seen[group[g].other].bound = 0 :: else fi
+            if :: seen[group[g].lead].bound == g -> seen[group[g].lead].bound = 0;
+                    seen[group[g].lead].left[g] = true :: else fi;
+            if :: seen[group[g].other].bound == g -> seen[group[g].other].bound = 0;
+                    seen[group[g].other].left[g] = true :: else fi
 #endif
            :: else fi; g = 0 }
     /* Agent::hold: an order for any group ever formed may arrive now */
@@ -118,7 +132,7 @@
     /* Planner::acknowledge_releases, State::on(ReleaseHost) */
     :: atomic { select(x : 0 .. 2); g = seen[x].bound;
         if :: g != 0 && group[g].over && seen[x].inc == host[x].inc && host[x].held == 0 &&
-              host[x].fence >= g -> seen[x].bound = 0
+              host[x].fence >= g -> seen[x].bound = 0; seen[x].left[g] = true
            :: else fi; x = 0; g = 0 }
     /* restart of an agent: a new incarnation holds nothing */
     :: atomic { select(x : 0 .. 2);
@@ -129,7 +143,8 @@
     :: atomic { select(x : 0 .. 2);
         if :: seen[x].inc != host[x].inc ->
             seen[x].inc = host[x].inc;
-            if :: seen[x].bound != 0 -> group[seen[x].bound].over = true; seen[x].bound = 0
+            if :: seen[x].bound != 0 -> group[seen[x].bound].over = true; seen[x].left[seen[x].bound] = true;
+                    seen[x].bound = 0
                :: else fi
            :: else fi; x = 0 }
     /* Gate::due_pings */
--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -51,9 +51,10 @@
     std::uint32_t echo_timeout_ms = 1500;
     std::uint32_t slots = 32;
     std::uint32_t queue = 256;
+    bool waits_to_open = true; // a member's old group may be open for one echo timeout more
 
     auto operator<=>(const Assignment&) const = default;
-    MSGPACK_DEFINE(epoch, model, members, draining, echo_timeout_ms, slots, queue)
+    MSGPACK_DEFINE(epoch, model, members, draining, echo_timeout_ms, slots, queue, waits_to_open)
 };
 
 struct AgentOrder {
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -28,6 +28,11 @@
 constexpr std::size_t DefaultQueue = 256;
 constexpr std::size_t DatagramBytes = 512;
 
+// Expected work of an attempt, in tokens where it says how many.
+double cost_of(const Attempt& attempt) {
+    return std::max(1.0, static_cast<double>(attempt.tokens_hint));
+}
+
 HostSpec host_spec(const ProcessConfig& c) {
     HostSpec spec;
     spec.name = c.name;
@@ -469,7 +474,7 @@
                          attempt.class_weight,
                          attempt.customer_weight,
                          attempt.shed_order,
-                         std::max(1.0, static_cast<double>(attempt.tokens_hint)),
+                         cost_of(attempt),
                          work->deadline,
                          attempt.early_refusal};
     work->attempt = std::move(attempt);
@@ -511,7 +516,7 @@
             break;
         const auto found = work_.find(item->id);
         if (found == work_.end())
-            queue_.finished({});
+            queue_.finished({}, 0);
         else
             start(*found->second);
     }
@@ -574,7 +579,7 @@
         return;
     const auto work = std::move(found->second);
     work_.erase(found);
-    queue_.finished(BootClock::now() - work->started);
+    queue_.finished(BootClock::now() - work->started, cost_of(work->attempt));
     const auto end = result ? work->relay->finish() : std::nullopt;
     if (end) {
         End message = *end;
@@ -598,7 +603,7 @@
     work_.erase(found);
     if (work->running) {
         endpoint_->cancel(work->call, id);
-        queue_.finished(BootClock::now() - work->started);
+        queue_.finished(BootClock::now() - work->started, cost_of(work->attempt));
     } else {
         queue_.remove(id);
     }
@@ -622,7 +627,7 @@
             continue;
         }
         endpoint_->cancel(work->call, id);
-        queue_.finished(BootClock::now() - work->started);
+        queue_.finished(BootClock::now() - work->started, cost_of(work->attempt));
         work->link->send(Broken{id, true, reason});
     }
 }
--- a/src/process/control.cpp
+++ b/src/process/control.cpp
@@ -397,6 +397,7 @@
     order.assignment.model = group->second.model;
     order.assignment.members = group->second.members;
     order.assignment.draining = draining;
+    order.assignment.waits_to_open = group->second.waits_to_open;
     order.assignment.echo_timeout_ms =
         static_cast<std::uint32_t>(settings.integer("gate/echo_timeout_ms"));
     order.assignment.slots = static_cast<std::uint32_t>(settings.integer("routing/group_slots"));
--- a/src/process/gate.cpp
+++ b/src/process/gate.cpp
@@ -15,13 +15,16 @@
 
 } // namespace
 
-// A new group opens no earlier than one echo timeout after its members were free: until then
-// the lead of a group that one of them left may not have closed its gate.
+// A new group opens no earlier than one echo timeout after its members were free, if the lead of a
+// group that one of them left may not have closed its gate yet. Where control knows that it has,
+// nothing is waited for.
 Gate::Gate(Assignment assignment, HostName self, Incarnation incarnation, Time now)
     : assignment_(std::move(assignment)),
       self_(std::move(self)),
       incarnation_(incarnation),
-      opens_at_(now + std::chrono::milliseconds(assignment_.echo_timeout_ms)),
+      opens_at_(assignment_.waits_to_open
+                    ? now + std::chrono::milliseconds(assignment_.echo_timeout_ms)
+                    : now),
       ping_due_(now) {
     if (!leads())
         return;
--- a/src/request/fairqueue.cpp
+++ b/src/request/fairqueue.cpp
@@ -10,6 +10,16 @@
 // Weight of the newest service time in the running mean.
 constexpr double ServiceGain = 0.1;
 constexpr Duration ShortestRetryAfter = std::chrono::milliseconds(100);
+// An item of this cost did not say how long it is.
+constexpr double UnknownCost = 1;
+
+Duration smoothed(Duration mean, Duration newest) {
+    if (mean == Duration{})
+        return newest;
+    return Duration(
+        static_cast<Duration::rep>(static_cast<double>(mean.count()) * (1 - ServiceGain) +
+                                   static_cast<double>(newest.count()) * ServiceGain));
+}
 
 } // namespace
 
@@ -45,6 +55,14 @@
     return Duration(static_cast<Duration::rep>(turns * static_cast<double>(mean_service_.count())));
 }
 
+// Time in a slot. Short answers must not be judged by the mean of long ones, so an item that says
+// its length is; of one that does not, half the mean is believed.
+Duration FairQueue::expected_service(const QueueItem& item) const {
+    if (item.cost <= UnknownCost || unit_service_ == Duration{})
+        return mean_service_ / 2;
+    return std::chrono::duration_cast<Duration>(unit_service_ * item.cost);
+}
+
 // A full queue makes room for a more important class by refusing the newest item of the least
 // important one.
 std::optional<AttemptId> FairQueue::shed_for(const QueueItem& item) {
@@ -71,7 +89,8 @@
     Admission out;
     const Duration wait = expected_wait(item);
     out.retry_after = std::max(wait, ShortestRetryAfter);
-    if (item.early_refusal && now + wait + mean_service_ > item.deadline && running_ >= slots_) {
+    if (item.early_refusal && now + wait + expected_service(item) > item.deadline &&
+        running_ >= slots_) {
         out.reason = FailureKind::DeadlineTooNear;
         return out;
     }
@@ -128,7 +147,10 @@
             return x.second.finish_tag < y.second.finish_tag;
         };
         const auto flow = std::min_element(cls->customers.begin(), cls->customers.end(), sooner);
-        if (flow->second.items.front().deadline <= now) {
+        // Started now it would be cut before its end, and its work would be lost.
+        const QueueItem& front = flow->second.items.front();
+        const Duration needed = front.early_refusal ? expected_service(front) : Duration{};
+        if (front.deadline <= now + needed) {
             expired.push_back(std::move(flow->second.items.front()));
             flow->second.items.pop_front();
             --cls->waiting;
@@ -141,14 +163,13 @@
     return std::nullopt;
 }
 
-void FairQueue::finished(Duration service_time) {
+void FairQueue::finished(Duration service_time, double cost) {
     assert(running_ > 0);
     --running_;
-    mean_service_ = mean_service_ == Duration{}
-                        ? service_time
-                        : Duration(static_cast<Duration::rep>(
-                              static_cast<double>(mean_service_.count()) * (1 - ServiceGain) +
-                              static_cast<double>(service_time.count()) * ServiceGain));
+    mean_service_ = smoothed(mean_service_, service_time);
+    if (cost > UnknownCost)
+        unit_service_ =
+            smoothed(unit_service_, std::chrono::duration_cast<Duration>(service_time / cost));
 }
 
 bool FairQueue::remove(const AttemptId& id) {
--- a/src/request/fairqueue.h
+++ b/src/request/fairqueue.h
@@ -44,8 +44,8 @@
     Admission offer(const QueueItem& item, Time now);
     // Next item to start, if a slot is free. Items past their deadline are moved to `expired`.
     std::optional<QueueItem> start_next(Time now, std::vector<QueueItem>& expired);
-    // A started item ended after this time in its slot.
-    void finished(Duration service_time);
+    // A started item of this cost ended after this time in its slot.
+    void finished(Duration service_time, double cost);
     bool remove(const AttemptId& id);
     std::vector<QueueItem> take_all();
 
@@ -67,6 +67,7 @@
     };
 
     Duration expected_wait(const QueueItem& item) const;
+    Duration expected_service(const QueueItem& item) const;
     std::optional<AttemptId> shed_for(const QueueItem& item);
     void push(const QueueItem& item);
     QueueItem pop(Class& cls, std::map<std::string, Flow>::iterator flow);
@@ -78,6 +79,7 @@
     std::size_t waiting_ = 0;
     std::size_t running_ = 0;
     Duration mean_service_{};
+    Duration unit_service_{}; // for one unit of cost, over items whose cost is known
 };
 
 } // namespace liftweir
--- a/src/version/state.cpp
+++ b/src/version/state.cpp
@@ -74,6 +74,7 @@
 
 void State::unbind(Version index, Host& host) {
     const Epoch epoch = std::exchange(host.bound, NoEpoch);
+    host.left.push_back(epoch);
     touch(index, host);
     drop_group_if_released(index, epoch);
 }
@@ -84,6 +85,16 @@
     group.changed = table_version_ = index;
 }
 
+// Only its lead forwards work for a group. Once the lead is unbound, by its own acknowledgement,
+// by a restart or by an operator who vouches that it is off, the group can not serve any more.
+bool State::may_be_open(Epoch epoch) const {
+    const auto group = groups_.find(epoch);
+    if (group == groups_.end())
+        return false;
+    const auto lead = hosts_.find(group->second.lead().host);
+    return lead != hosts_.end() && lead->second.bound == epoch;
+}
+
 void State::drop_group_if_released(Version index, Epoch epoch) {
     const auto found = groups_.find(epoch);
     if (found == groups_.end())
@@ -197,6 +208,9 @@
             return refuse(FailureKind::Conflict, ref.host + " is in another fabric domain");
         group.members.push_back(
             {ref.host, ref.incarnation, host.spec.address, host.spec.ping_address});
+        group.waits_to_open =
+            group.waits_to_open || std::any_of(host.left.begin(), host.left.end(),
+                                               [this](Epoch epoch) { return may_be_open(epoch); });
     }
     const HostSpec& lead = hosts_.at(c.members.front().host).spec;
     group.site = lead.site;
@@ -205,6 +219,7 @@
     for (const HostRef& ref : c.members) {
         Host& host = hosts_.at(ref.host);
         host.bound = index;
+        std::erase_if(host.left, [this](Epoch epoch) { return !may_be_open(epoch); });
         touch(index, host);
     }
     groups_.emplace(index, std::move(group));
--- a/src/version/state.h
+++ b/src/version/state.h
@@ -50,9 +50,11 @@
     HostMode mode = HostMode::Active;
     Epoch bound = NoEpoch; // group that the host belongs to or has not yet released
     Version changed = 0;
+    // Groups that the host was bound to and whose lead may still hold them open.
+    std::vector<Epoch> left;
 
     auto operator<=>(const Host&) const = default;
-    MSGPACK_DEFINE(spec, incarnation, mode, bound, changed)
+    MSGPACK_DEFINE(spec, incarnation, mode, bound, changed, left)
 };
 
 struct Member {
@@ -88,10 +90,12 @@
     GroupPhase phase = GroupPhase::Active;
     std::string reason;
     Version changed = 0;
+    // A member's old group may still be open: its lead has not acknowledged the release.
+    bool waits_to_open = false;
 
     const Member& lead() const { return members.front(); }
     auto operator<=>(const Group&) const = default;
-    MSGPACK_DEFINE(epoch, site, domain, zone, model, members, phase, reason, changed)
+    MSGPACK_DEFINE(epoch, site, domain, zone, model, members, phase, reason, changed, waits_to_open)
 };
 
 struct EntryRecord {
@@ -392,6 +396,7 @@
     void start_release(Version index, Group& group, const std::string& reason);
     void drop_group_if_released(Version index, Epoch epoch);
     void touch(Version index, Host& host);
+    bool may_be_open(Epoch epoch) const;
     const ApplyResult* known_order(const std::string& order, ApplyResult& out) const;
     ApplyResult remember(const std::string& order, ApplyResult result);
 
--- a/tests/unit/gate_test.cpp
+++ b/tests/unit/gate_test.cpp
@@ -34,6 +34,16 @@
     EXPECT_TRUE(gate.open(later));
 }
 
+TEST(Gate, OpensAtOnceWhereTheOldGroupsAreKnownToBeClosed) {
+    Assignment assignment = pair_of_hosts();
+    assignment.waits_to_open = false;
+    Gate gate(assignment, "lead", 1, Start);
+    gate.set_engine_ready(true);
+    EXPECT_FALSE(gate.open(Start));
+    gate.on_echo({7, gate.due_pings(Start).at(0).ping.sequence, 2}, Start);
+    EXPECT_TRUE(gate.open(Start));
+}
+
 // What counts is when the ping left: an echo that was held back proves only the past.
 TEST(Gate, ALateEchoProvesOnlyThePast) {
     Gate gate(pair_of_hosts(), "lead", 1, Start);
@@ -153,7 +163,7 @@
         const auto next = queue.start_next(Start, expired);
         ASSERT_TRUE(next);
         big += next->traffic_class == "big" ? 1 : 0;
-        queue.finished(milliseconds(10));
+        queue.finished(milliseconds(10), 1);
     }
     EXPECT_NEAR(big, 150, 5);
 }
@@ -165,12 +175,12 @@
     std::vector<QueueItem> expired;
     for (int i = 0; i < 100; ++i) {
         queue.start_next(Start, expired);
-        queue.finished(milliseconds(10));
+        queue.finished(milliseconds(10), 1);
     }
     queue.offer(item(1000, "c", "quiet", 10), Start);
     int position = 0;
     while (queue.start_next(Start, expired)->customer != "quiet") {
-        queue.finished(milliseconds(10));
+        queue.finished(milliseconds(10), 1);
         ++position;
     }
     EXPECT_LE(position, 2);
@@ -182,7 +192,7 @@
     for (std::uint64_t n = 1; n <= 10; ++n)
         ASSERT_TRUE(queue.offer(item(n, "c", "a", 10), Start).admitted);
     queue.start_next(Start, expired);
-    queue.finished(std::chrono::seconds(1));
+    queue.finished(std::chrono::seconds(1), 1);
     queue.start_next(Start, expired);
     QueueItem late = item(11, "c", "a", 10);
     late.deadline = Start + std::chrono::seconds(3);
@@ -192,6 +202,29 @@
     EXPECT_GE(refused.retry_after, std::chrono::seconds(3));
 }
 
+// Started now it would be cut before its end: its work would be lost for everybody.
+TEST(FairQueue, DoesNotStartWhatWouldBeCut) {
+    FairQueue queue(1, 100);
+    std::vector<QueueItem> expired;
+    QueueItem known = item(1, "c", "a", 10);
+    known.cost = 100;
+    queue.offer(known, Start);
+    queue.start_next(Start, expired);
+    queue.finished(std::chrono::seconds(1), 100);
+    known.deadline = Start + std::chrono::seconds(5);
+    QueueItem small = known;
+    known.id.sequence = 2;
+    small.id.sequence = 3;
+    small.cost = 10;
+    ASSERT_TRUE(queue.offer(known, Start).admitted);
+    ASSERT_TRUE(queue.offer(small, Start).admitted);
+    const auto next = queue.start_next(Start + milliseconds(4500), expired);
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->id.sequence, 3u) << "a short one still fits";
+    ASSERT_EQ(expired.size(), 1u);
+    EXPECT_EQ(expired[0].id.sequence, 2u);
+}
+
 TEST(FairQueue, AFullQueueShedsTheLeastImportantClassFirst) {
     FairQueue queue(1, 2);
     std::vector<QueueItem> expired;
@@ -231,7 +264,7 @@
                     ++running;
                 }
             } else if (action == 7 && running > 0) {
-                queue.finished(milliseconds(5));
+                queue.finished(milliseconds(5), 1);
                 --running;
             } else if (!waiting.empty()) {
                 RC_ASSERT(queue.remove({1, *waiting.begin(), 1}));
--- a/tests/unit/state_test.cpp
+++ b/tests/unit/state_test.cpp
@@ -93,6 +93,53 @@
     EXPECT_TRUE(state.groups().empty());
 }
 
+// The new group waits to open only while the lead of an old group of a member may hold its gate
+// open.
+TEST(State, AGroupWaitsToOpenOnlyForALeadThatHasNotReleased) {
+    for (const bool lead_releases : {true, false}) {
+        State state;
+        Version index = 0;
+        for (const char* name : {"a", "b", "c"})
+            state.apply(++index, RegisterHost{spec(name, "d"), 1});
+        ASSERT_TRUE(state.apply(++index, FormGroup{{"m", "1", {}}, {{"a", 1}, {"b", 1}}, ""}).ok);
+        const Epoch old = index;
+        EXPECT_FALSE(state.groups().at(old).waits_to_open);
+        state.apply(++index, DissolveGroup{old, ""});
+        state.apply(++index, ReleaseHost{"b", 1, old});
+        if (lead_releases)
+            state.apply(++index, ReleaseHost{"a", 1, old});
+        else
+            state.apply(++index, RegisterHost{spec("b", "d"), 2});
+        const Incarnation inc = state.hosts().at("b").incarnation;
+        ASSERT_TRUE(state.apply(++index, FormGroup{{"m", "1", {}}, {{"b", inc}, {"c", 1}}, ""}).ok);
+        EXPECT_EQ(state.groups().at(index).waits_to_open, !lead_releases);
+    }
+}
+
+// Found by the model checker: with only the last group remembered, a host that passed quickly
+// through a second group opened a third one while the first may still have been open.
+TEST(State, AHostRemembersEveryGroupThatMayBeOpen) {
+    State state;
+    Version index = 0;
+    for (const char* name : {"a", "b", "c"})
+        state.apply(++index, RegisterHost{spec(name, "d"), 1});
+    const auto form = [&](const char* x, const char* y) {
+        EXPECT_TRUE(state.apply(++index, FormGroup{{"m", "1", {}}, {{x, 1}, {y, 1}}, ""}).ok);
+        return index;
+    };
+    const auto release = [&](const char* x, Epoch epoch) {
+        EXPECT_TRUE(state.apply(++index, ReleaseHost{x, 1, epoch}).ok);
+    };
+    const Epoch first = form("a", "b");
+    state.apply(++index, DissolveGroup{first, ""});
+    release("b", first);
+    const Epoch second = form("b", "c");
+    state.apply(++index, DissolveGroup{second, ""});
+    release("b", second);
+    release("c", second);
+    EXPECT_TRUE(state.groups().at(form("b", "c")).waits_to_open);
+}
+
 rc::Gen<Command> any_command() {
     return rc::gen::apply(
         [](int kind, int x, int y, int n) -> Command {
