--- /dev/null
+++ b/src/connection/eventsplitter.cpp
@@ -0,0 +1,54 @@
+#include "connection/eventsplitter.h"
+
+#include <algorithm>
+
+namespace liftweir {
+
+namespace {
+
+// End of the blank line that closes the first event, or npos. Lines end in LF or CRLF.
+std::size_t end_of_event(std::string_view text, std::size_t from) {
+    for (std::size_t at = text.find('\n', from); at != std::string_view::npos;
+         at = text.find('\n', at + 1)) {
+        std::size_t next = at + 1;
+        if (next < text.size() && text[next] == '\r')
+            ++next;
+        if (next < text.size() && text[next] == '\n')
+            return next + 1;
+    }
+    return std::string_view::npos;
+}
+
+} // namespace
+
+std::string EventSplitter::next() {
+    const std::size_t end = end_of_event(pending_, searched_);
+    if (end == std::string::npos) {
+        // The last three bytes may be the first part of a closing line.
+        searched_ = pending_.size() < 3 ? 0 : pending_.size() - 3;
+        return {};
+    }
+    std::string event = pending_.substr(0, end);
+    pending_.erase(0, end);
+    searched_ = 0;
+    return event;
+}
+
+std::string_view id_of_event(std::string_view event) {
+    while (!event.empty()) {
+        const auto end = std::min(event.find('\n'), event.size());
+        std::string_view line = event.substr(0, end);
+        event.remove_prefix(std::min(end + 1, event.size()));
+        if (!line.starts_with("id:"))
+            continue;
+        line.remove_prefix(3);
+        if (line.starts_with(' '))
+            line.remove_prefix(1);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        return line;
+    }
+    return {};
+}
+
+} // namespace liftweir
--- /dev/null
+++ b/src/connection/httpmessage.cpp
@@ -0,0 +1,74 @@
+#include "connection/httpmessage.h"
+
+#include <http_parser.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace liftweir {
+
+namespace {
+
+constexpr std::array<std::string_view, 8> HopByHop = {"connection", "keep-alive",
+                                                      "transfer-encoding", "te",
+                                                      "trailer", "upgrade",
+                                                      "proxy-connection", "content-length"};
+
+char lower(char c) {
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+}
+
+std::string_view trimmed(std::string_view text) {
+    const auto blank = [](char c) { return c == ' ' || c == '\t'; };
+    while (!text.empty() && blank(text.front()))
+        text.remove_prefix(1);
+    while (!text.empty() && blank(text.back()))
+        text.remove_suffix(1);
+    return text;
+}
+
+} // namespace
+
+bool same_name(std::string_view a, std::string_view b) {
+    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+               return lower(x) == lower(y);
+           });
+}
+
+std::string_view find_header(const HttpHeaders& headers, std::string_view name) {
+    for (const auto& [key, value] : headers)
+        if (same_name(key, name))
+            return value;
+    return {};
+}
+
+bool has_token(std::string_view value, std::string_view token) {
+    while (!value.empty()) {
+        const auto comma = std::min(value.find(','), value.size());
+        if (same_name(trimmed(value.substr(0, comma)), token))
+            return true;
+        value.remove_prefix(std::min(comma + 1, value.size()));
+    }
+    return false;
+}
+
+// The length belongs to this list too: whoever writes the next hop frames the body anew.
+bool is_hop_by_hop(std::string_view name) {
+    return std::any_of(HopByHop.begin(), HopByHop.end(),
+                       [&](std::string_view hop) { return same_name(hop, name); });
+}
+
+std::string_view reason_of(int status) {
+    switch (status) {
+#define LIFTWEIR_REASON(number, name, text)                                                        \
+    case number:                                                                                   \
+        return #text;
+        HTTP_STATUS_MAP(LIFTWEIR_REASON)
+#undef LIFTWEIR_REASON
+    default:
+        return "Unknown";
+    }
+}
+
+} // namespace liftweir
--- /dev/null
+++ b/src/connection/httpmessage.h
@@ -0,0 +1,36 @@
+#ifndef HTTPMESSAGE_H_INCLUDED
+#define HTTPMESSAGE_H_INCLUDED
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace liftweir {
+
+using HttpHeader = std::pair<std::string, std::string>;
+using HttpHeaders = std::vector<HttpHeader>;
+
+// ASCII comparison without regard to case, as header names need.
+bool same_name(std::string_view a, std::string_view b);
+
+// First value of a header; empty where it is missing.
+std::string_view find_header(const HttpHeaders& headers, std::string_view name);
+
+// True where a comma-separated header value holds a token, without regard to case.
+bool has_token(std::string_view value, std::string_view token);
+
+// Headers that concern one connection only and are never passed on (RFC 9110, 7.6.1).
+bool is_hop_by_hop(std::string_view name);
+
+// The usual reason phrase; "Unknown" for statuses without one.
+std::string_view reason_of(int status);
+
+// First digit of a status: 2 for 2xx.
+constexpr int status_class(int status) {
+    return status / 100;
+}
+
+} // namespace liftweir
+
+#endif // HTTPMESSAGE_H_INCLUDED
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -1,6 +1,9 @@
 #ifndef HTTPSERVER_H_INCLUDED
 #define HTTPSERVER_H_INCLUDED
 
+#include "connection/httpmessage.h"
+#include "process/clock.h"
+
 #include <asio.hpp>
 
 #include <cstdint>
@@ -8,42 +11,52 @@
 #include <memory>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace liftweir {
 
-using HttpHeader = std::pair<std::string, std::string>;
-
 // One request and the way to answer it. All calls on the server's io_context thread.
 class HttpExchange {
   public:
     virtual ~HttpExchange() = default;
 
     virtual std::string_view method() const = 0;
+    // Path and query exactly as they were sent.
+    virtual std::string_view target() const = 0;
     virtual std::string_view path() const = 0;
     virtual std::string_view query() const = 0;
     virtual std::string_view body() const = 0;
+    virtual const HttpHeaders& headers() const = 0;
     // Empty where the header is missing.
     virtual std::string header(std::string_view name) const = 0;
+    // When the whole request had arrived.
+    virtual Time received() const = 0;
 
     // Whole answer at once.
-    virtual void respond(int status, const std::vector<HttpHeader>& headers, std::string body) = 0;
-    // Streamed answer. `on_written` is told when the bytes are with the kernel, or that the
-    // connection is gone.
-    virtual void begin(int status, const std::vector<HttpHeader>& headers) = 0;
+    virtual void respond(int status, const HttpHeaders& headers, std::string body) = 0;
+    // Streamed answer, chunked. `on_written` is told when the bytes are with the kernel, or that
+    // the connection is gone.
+    virtual void begin(int status, const HttpHeaders& headers) = 0;
     virtual void write(std::string bytes, std::function<void(bool)> on_written) = 0;
     virtual void finish() = 0;
+    // Closes the connection in the middle: an answer that was begun never looks complete.
+    virtual void abort() = 0;
     // Told once, when the caller's connection is gone.
     virtual void on_gone(std::function<void()> gone) = 0;
 };
 
 using HttpHandler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
+// Bounds on what a caller may send and how long it may take. Exceeding one is answered with 431,
+// 413 or 408 and a closed connection.
 struct HttpServerLimits {
     std::size_t body_bytes = 16u << 20;
     std::size_t header_bytes = 16u << 10;
     std::size_t connections = 16384;
+    // From the first byte of a head to its end, and the longest pause within a body.
+    Duration header_timeout = std::chrono::seconds(10);
+    // How long a kept connection may rest between two requests.
+    Duration idle_timeout = std::chrono::seconds(75);
 };
 
 // HTTP/1.1 server on one io_context. Several servers on one address, each with its own thread,
@@ -52,6 +65,12 @@
   public:
     virtual ~HttpServer() = default;
     virtual void stop_accepting() = 0;
+    // From now on every answer ends its connection.
+    virtual void close_after_answers() = 0;
+    // Ends connections on which no request is under way.
+    virtual void close_idle() = 0;
+    // Takes effect for the next request of every connection.
+    virtual void set_limits(const HttpServerLimits& limits) = 0;
     virtual std::size_t connections() const = 0;
 };
 
--- a/src/connection/link.cpp
+++ b/src/connection/link.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <netinet/tcp.h>
 #include <random>
 
 namespace liftweir {
@@ -19,6 +20,10 @@
 constexpr std::size_t MaxQueuedBytes = 96u << 20;
 constexpr std::size_t LargestRead = 64 * 1024;
 constexpr Duration HandshakeTimeout = std::chrono::seconds(3);
+// A dark host answers no connect; a queue of new connections that is full answers after seconds.
+constexpr Duration ConnectTimeout = std::chrono::milliseconds(1000);
+// Several retransmissions between zones, and well below the time in which a cut must be noticed.
+constexpr Duration SilenceLimit = std::chrono::milliseconds(2500);
 constexpr Duration FirstPause = std::chrono::milliseconds(50);
 constexpr Duration LongestPause = std::chrono::milliseconds(1000);
 
@@ -53,6 +58,13 @@
     return counters;
 }
 
+void set_silence_limit(asio::ip::tcp::socket& socket, Duration limit) {
+    const auto millis = static_cast<unsigned>(to_millis(limit));
+    // Best effort: where the option is missing, the owner's own time limits still hold.
+    (void)::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &millis,
+                       sizeof millis);
+}
+
 Expected<asio::ip::tcp::endpoint> parse_address(const std::string& address) {
     const auto colon = address.rfind(':');
     if (colon == std::string::npos)
@@ -74,6 +86,7 @@
       nonce_(random_bytes(NonceBytes)) {
     asio::error_code ignored;
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    set_silence_limit(socket_, SilenceLimit);
 }
 
 void Link::start(OnUp on_up, OnMessage on_message, OnDown on_down) {
@@ -292,6 +305,8 @@
 
 Dialer::~Dialer() {
     *alive_ = false;
+    if (connecting_)
+        connecting_->close();
     if (link_)
         link_->close();
 }
@@ -315,9 +330,17 @@
     if (!endpoint)
         return;
     auto socket = std::make_shared<asio::ip::tcp::socket>(io_);
+    connecting_ = socket;
+    timer_.expires_after(ConnectTimeout);
+    timer_.async_wait([alive = alive_, socket](asio::error_code error) {
+        if (!error && *alive)
+            socket->close();
+    });
     socket->async_connect(*endpoint, [this, alive = alive_, socket](asio::error_code error) {
         if (!*alive)
             return;
+        connecting_.reset();
+        timer_.cancel();
         if (error) {
             dial_later();
             return;
--- a/src/connection/link.h
+++ b/src/connection/link.h
@@ -141,11 +141,16 @@
     Duration pause_;
     Link::Ptr link_;
     std::shared_ptr<bool> alive_;
+    std::shared_ptr<asio::ip::tcp::socket> connecting_;
     Link::OnUp on_up_;
     Link::OnMessage on_message_;
     Link::OnDown on_down_;
 };
 
+// Ends a connection whose peer has acknowledged nothing for so long. A host without power, or
+// behind a cut, sends no reset: without this, writes to it succeed for minutes.
+void set_silence_limit(asio::ip::tcp::socket& socket, Duration limit);
+
 // Splits "ip:port". Fails with BadSettings.
 Expected<asio::ip::tcp::endpoint> parse_address(const std::string& address);
 
--- a/src/connection/secret.cpp
+++ b/src/connection/secret.cpp
@@ -26,10 +26,14 @@
 } // namespace
 
 std::string ClusterKeys::sign(std::string_view text) const {
+    if (trusts_network())
+        return std::string(MacBytes, '\0');
     return hmac(keys_.front(), text);
 }
 
 bool ClusterKeys::verify(std::string_view text, std::string_view mac) const {
+    if (trusts_network())
+        return true;
     return std::any_of(keys_.begin(), keys_.end(), [&](const std::string& key) {
         const std::string expected = hmac(key, text);
         return mac.size() <= expected.size() && mac.size() >= ShortMacBytes &&
--- a/src/connection/secret.h
+++ b/src/connection/secret.h
@@ -18,6 +18,9 @@
 class ClusterKeys {
   public:
     explicit ClusterKeys(std::vector<std::string> keys) : keys_(std::move(keys)) {}
+    // For a network whose operator vouches for every host on it: nothing is signed or checked.
+    static ClusterKeys none() { return ClusterKeys({}); }
+    bool trusts_network() const { return keys_.empty(); }
 
     std::string sign(std::string_view text) const;
     bool verify(std::string_view text, std::string_view mac) const;
--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -2,6 +2,7 @@
 #define WIRE_H_INCLUDED
 
 #include "process/raft.h"
+#include "process/registry.h"
 #include "request/outcome.h"
 #include "version/state.h"
 
@@ -19,7 +20,9 @@
 struct RaftPacket {
     NodeId from = NoNode;
     std::string body; // an encoded RaftMessage
-    MSGPACK_DEFINE(from, body)
+    // Whom it is for. A host whose disk was lost must not answer for the node that it once was.
+    NodeId to = NoNode;
+    MSGPACK_DEFINE(from, body, to)
 };
 
 // ---- agent to control
@@ -80,7 +83,11 @@
     Version table = 0;
     Version lease = 0;
     bool want_delta = false;
-    MSGPACK_DEFINE(entry, incarnation, sequence, table, lease, want_delta)
+    std::uint64_t registry = 0;  // digest of the endpoints that the entry host knows
+    std::uint64_t calls = 0;     // taken since its start
+    std::uint32_t in_flight = 0; // calls under way
+    MSGPACK_DEFINE(entry, incarnation, sequence, table, lease, want_delta, registry, calls,
+                   in_flight)
 };
 
 // One control host's word that its log holds no lease-relevant command above `logged`.
@@ -95,8 +102,11 @@
     bool has_delta = false;
     TableDelta delta;
     Index voters_index = 0; // of the log entry that set the voters
+    std::vector<NodeId> nodes;          // all control hosts, voters or not
+    std::uint32_t entries = 0;          // entry hosts in touch
+    std::uint32_t in_flight_total = 0;  // calls under way at all of them
     MSGPACK_DEFINE(node, sequence, logged, table, voters, leader, registered, has_delta, delta,
-                   voters_index)
+                   voters_index, nodes, entries, in_flight_total)
 };
 
 struct CommandRequest {
@@ -214,9 +224,46 @@
     MSGPACK_DEFINE(id, started, reason)
 };
 
+// ---- where endpoints register themselves
+
+// A control host tells another who it is and whom it knows.
+struct PeerHello {
+    NodeId node = NoNode;
+    std::vector<NodeId> nodes;
+    std::uint64_t registry = 0; // digest of the endpoints that it knows
+    MSGPACK_DEFINE(node, nodes, registry)
+};
+
+// Reports that the receiver may not have yet.
+struct EndpointChanges {
+    std::vector<EndpointReport> reports;
+    MSGPACK_DEFINE(reports)
+};
+
+// Endpoints that have registered again without a change.
+struct EndpointsAlive {
+    std::vector<EndpointId> ids;
+    MSGPACK_DEFINE(ids)
+};
+
+// The document in force, whole.
+struct DocumentPush {
+    StoredDocument document;
+    MSGPACK_DEFINE(document)
+};
+
+// All streams of a group stand still at an entry host.
+struct GroupSuspected {
+    Epoch epoch = NoEpoch;
+    EndpointId lead;
+    std::uint32_t silent_ms = 0;
+    MSGPACK_DEFINE(epoch, lead, silent_ms)
+};
+
 using Wire = std::variant<RaftPacket, AgentStatus, AgentOrder, NotLeaderReply, Renew, Vouch,
                           CommandRequest, CommandReply, Attempt, CancelAttempt, Credit, GateState,
-                          Refused, Head, Chunk, End, Broken>;
+                          Refused, Head, Chunk, End, Broken, PeerHello, EndpointChanges,
+                          EndpointsAlive, DocumentPush, GroupSuspected>;
 
 // ---- member to member, by UDP
 
--- /dev/null
+++ b/src/process/coordinator.h
@@ -0,0 +1,161 @@
+#ifndef COORDINATOR_H_INCLUDED
+#define COORDINATOR_H_INCLUDED
+
+#include "connection/link.h"
+#include "process/fleetconfig.h"
+#include "process/groupplanner.h"
+#include "process/registry.h"
+#include "process/replica.h"
+#include "process/ticker.h"
+#include "process/voterkeeper.h"
+#include "version/deployment.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace liftweir {
+
+// How orders reach endpoints. Implemented by whoever knows their protocol.
+class EndpointOrders {
+  public:
+    virtual ~EndpointOrders() = default;
+    virtual void send(const EndpointOrder& order, std::function<void(OrderAnswer)> answered) = 0;
+    // Asks an endpoint for a sign of life; false where it gave none in time.
+    virtual void probe(const EndpointReport& endpoint, std::function<void(bool)> answered) = 0;
+};
+
+using DocumentDecoder = std::function<Expected<Deployment>(const std::string& body)>;
+
+// A control host where endpoints register themselves: keeps the operators' document in the
+// replicated log, merges registrations, and while it leads, keeps the voters complete and plans
+// the groups. Single-threaded; all decisions are in the state machines that it drives.
+class Coordinator {
+  public:
+    using Done = std::function<void(const Expected<void>&)>;
+    using Read = std::function<void(const Expected<StoredDocument>&)>;
+
+    // Fails with Storage where the data folder can not be opened at all.
+    static Expected<std::unique_ptr<Coordinator>> open(asio::io_context& io,
+                                                       const FleetConfig& config,
+                                                       EndpointOrders& orders,
+                                                       DocumentDecoder decode);
+    ~Coordinator();
+
+    void start();
+    // The settings file has changed.
+    void reconfigure(const FleetConfig& config);
+
+    // Done once the document, or a newer one, is on enough disks. NotLeader names no one else:
+    // see leader_ip.
+    void replace_document(Version version, const std::string& body, Done done);
+    void read_document(Read read);
+    // Where the leader is; empty where none is known.
+    std::string leader_ip() const;
+    bool leads() const { return replica_ && replica_->raft().leads_with_commit(); }
+
+    // Registrations. They are handed on before these return.
+    void report(const EndpointReport& report);
+    void heard(const EndpointId& id);
+    void gone(const EndpointId& id);
+
+  private:
+    Coordinator(asio::io_context& io, FleetConfig config, EndpointOrders& orders,
+                DocumentDecoder decode);
+
+    struct EntrySession {
+        Link::Ptr link;
+        Renew renew;
+        Time heard{};
+        int digest_misses = 0;
+    };
+    struct Peer {
+        std::unique_ptr<Dialer> dialer;
+        NodeId node = NoNode;
+        int digest_misses = 0;
+    };
+    struct Waiting {
+        Version version = 0;
+        Done done;
+    };
+
+    // storage and log
+    Expected<void> open_replica();
+    void storage_failed(const Failure& failure);
+    void pump();
+    void pump_soon();
+    void send_raft(const std::vector<RaftEnvelope>& messages);
+    void note_leadership();
+    void keep_voters();
+    void settle_waiting();
+    bool durable(const StoredDocument& document) const;
+    void document_applied();
+
+    // links
+    void connect_to(const std::string& address);
+    void learn(NodeId node);
+    void greet(Peer& peer);
+    void on_message(const Link::Ptr& link, Wire&& message);
+    void on_down(const Link::Ptr& link);
+    void on_hello(const Link::Ptr& link, const PeerHello& hello);
+    void on_renew(const Link::Ptr& link, const Renew& renew);
+    Vouch make_vouch(std::uint64_t sequence) const;
+    std::vector<NodeId> known_nodes() const;
+
+    // registrations
+    void merge(const EndpointReport& report, bool first_hand);
+    void changed(const EndpointReport& report, bool to_peers);
+    void flush_changes();
+    void send_registry(const std::function<void(const Wire&)>& send) const;
+
+    // groups
+    void plan();
+    void plan_soon();
+    GroupPlanner* planner_of(const std::string& service);
+    void give(GroupPlanner& planner, const EndpointOrder& order);
+
+    void tick();
+    void every_second();
+
+    asio::io_context& io_;
+    FleetConfig config_;
+    EndpointOrders& orders_;
+    DocumentDecoder decode_;
+    Identity identity_;
+    ClusterKeys keys_ = ClusterKeys::none();
+    Time started_;
+    std::unique_ptr<Storage> storage_;
+    std::unique_ptr<Replica> replica_; // null while the disk refuses to work
+    NodeId node_ = NoNode;
+    Time reopen_due_{};
+    VoterKeeper keeper_;
+    std::unique_ptr<LinkListener> listener_;
+    std::map<std::string, Peer> peers_; // by link address
+    std::set<NodeId> nodes_;            // control hosts heard of, without this one
+    std::map<std::string, EntrySession> entries_;
+    Registry registry_;
+    std::vector<EndpointReport> changes_;        // to peers and entry hosts
+    std::vector<EndpointReport> entry_changes_;  // to entry hosts only
+    std::set<EndpointId> alive_;                 // heard since the last flush
+    std::map<std::string, GroupPlanner> planners_;
+    std::vector<Waiting> waiting_;
+    Version applied_document_ = 0;
+    Version proposed_document_ = 0;
+    bool led_ = false;
+    Time leads_since_{};
+    bool pump_posted_ = false;
+    bool plan_posted_ = false;
+    bool flush_posted_ = false;
+    Time second_due_{};
+    Time alive_due_{};
+    Time plan_due_{};
+    Ticker ticker_;
+};
+
+} // namespace liftweir
+
+#endif // COORDINATOR_H_INCLUDED
--- /dev/null
+++ b/src/process/fleetconfig.cpp
@@ -0,0 +1,155 @@
+#include "process/fleetconfig.h"
+
+#include "connection/link.h"
+
+#include <json/json.h>
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace liftweir {
+
+namespace {
+
+constexpr double MillisPerSecond = 1000;
+
+// Reads typed values out of one JSON object and keeps the first thing that is wrong. Numbers may
+// stand as texts, since a template can only lay texts; an empty one means the default.
+class Reader {
+  public:
+    Reader(std::string file, const Json::Value& root) : file_(std::move(file)), root_(root) {}
+
+    void text(const char* key, std::string& out, bool needed) {
+        const Json::Value& value = root_[key];
+        if (value.isString())
+            out = value.asString();
+        else if (!value.isNull())
+            complain(key, "a text");
+        if (needed && out.empty())
+            complain(key, "a text that is not empty");
+    }
+    void address(const char* key, std::string& out) {
+        text(key, out, false);
+        if (!out.empty() && !parse_address(out))
+            complain(key, "ip:port");
+    }
+    void number(const char* key, double& out) {
+        const Json::Value& value = root_[key];
+        if (value.isNumeric()) {
+            out = value.asDouble();
+            return;
+        }
+        const std::string given = value.isString() ? value.asString() : "";
+        if (given.empty())
+            return;
+        const auto [end, error] = std::from_chars(given.data(), given.data() + given.size(), out);
+        if (error != std::errc() || end != given.data() + given.size() || out < 0)
+            complain(key, "a number, not below zero");
+    }
+    void millis(const char* key, Duration& out) {
+        double value = static_cast<double>(to_millis(out));
+        number(key, value);
+        out = std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double, std::milli>(value));
+    }
+    void seconds(const char* key, Duration& out) {
+        double value = static_cast<double>(to_millis(out)) / MillisPerSecond;
+        number(key, value);
+        out = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
+    }
+    template <typename Integer>
+    void integer(const char* key, Integer& out, double most) {
+        double value = static_cast<double>(out);
+        number(key, value);
+        if (value > most)
+            complain(key, "a whole number of at most " + std::to_string(most));
+        else
+            out = static_cast<Integer>(value);
+    }
+    void flag(const char* key, bool& out) {
+        const Json::Value& value = root_[key];
+        if (value.isBool())
+            out = value.asBool();
+        else if (value.isString() && (value.asString() == "true" || value.asString() == "false"))
+            out = value.asString() == "true";
+        else if (!value.isNull() && !(value.isString() && value.asString().empty()))
+            complain(key, "true or false");
+    }
+    void texts(const char* key, std::vector<std::string>& out) {
+        const Json::Value& value = root_[key];
+        if (!value.isArray()) {
+            complain(key, "a list of texts");
+            return;
+        }
+        for (const Json::Value& item : value)
+            if (item.isString())
+                out.push_back(item.asString());
+            else
+                complain(key, "a list of texts");
+    }
+    Expected<void> result() const {
+        if (wrong_.empty())
+            return {};
+        return fail(FailureKind::BadSettings, wrong_);
+    }
+
+  private:
+    void complain(const std::string& key, const std::string& allowed) {
+        if (wrong_.empty())
+            wrong_ = file_ + ": " + key + " is " + root_[key].toStyledString() + ", not " + allowed;
+    }
+
+    std::string file_;
+    const Json::Value& root_;
+    std::string wrong_;
+};
+
+} // namespace
+
+std::vector<std::string> FleetConfig::seed_ips() const {
+    std::vector<std::string> ips;
+    for (const std::string& seed : seeds)
+        ips.push_back(seed.substr(0, seed.rfind(':')));
+    return ips;
+}
+
+Expected<FleetConfig> read_fleet_config(const std::string& file) {
+    std::ifstream in(file);
+    if (!in)
+        return fail(FailureKind::BadSettings, file + ": can not be read");
+    Json::Value root;
+    std::string errors;
+    if (!Json::parseFromStream(Json::CharReaderBuilder(), in, &root, &errors) || !root.isObject())
+        return fail(FailureKind::BadSettings, file + ": " + errors);
+    FleetConfig config;
+    FleetBounds& bounds = config.bounds;
+    Reader reader(file, root);
+    reader.text("name", config.name, true);
+    reader.text("zone", config.zone, false);
+    reader.text("ip", config.ip, true);
+    reader.integer("link_port", config.link_port, 65535);
+    reader.texts("seeds", config.seeds);
+    reader.flag("first_start", config.first_start);
+    reader.text("data", config.data, false);
+    reader.address("control", config.control);
+    reader.address("callers", config.callers);
+    reader.address("ready", config.ready);
+    reader.address("metrics", config.metrics);
+    reader.integer("tolerated_hosts", config.tolerated_hosts, 10);
+    reader.millis("beat_ms", bounds.beat);
+    reader.millis("drain_ms", bounds.drain);
+    reader.seconds("grace_s", bounds.grace);
+    reader.millis("revoke_ms", bounds.revoke);
+    reader.flag("fail_closed", bounds.fail_closed);
+    reader.millis("stall_ms", bounds.stall);
+    reader.seconds("load_window_s", bounds.load_window);
+    reader.seconds("retry_window_s", bounds.retry_window);
+    reader.number("retry_ratio", bounds.retry_ratio);
+    reader.integer("retry_slack", bounds.retry_slack, 1e9);
+    if (auto good = reader.result(); !good)
+        return tl::make_unexpected(good.error());
+    return config;
+}
+
+} // namespace liftweir
--- /dev/null
+++ b/src/process/gateway.cpp
@@ -0,0 +1,394 @@
+#include "process/gateway.h"
+
+#include "process/logging.h"
+#include "process/metrics.h"
+#include "process/node.h"
+
+#include <algorithm>
+
+namespace liftweir {
+
+namespace {
+
+// Streams that stand still, and calls out of time, are looked for this often.
+constexpr Duration TickEvery = std::chrono::milliseconds(40);
+constexpr Duration RenewEvery = std::chrono::milliseconds(1000);
+// A control host knows of something newer: asked again at this pace until it is here.
+constexpr Duration RenewBehindEvery = std::chrono::milliseconds(150);
+constexpr Duration SecondlyEvery = std::chrono::milliseconds(1000);
+// The lease ends this much before a removed key must have stopped: messages on their way, a loop
+// that is late, and the drift of two clocks.
+constexpr Duration LeaseMargin = std::chrono::milliseconds(900);
+constexpr Duration LeastLease = std::chrono::milliseconds(500);
+// Control is told again while a group goes on standing still.
+constexpr Duration SuspectEvery = std::chrono::milliseconds(300);
+// A group that stood still gets nothing new for so long; then one request tries it.
+constexpr Duration AvoidStalled = std::chrono::milliseconds(1000);
+constexpr Duration RetryAfterUnready = std::chrono::milliseconds(1000);
+// The balancer asks every second and believes two misses.
+constexpr Duration LeavingNotice = std::chrono::milliseconds(2600);
+// Time left for the last answers to leave before the process is killed.
+constexpr Duration LeavingReserve = std::chrono::milliseconds(900);
+constexpr double ShareSmoothing = 0.3;
+
+HttpServerLimits limits_of(const CallerLimits& limits) {
+    HttpServerLimits out;
+    out.header_bytes = limits.header_bytes;
+    out.body_bytes = limits.body_bytes;
+    out.header_timeout = limits.header_timeout;
+    out.idle_timeout = limits.idle_timeout;
+    return out;
+}
+
+} // namespace
+
+Gateway::Gateway(asio::io_context& io, FleetConfig config, const CallerProtocol& protocol,
+                 Decoder decode)
+    : io_(io),
+      config_(std::move(config)),
+      protocol_(protocol),
+      decode_(std::move(decode)),
+      identity_{ProcessRole::Entry, config_.name, new_incarnation()},
+      lease_({}, identity_.incarnation,
+             std::max(LeastLease, config_.bounds.revoke - LeaseMargin)),
+      directory_(identity_.incarnation),
+      pool_(make_channel_pool(io)),
+      random_(static_cast<std::minstd_rand::result_type>(identity_.incarnation)),
+      ticker_(io, TickEvery, [this] { tick(); }) {}
+
+Gateway::~Gateway() = default;
+
+void Gateway::start() {
+    reconfigure(config_);
+    callers_ = serve_http(io_, config_.callers, limits_of({}),
+                          [this](const std::shared_ptr<HttpExchange>& e) { on_request(e); });
+    ready_ = serve_http(io_, config_.ready, {}, [this](const std::shared_ptr<HttpExchange>& e) {
+        e->respond(ready() ? 200 : 503, {}, ready() ? "ready\n" : "not ready\n");
+    });
+    if (!config_.metrics.empty())
+        metrics_ = serve_http(io_, config_.metrics, {},
+                              [](const std::shared_ptr<HttpExchange>& e) {
+                                  e->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                                             Metrics::instance().text());
+                              });
+    Metrics& metrics = Metrics::instance();
+    metrics.gauge("liftweir_calls_in_flight",
+                  [this] { return static_cast<double>(calls_.size()); });
+    metrics.gauge("liftweir_document_version",
+                  [this] { return static_cast<double>(document_.version); });
+    metrics.gauge("liftweir_connections_opened",
+                  [this] { return static_cast<double>(pool_->opened()); });
+    metrics.gauge("liftweir_lease_left_seconds", [this] {
+        return std::chrono::duration<double>(lease_.valid_until() - BootClock::now()).count();
+    });
+    ticker_.start();
+}
+
+void Gateway::reconfigure(const FleetConfig& config) {
+    config_.seeds = config.seeds;
+    for (const std::string& ip : config_.seed_ips())
+        connect_to(ip + ":" + std::to_string(config_.link_port));
+}
+
+// ---- control
+
+void Gateway::connect_to(const std::string& address) {
+    if (control_.contains(address))
+        return;
+    auto dialer = std::make_unique<Dialer>(io_, address, identity_, keys_);
+    dialer->start(
+        [this](const Link::Ptr&) { renew_due_ = {}; },
+        [this, address](const Link::Ptr&, Wire&& m) { on_message(address, std::move(m)); },
+        [](const Link::Ptr&) {});
+    control_.emplace(address, std::move(dialer));
+}
+
+void Gateway::send_to_control(const Wire& message) {
+    for (auto& [address, dialer] : control_)
+        dialer->send(message);
+}
+
+void Gateway::renew(Time now) {
+    renew_due_ = now + (lease_.behind() ? RenewBehindEvery : RenewEvery);
+    const auto source = control_.find(source_);
+    if (source == control_.end() || !source->second->up()) {
+        std::vector<std::string> up;
+        for (const auto& [address, dialer] : control_)
+            if (dialer->up())
+                up.push_back(address);
+        source_ = up.empty() ? "" : up[random_() % up.size()];
+    }
+    for (const auto& [address, dialer] : control_) {
+        if (!dialer->up())
+            continue;
+        Renew renew;
+        renew.entry = config_.name;
+        renew.incarnation = identity_.incarnation;
+        renew.lease = document_.index;
+        renew.want_delta = address == source_;
+        renew.registry = directory_.registry().digest();
+        renew.calls = calls_taken_;
+        renew.in_flight = static_cast<std::uint32_t>(calls_.size());
+        const auto node = nodes_.find(address);
+        renew.sequence = node == nodes_.end() ? 0 : lease_.asked(node->second, now);
+        dialer->send(renew);
+    }
+}
+
+void Gateway::on_message(const std::string& address, Wire&& message) {
+    if (const auto* vouch = std::get_if<Vouch>(&message)) {
+        on_vouch(address, *vouch);
+    } else if (const auto* push = std::get_if<DocumentPush>(&message)) {
+        on_document(*push);
+    } else if (const auto* changes = std::get_if<EndpointChanges>(&message)) {
+        const Time now = BootClock::now();
+        bool changed = false;
+        for (const EndpointReport& report : changes->reports) {
+            if (!directory_.registry().merge(report, now))
+                continue;
+            changed = true;
+            if (report.phase == EndpointPhase::Gone)
+                if (const auto* item = directory_.registry().find(report.id))
+                    pool_->forget(item->report.address);
+        }
+        if (!changed)
+            return;
+        for (const auto& call : std::set<std::shared_ptr<RelayedCall>>(calls_))
+            call->tick(now);
+    }
+}
+
+void Gateway::on_vouch(const std::string& address, const Vouch& vouch) {
+    const Time now = BootClock::now();
+    for (const NodeId node : vouch.nodes)
+        connect_to(address_of(node, config_.link_port));
+    // The first answer tells who answers; only questions after it can prove a lease.
+    if (nodes_[address] != vouch.node) {
+        nodes_[address] = vouch.node;
+        renew_due_ = {};
+    }
+    const bool was_behind = lease_.behind();
+    lease_.on_vouch(vouch, document_.index, now);
+    // A committed document that the chosen source has not pushed comes from who knows it.
+    if (vouch.table > document_.index && address != source_) {
+        source_ = address;
+        renew_due_ = std::min(renew_due_, now + RenewBehindEvery);
+    } else if (lease_.behind() && !was_behind) {
+        renew_due_ = std::min(renew_due_, now + RenewBehindEvery);
+    }
+    if (vouch.sequence != 0 && vouch.in_flight_total > 0 && !calls_.empty()) {
+        const double seen = static_cast<double>(calls_.size()) /
+                            std::max<double>(vouch.in_flight_total, calls_.size());
+        share_ += ShareSmoothing * (seen - share_);
+    } else if (vouch.sequence != 0 && vouch.entries > 0 && calls_.empty()) {
+        share_ += ShareSmoothing * (1.0 / vouch.entries - share_);
+    }
+    directory_.set_others(1 / std::max(share_, 0.02));
+    for (auto& [service, budget] : budgets_)
+        budget.set_share(share_);
+    const bool holds = lease_holds(now);
+    if (holds != std::exchange(had_lease_, holds))
+        log(LogLevel::Info, holds ? "settings lease held" : "settings lease lost",
+            {{"document", std::to_string(document_.version)}});
+}
+
+// Never back to an older version, whoever offers it.
+void Gateway::on_document(const DocumentPush& push) {
+    if (push.document.version <= document_.version || push.document.index <= document_.index)
+        return;
+    auto deployment = decode_(push.document.body);
+    if (!deployment) {
+        log(LogLevel::Error, "a document can not be decoded",
+            {{"version", std::to_string(push.document.version)},
+             {"detail", deployment.error().detail}});
+        return;
+    }
+    document_ = push.document;
+    document_.body.clear();
+    table_ = std::make_shared<const RouteTable>(std::move(*deployment));
+    callers_->set_limits(limits_of(table_->deployment().limits));
+    for (const Service& service : table_->deployment().services) {
+        const FleetBounds& bounds = config_.bounds;
+        const auto [budget, added] = budgets_.try_emplace(
+            service.name, bounds.retry_window, bounds.retry_ratio, bounds.retry_slack);
+        if (added)
+            budget->second.set_share(share_);
+    }
+    log(LogLevel::Info, "document in force",
+        {{"version", std::to_string(document_.version)},
+         {"routes", std::to_string(table_->deployment().routes.size())}});
+    renew_due_ = {};
+}
+
+bool Gateway::lease_holds(Time now) const {
+    return !config_.bounds.fail_closed || now < lease_.valid_until();
+}
+
+bool Gateway::ready() const {
+    return table_ != nullptr && leaving_since_ == Time{} && lease_holds(BootClock::now());
+}
+
+// ---- calls
+
+RepeatBudget& Gateway::budget(const std::string& service) {
+    const FleetBounds& bounds = config_.bounds;
+    return budgets_
+        .try_emplace(service, bounds.retry_window, bounds.retry_ratio, bounds.retry_slack)
+        .first->second;
+}
+
+void Gateway::answer_self(HttpExchange& exchange, const CallerRequest& request, int status,
+                          const char* kind, Duration retry_after) {
+    Metrics::instance()
+        .counter("liftweir_refused", std::string("kind=\"") + kind + "\"")
+        .add();
+    log(LogLevel::Info, "refused",
+        {{"request", request.id},
+         {"kind", kind},
+         {"status", std::to_string(status)},
+         {"document", std::to_string(document_.version)}});
+    exchange.respond(status, protocol_.own_answer(request, retry_after),
+                     std::string("{\"error\":{\"kind\":\"") + kind +
+                         "\",\"outcome\":\"not-run\"}}\n");
+}
+
+const Service* Gateway::choose_service(const RouteTable& table, const Route& route) {
+    std::uint64_t sum = 0;
+    for (const WeightedService& part : route.split)
+        sum += part.weight;
+    std::uint64_t at = std::uniform_int_distribution<std::uint64_t>(0, sum - 1)(random_);
+    for (const WeightedService& part : route.split) {
+        if (at < part.weight)
+            return table.deployment().service(part.service);
+        at -= part.weight;
+    }
+    return nullptr;
+}
+
+void Gateway::on_request(const std::shared_ptr<HttpExchange>& exchange) {
+    const CallerRequest request = protocol_.read(*exchange);
+    const Time now = BootClock::now();
+    if (!request.wellformed) {
+        answer_self(*exchange, request, 400, "bad_request", Duration::zero());
+        return;
+    }
+    if (!table_) {
+        answer_self(*exchange, request, 503, "no_settings", RetryAfterUnready);
+        return;
+    }
+    RelayPlan plan;
+    plan.table = table_;
+    plan.route = table_->find(request.host, request.path);
+    if (plan.route == nullptr) {
+        // Without touch to control, a route may just have been added.
+        const bool sure = lease_holds(now);
+        answer_self(*exchange, request, sure ? 404 : 503, sure ? "not_found" : "no_lease",
+                    sure ? Duration::zero() : RetryAfterUnready);
+        return;
+    }
+    if (plan.route->needs_key && !table_->deployment().customers.empty()) {
+        if (!lease_holds(now)) {
+            answer_self(*exchange, request, 503, "no_lease", RetryAfterUnready);
+            return;
+        }
+        const CustomerKeys* customer = request.key ? table_->customer(*request.key) : nullptr;
+        if (customer == nullptr) {
+            answer_self(*exchange, request, 401, "unauthorized", Duration::zero());
+            return;
+        }
+        plan.customer = customer->name;
+    }
+    plan.service = choose_service(*table_, *plan.route);
+    ++calls_taken_;
+    const auto call = std::make_shared<RelayedCall>(*this, exchange, request, plan);
+    calls_.insert(call);
+    call->start();
+    if (call->done())
+        calls_.erase(call);
+}
+
+void Gateway::ended(const std::string& route, int status, Duration took) {
+    Metrics& metrics = Metrics::instance();
+    const std::string labels =
+        "route=\"" + route + "\",class=\"" + std::to_string(status_class(status)) + "xx\"";
+    metrics.counter("liftweir_calls", labels).add();
+    metrics.histogram("liftweir_call_seconds").add(std::chrono::duration<double>(took).count());
+}
+
+void Gateway::tick() {
+    const Time now = BootClock::now();
+    if (now >= renew_due_)
+        renew(now);
+    if (now >= second_due_) {
+        second_due_ = now + SecondlyEvery;
+        directory_.expire(now);
+    }
+    watch_stalls(now);
+    for (const auto& call : std::set<std::shared_ptr<RelayedCall>>(calls_))
+        call->tick(now);
+    std::erase_if(calls_, [](const auto& call) { return call->done(); });
+    maybe_stop(now);
+}
+
+void Gateway::watch_stalls(Time now) {
+    std::vector<EndpointId> still;
+    for (const auto& [id, use] : directory_.uses())
+        if (use.watch.stalled(now) > Duration::zero())
+            still.push_back(id);
+    for (const EndpointId& id : still) {
+        EndpointUse& use = directory_.use(id);
+        use.avoid_until = now + AvoidStalled;
+        Time& told = suspected_[id];
+        const Registry::Item* item = directory_.registry().find(id);
+        if (now - told > SuspectEvery && item != nullptr && item->report.grouped()) {
+            told = now;
+            const Duration silent = use.watch.stalled(now);
+            log(LogLevel::Info, "group stands still",
+                {{"endpoint", id},
+                 {"group", item->report.membership.group},
+                 {"streams", std::to_string(use.watch.waiting())},
+                 {"silent_ms", std::to_string(to_millis(silent))}});
+            send_to_control(GroupSuspected{item->report.membership.epoch, id,
+                                           static_cast<std::uint32_t>(to_millis(silent))});
+        }
+        for (const auto& call : std::set<std::shared_ptr<RelayedCall>>(calls_))
+            call->stalled(id, now);
+    }
+    std::erase_if(suspected_, [&](const auto& item) {
+        return now - item.second > 10 * SuspectEvery;
+    });
+}
+
+// ---- leaving
+
+void Gateway::leave() {
+    if (leaving_since_ != Time{})
+        return;
+    leaving_since_ = BootClock::now();
+    log(LogLevel::Info, "leaving", {{"calls", std::to_string(calls_.size())}});
+    callers_->close_after_answers();
+}
+
+void Gateway::maybe_stop(Time now) {
+    if (leaving_since_ == Time{})
+        return;
+    const Duration since = now - leaving_since_;
+    if (since > LeavingNotice)
+        callers_->close_idle();
+    const bool late = since > config_.bounds.grace - LeavingReserve;
+    if (late)
+        for (const auto& call : std::set<std::shared_ptr<RelayedCall>>(calls_))
+            call->abandon();
+    const bool idle = calls_.empty() && callers_->connections() == 0 && since > LeavingNotice;
+    if (!idle && !late)
+        return;
+    log(LogLevel::Info, "stopped", {{"calls", std::to_string(calls_.size())}});
+    callers_->stop_accepting();
+    // The last answers still have to leave.
+    const auto timer =
+        std::make_shared<asio::steady_timer>(io_, std::chrono::milliseconds(late ? 200 : 20));
+    timer->async_wait([this, timer](asio::error_code) { io_.stop(); });
+    leaving_since_ = now + std::chrono::hours(1);
+}
+
+} // namespace liftweir
--- /dev/null
+++ b/src/process/gateway.h
@@ -0,0 +1,94 @@
+#ifndef GATEWAY_H_INCLUDED
+#define GATEWAY_H_INCLUDED
+
+#include "connection/link.h"
+#include "process/fleetconfig.h"
+#include "process/leasekeeper.h"
+#include "process/ticker.h"
+#include "request/relay.h"
+#include "version/deployment.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace liftweir {
+
+// An entry host where endpoints register themselves: takes callers' requests, and passes them to
+// endpoints by the newest document that it knows to be in force. Single-threaded.
+class Gateway final : public RelayHost {
+  public:
+    using Decoder = std::function<Expected<Deployment>(const std::string& body)>;
+
+    Gateway(asio::io_context& io, FleetConfig config, const CallerProtocol& protocol,
+            Decoder decode);
+    ~Gateway() override;
+    Gateway(const Gateway&) = delete;
+    Gateway& operator=(const Gateway&) = delete;
+
+    void start();
+    void reconfigure(const FleetConfig& config);
+    // Stops taking work, finishes what there is, then stops the loop.
+    void leave();
+
+  private:
+    Directory& directory() override { return directory_; }
+    HttpChannelPool& pool() override { return *pool_; }
+    const CallerProtocol& protocol() const override { return protocol_; }
+    RepeatBudget& budget(const std::string& service) override;
+    void ended(const std::string& route, int status, Duration took) override;
+
+    // control
+    void connect_to(const std::string& address);
+    void renew(Time now);
+    void on_message(const std::string& address, Wire&& message);
+    void on_vouch(const std::string& address, const Vouch& vouch);
+    void on_document(const DocumentPush& push);
+    void send_to_control(const Wire& message);
+
+    // calls
+    void on_request(const std::shared_ptr<HttpExchange>& exchange);
+    void answer_self(HttpExchange& exchange, const CallerRequest& request, int status,
+                     const char* kind, Duration retry_after);
+    const Service* choose_service(const RouteTable& table, const Route& route);
+    void tick();
+    void watch_stalls(Time now);
+    void maybe_stop(Time now);
+    bool ready() const;
+    bool lease_holds(Time now) const;
+
+    asio::io_context& io_;
+    FleetConfig config_;
+    const CallerProtocol& protocol_;
+    Decoder decode_;
+    Identity identity_;
+    ClusterKeys keys_ = ClusterKeys::none();
+    LeaseKeeper lease_;
+    bool had_lease_ = false;
+    Directory directory_;
+    std::unique_ptr<HttpChannelPool> pool_;
+    std::unique_ptr<HttpServer> callers_;
+    std::unique_ptr<HttpServer> ready_;
+    std::unique_ptr<HttpServer> metrics_;
+    std::map<std::string, std::unique_ptr<Dialer>> control_; // by link address
+    std::map<std::string, NodeId> nodes_; // by link address, from their answers
+    std::string source_; // control host that pushes the document
+    StoredDocument document_;
+    std::shared_ptr<const RouteTable> table_;
+    std::map<std::string, RepeatBudget> budgets_; // by service
+    std::set<std::shared_ptr<RelayedCall>> calls_;
+    std::map<EndpointId, Time> suspected_; // told control
+    std::uint64_t calls_taken_ = 0;
+    double share_ = 0.1; // this host's part of all calls under way
+    std::minstd_rand random_;
+    Time renew_due_{};
+    Time second_due_{};
+    Time leaving_since_{};
+    Ticker ticker_;
+};
+
+} // namespace liftweir
+
+#endif // GATEWAY_H_INCLUDED
--- /dev/null
+++ b/src/process/groupplanner.cpp
@@ -0,0 +1,704 @@
+#include "process/groupplanner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace liftweir {
+
+namespace {
+
+// A host that has missed two reports is taken for no new group.
+constexpr int BeatsMissed = 2;
+constexpr Duration BeatSlack = std::chrono::milliseconds(400);
+// Added to every bound that the endpoints keep on their own clocks.
+constexpr Duration Margin = std::chrono::milliseconds(700);
+// The deposed leader stops giving orders within an election timeout; what it sent just before
+// has arrived by then, or meets a higher fence.
+constexpr Duration TakeoverWait = std::chrono::milliseconds(1000);
+// Hosts register within one beat of each other; the layout waits until no new one has come for so
+// long.
+constexpr Duration SettleTime = std::chrono::milliseconds(1000);
+constexpr Duration SilentFor = std::chrono::milliseconds(3000);
+constexpr Duration ProbeEvery = std::chrono::milliseconds(400);
+// Suspicion that is not renewed for so long is over.
+constexpr Duration SuspicionKept = std::chrono::milliseconds(900);
+// All members answer control, and yet nothing moves: they may be cut off from each other.
+constexpr int SoundRoundsBelieved = 3;
+constexpr Duration FormingSlack = std::chrono::milliseconds(1500);
+constexpr Duration DeadKept = std::chrono::seconds(60);
+// Part of the hosts left out of groups, their weights staged, so that a lost member is replaced
+// at once. A member is lost every few seconds on the worst days seen, a load takes 16 s.
+constexpr double ReserveShare = 0.2;
+constexpr char NameSeparator = '.';
+constexpr char WarmUpMark = 'w';
+
+// A group's name carries its model, so that a new leader can read it back from any member.
+std::string group_name(const std::string& model, Epoch epoch, bool warm_up) {
+    std::string name = model + NameSeparator;
+    if (warm_up)
+        name += WarmUpMark;
+    return name + std::to_string(epoch);
+}
+
+bool names_warm_up(const std::string& group) {
+    const auto at = group.rfind(NameSeparator);
+    return at != std::string::npos && at + 1 < group.size() && group[at + 1] == WarmUpMark;
+}
+
+std::string model_of(const std::string& group) {
+    return group.substr(0, group.rfind(NameSeparator));
+}
+
+} // namespace
+
+std::string_view name_of(OrderKind kind) {
+    switch (kind) {
+    case OrderKind::Join:
+        return "join";
+    case OrderKind::Open:
+        return "open";
+    case OrderKind::Close:
+        return "close";
+    case OrderKind::Leave:
+        return "leave";
+    case OrderKind::Stage:
+        return "stage";
+    }
+    return "unknown";
+}
+
+std::string_view name_of(OrderAnswer answer) {
+    switch (answer) {
+    case OrderAnswer::Taken:
+        return "taken";
+    case OrderAnswer::Unfit:
+        return "unfit";
+    case OrderAnswer::Stale:
+        return "stale";
+    case OrderAnswer::Elsewhere:
+        return "elsewhere";
+    case OrderAnswer::Silent:
+        return "silent";
+    }
+    return "unknown";
+}
+
+GroupPlanner::GroupPlanner(std::string service, PlannerBounds bounds, Time started,
+                           bool first_start)
+    : service_(std::move(service)),
+      bounds_(bounds),
+      started_(started),
+      first_start_(first_start) {}
+
+void GroupPlanner::configure(const EngineCost& engine) {
+    engine_ = engine;
+    configured_ = true;
+    loads_.configure(engine.loads_per_second, bounds_.load_window);
+}
+
+const ModelShape* GroupPlanner::shape(const std::string& model) const {
+    const auto found = std::find_if(engine_.models.begin(), engine_.models.end(),
+                                    [&](const ModelShape& m) { return m.name == model; });
+    return found == engine_.models.end() ? nullptr : &*found;
+}
+
+// ---- what the endpoints say
+
+void GroupPlanner::observe(const EndpointReport& report, Time now) {
+    Host& host = hosts_[report.id];
+    const Membership& membership = report.membership;
+    if (host.last != NoEpoch && host.last != membership.epoch) {
+        const auto old = groups_.find(host.last);
+        if (old != groups_.end() && old->second.broken_from == Time{})
+            old->second.broken_from = now + bounds_.stall + Margin;
+    }
+    if (host.staging == (report.staged.empty() ? "" : report.staged.back()))
+        host.staging_until = {};
+    if (membership.epoch == NoEpoch)
+        return;
+    host.last = membership.epoch;
+    Group& group = groups_[membership.epoch];
+    if (group.epoch == NoEpoch) {
+        group.epoch = membership.epoch;
+        group.name = membership.group;
+        group.model = model_of(membership.group);
+        group.warm_up = names_warm_up(membership.group);
+        group.may_have_opened = !group.warm_up;
+        group.since = now;
+    }
+    if (group.members.size() <= membership.rank)
+        group.members.resize(membership.rank + 1);
+    group.members[membership.rank] = report.id;
+    if (membership.state != MemberState::Joining)
+        host.warm = group.model;
+    if (membership.state == MemberState::Open) {
+        ever_open_.insert(group.model);
+        group.may_have_opened = true;
+        if (group.phase == Phase::Forming) {
+            group.phase = Phase::Open;
+            group.since = now;
+        }
+    }
+}
+
+void GroupPlanner::take_over(std::uint64_t term, Time now) {
+    term_ = term;
+    counter_ = 0;
+    took_over_ = now;
+    loads_.assume_full(now);
+    for (auto& [id, host] : hosts_)
+        host.ordered = false;
+    for (auto& [epoch, group] : groups_) {
+        group.ours = false;
+        group.may_have_opened = !group.warm_up;
+        group.since = now;
+        group.awaited.clear();
+    }
+}
+
+void GroupPlanner::suspect(Epoch epoch, Time now) {
+    const auto found = groups_.find(epoch);
+    if (found != groups_.end() && found->second.phase == Phase::Open)
+        found->second.suspected = now;
+}
+
+void GroupPlanner::answered(const EndpointOrder& order, OrderAnswer answer, Time now) {
+    Host& host = hosts_[order.endpoint];
+    host.ordered = false;
+    if (answer == OrderAnswer::Silent || answer == OrderAnswer::Elsewhere)
+        host.silent_until = now + SilentFor;
+    if (answer != OrderAnswer::Taken && order.kind == OrderKind::Stage)
+        host.staging_until = {};
+    const auto found = groups_.find(order.epoch);
+    if (found == groups_.end())
+        return;
+    Group& group = found->second;
+    if (order.kind == OrderKind::Join && answer != OrderAnswer::Taken &&
+        group.phase == Phase::Forming)
+        bury(group, "join of " + order.endpoint + " was " + std::string(name_of(answer)), now);
+    if (order.kind != OrderKind::Leave || answer == OrderAnswer::Silent ||
+        answer == OrderAnswer::Elsewhere)
+        return;
+    // An endpoint that holds the group no more answers that the order does not fit.
+    if (!group.members.empty() && group.members.front() == order.endpoint)
+        group.lead_left = answer != OrderAnswer::Stale;
+    else if (group.broken_from == Time{})
+        group.broken_from = now + bounds_.stall + Margin;
+}
+
+void GroupPlanner::probed(const EndpointId& id, bool alive, Time now) {
+    if (!alive)
+        hosts_[id].silent_until = now + SilentFor;
+    for (auto& [epoch, group] : groups_) {
+        if (group.awaited.erase(id) == 0 || group.phase != Phase::Open)
+            continue;
+        if (!alive)
+            bury(group, "member " + id + " does not answer", now);
+        else if (group.awaited.empty() && ++group.sound_rounds >= SoundRoundsBelieved)
+            bury(group, "stands still though all members answer", now);
+    }
+}
+
+std::vector<EndpointId> GroupPlanner::take_probes() {
+    return std::exchange(probes_, {});
+}
+
+// ---- facts
+
+const EndpointReport* GroupPlanner::report_of(const EndpointId& id) const {
+    const Registry::Item* item = registry_->find(id);
+    return item == nullptr ? nullptr : &item->report;
+}
+
+bool GroupPlanner::alive(const EndpointId& id, Time now) const {
+    const Registry::Item* item = registry_->find(id);
+    if (item == nullptr || item->report.phase == EndpointPhase::Gone)
+        return false;
+    const auto host = hosts_.find(id);
+    if (host != hosts_.end() && now < host->second.silent_until &&
+        item->heard < host->second.silent_until - SilentFor)
+        return false;
+    return now - item->heard < BeatsMissed * bounds_.beat + BeatSlack;
+}
+
+// The one question that keeps a host out of two groups: can the lead of this group still work on
+// a request? A silent lead may be cut off from control alone and serve the entry hosts.
+bool GroupPlanner::cannot_serve(const Group& group, Time now) const {
+    if (!group.may_have_opened || group.lead_left)
+        return true;
+    if (group.broken_from != Time{} && now >= group.broken_from)
+        return true;
+    if (group.members.empty() || group.members.front().empty())
+        return false;
+    const EndpointReport* lead = report_of(group.members.front());
+    if (lead == nullptr)
+        return false;
+    return lead->phase == EndpointPhase::Gone || lead->membership.epoch != group.epoch ||
+           lead->membership.state == MemberState::Broken;
+}
+
+bool GroupPlanner::is_free(const EndpointReport& report, Time now) const {
+    if (report.phase != EndpointPhase::Serving || report.service != service_ ||
+        !alive(report.id, now))
+        return false;
+    const auto found = hosts_.find(report.id);
+    if (found == hosts_.end())
+        return false;
+    const Host& host = found->second;
+    if (host.ordered || now < host.staging_until || now < host.silent_until)
+        return false;
+    for (const auto& [epoch, group] : groups_) {
+        const bool member =
+            std::find(group.members.begin(), group.members.end(), report.id) != group.members.end();
+        if (!member)
+            continue;
+        if (group.phase != Phase::Dead && !group.warm_up)
+            return false;
+        if (!cannot_serve(group, now))
+            return false;
+    }
+    // A host that this process has never seen in a group may have left one just before.
+    const bool history_known = first_start_ || report.grouped() ||
+                               now - started_ > bounds_.stall + Margin + bounds_.beat;
+    return history_known;
+}
+
+bool GroupPlanner::staged(const EndpointReport& report, const std::string& model) const {
+    return std::find(report.staged.begin(), report.staged.end(), model) != report.staged.end();
+}
+
+std::map<std::string, GroupPlanner::Domain> GroupPlanner::free_by_domain(Time now) const {
+    std::map<std::string, Domain> domains;
+    for (const auto& [id, item] : registry_->items())
+        if (is_free(item.report, now))
+            domains[item.report.domain].free.push_back(&item.report);
+    return domains;
+}
+
+std::size_t GroupPlanner::live_groups(const std::string& model) const {
+    return static_cast<std::size_t>(
+        std::count_if(groups_.begin(), groups_.end(), [&](const auto& pair) {
+            const Group& group = pair.second;
+            return group.model == model && !group.warm_up &&
+                   (group.phase == Phase::Forming || group.phase == Phase::Open);
+        }));
+}
+
+std::size_t GroupPlanner::live_groups(const std::string& model, const std::string& domain) const {
+    std::size_t count = 0;
+    for (const auto& [epoch, group] : groups_) {
+        if (group.model != model || group.warm_up || group.members.empty() ||
+            (group.phase != Phase::Forming && group.phase != Phase::Open))
+            continue;
+        const EndpointReport* lead = report_of(group.members.front());
+        count += lead != nullptr && lead->domain == domain ? 1 : 0;
+    }
+    return count;
+}
+
+std::map<std::string, std::size_t> GroupPlanner::open_groups() const {
+    std::map<std::string, std::size_t> counts;
+    for (const ModelShape& model : engine_.models)
+        counts[model.name] = 0;
+    for (const auto& [epoch, group] : groups_)
+        if (group.phase == Phase::Open)
+            ++counts[group.model];
+    return counts;
+}
+
+std::size_t GroupPlanner::target(const ModelShape& model, Time now) const {
+    std::size_t hosts = 0;
+    for (const auto& [id, item] : registry_->items())
+        hosts += item.report.service == service_ &&
+                         item.report.phase == EndpointPhase::Serving && alive(id, now)
+                     ? 1
+                     : 0;
+    const double usable = static_cast<double>(hosts) * (1 - ReserveShare);
+    const double groups = model.share * usable / model.size;
+    return std::max<std::size_t>(1, static_cast<std::size_t>(std::lround(groups)));
+}
+
+// ---- orders
+
+EndpointOrder& GroupPlanner::order(OrderKind kind, const EndpointReport& report,
+                                   const Group* group) {
+    EndpointOrder order;
+    order.kind = kind;
+    order.endpoint = report.id;
+    order.address = report.address;
+    order.fence = next_number();
+    if (group != nullptr) {
+        order.group = group->name;
+        order.epoch = group->epoch;
+        order.model = group->model;
+        order.members = group->members;
+    }
+    hosts_[report.id].ordered = true;
+    orders_.push_back(std::move(order));
+    return orders_.back();
+}
+
+void GroupPlanner::note(std::string what, const std::string& group, const EndpointId& endpoint,
+                        std::string why) {
+    events_.push_back({std::move(what), group, endpoint, std::move(why)});
+}
+
+void GroupPlanner::bury(Group& group, const std::string& why, Time now) {
+    if (group.phase == Phase::Dead)
+        return;
+    note("dissolved", group.name, group.members.empty() ? "" : group.members.front(), why);
+    group.phase = Phase::Dead;
+    group.since = now;
+    group.awaited.clear();
+}
+
+// ---- progress of groups
+
+std::vector<EndpointOrder> GroupPlanner::plan(const Registry& registry, Time now) {
+    registry_ = &registry;
+    orders_.clear();
+    if (!configured_ || now - took_over_ < TakeoverWait) {
+        if (!first_start_ || !configured_ || now - took_over_ < SettleTime)
+            return {};
+    }
+    for (auto& [epoch, group] : groups_)
+        advance(group, now);
+    std::erase_if(groups_, [&](const auto& pair) {
+        const Group& group = pair.second;
+        return group.phase == Phase::Dead && now - group.since > DeadKept &&
+               cannot_serve(group, now);
+    });
+    form_groups(now);
+    stage_spares(now);
+    warm_spares(now);
+    return std::exchange(orders_, {});
+}
+
+void GroupPlanner::advance(Group& group, Time now) {
+    switch (group.phase) {
+    case Phase::Forming:
+        advance_forming(group, now);
+        break;
+    case Phase::Open:
+    case Phase::Closing:
+        advance_open(group, now);
+        break;
+    case Phase::Dead:
+        advance_dead(group, now);
+        break;
+    }
+}
+
+void GroupPlanner::advance_forming(Group& group, Time now) {
+    const ModelShape* model = shape(group.model);
+    const std::size_t size = group.warm_up ? 1 : (model == nullptr ? 0 : model->size);
+    if (model == nullptr || (!group.warm_up && group.ours && group.members.size() != size)) {
+        bury(group, "no such model", now);
+        return;
+    }
+    bool all_ready = group.members.size() == size;
+    for (const EndpointId& id : group.members) {
+        const EndpointReport* report = report_of(id);
+        if (report == nullptr) {
+            all_ready = false;
+            continue;
+        }
+        if (report->phase != EndpointPhase::Serving || !alive(id, now)) {
+            bury(group, "member " + id + " was lost while the group formed", now);
+            return;
+        }
+        all_ready = all_ready && report->membership.epoch == group.epoch &&
+                    report->membership.state == MemberState::Ready;
+    }
+    if (all_ready && group.warm_up) {
+        bury(group, "warm", now);
+        return;
+    }
+    const EndpointReport* lead = group.members.empty() ? nullptr : report_of(group.members.front());
+    if (all_ready && lead != nullptr && !hosts_[lead->id].ordered && now >= group.open_due) {
+        group.may_have_opened = true;
+        group.open_due = now + engine_.open_delay + bounds_.beat;
+        order(OrderKind::Open, *lead, &group);
+        note("opening", group.name, lead->id, "all members are ready");
+    }
+    const Time overdue = group.expected == Time{} ? group.since + engine_.open_delay + FormingSlack +
+                                                        (model->load + model->warm_join)
+                                                  : group.expected + FormingSlack;
+    if (now > overdue)
+        bury(group, "not ready in time", now);
+}
+
+// A member that was lost shows in three ways: its own report, another incarnation at its address,
+// or streams that stand still at the entry hosts and a probe that is not answered. Silence towards
+// control alone proves nothing: the group may serve on.
+void GroupPlanner::advance_open(Group& group, Time now) {
+    const EndpointReport* lead = group.members.empty() ? nullptr : report_of(group.members.front());
+    if (lead != nullptr && lead->membership.epoch == group.epoch) {
+        if (lead->membership.state == MemberState::Broken) {
+            bury(group, "the lead reports it broken", now);
+            return;
+        }
+        if (group.phase == Phase::Closing && lead->membership.state == MemberState::Ready) {
+            bury(group, "closed", now);
+            return;
+        }
+    }
+    for (const EndpointId& id : group.members) {
+        const EndpointReport* report = report_of(id);
+        if (report == nullptr)
+            continue;
+        if (report->phase == EndpointPhase::Gone || report->membership.epoch != group.epoch) {
+            bury(group, "member " + id + " left", now);
+            return;
+        }
+        if (report->phase == EndpointPhase::Draining && group.phase == Phase::Open &&
+            replaceable(group, now) && lead != nullptr && !hosts_[lead->id].ordered) {
+            group.phase = Phase::Closing;
+            group.since = now;
+            order(OrderKind::Close, *lead, &group);
+            note("closing", group.name, id, "a member is leaving and a spare is at hand");
+        }
+    }
+    probe_if_suspected(group, now);
+}
+
+// Closing early pays only where the group can be put together again without the leaving member.
+bool GroupPlanner::replaceable(const Group& group, Time now) const {
+    const EndpointReport* lead = report_of(group.members.front());
+    if (lead == nullptr)
+        return false;
+    const auto domains = free_by_domain(now);
+    const auto domain = domains.find(lead->domain);
+    if (domain == domains.end())
+        return false;
+    std::size_t leaving = 0;
+    for (const EndpointId& id : group.members) {
+        const EndpointReport* report = report_of(id);
+        leaving += report == nullptr || report->phase != EndpointPhase::Serving ? 1 : 0;
+    }
+    const auto spares = static_cast<std::size_t>(
+        std::count_if(domain->second.free.begin(), domain->second.free.end(),
+                      [&](const EndpointReport* r) { return staged(*r, group.model); }));
+    return spares >= leaving;
+}
+
+void GroupPlanner::probe_if_suspected(Group& group, Time now) {
+    if (group.suspected == Time{} || now - group.suspected > SuspicionKept) {
+        group.sound_rounds = 0;
+        return;
+    }
+    if (!group.awaited.empty() || now - group.probed < ProbeEvery)
+        return;
+    group.probed = now;
+    for (const EndpointId& id : group.members)
+        if (!id.empty() && group.awaited.insert(id).second)
+            probes_.push_back(id);
+    note("suspected", group.name, group.members.front(), "its streams stand still");
+}
+
+// The lead's own word frees all members at once. Where it is silent, one member that leaves
+// breaks the group after the time in which it stands still.
+void GroupPlanner::advance_dead(Group& group, Time now) {
+    if (cannot_serve(group, now) || group.members.empty())
+        return;
+    const EndpointId& lead = group.members.front();
+    const EndpointReport* report = lead.empty() ? nullptr : report_of(lead);
+    if (report != nullptr && alive(lead, now)) {
+        if (!hosts_[lead].ordered)
+            order(OrderKind::Leave, *report, &group);
+        return;
+    }
+    if (group.broken_from != Time{})
+        return;
+    for (const EndpointId& id : group.members) {
+        const EndpointReport* member = id.empty() ? nullptr : report_of(id);
+        if (id == lead || member == nullptr || !alive(id, now) ||
+            member->membership.epoch != group.epoch)
+            continue;
+        if (!hosts_[id].ordered)
+            order(OrderKind::Leave, *member, &group);
+        return;
+    }
+}
+
+// ---- formation
+
+void GroupPlanner::form_groups(Time now) {
+    std::size_t known = 0;
+    for (const auto& [id, item] : registry_->items())
+        known += item.report.service == service_ ? 1 : 0;
+    if (known != hosts_known_) {
+        hosts_known_ = known;
+        hosts_changed_ = now;
+    }
+    if (ever_open_.empty() && now - hosts_changed_ < SettleTime)
+        return;
+    std::set<std::string> hopeless;
+    while (hopeless.size() < engine_.models.size()) {
+        const ModelShape* neediest = nullptr;
+        double lowest = 1;
+        for (const ModelShape& model : engine_.models) {
+            if (hopeless.contains(model.name))
+                continue;
+            const double have = static_cast<double>(live_groups(model.name)) /
+                                static_cast<double>(target(model, now));
+            if (have < lowest || (neediest != nullptr && have == lowest &&
+                                  model.size > neediest->size)) {
+                lowest = have;
+                neediest = &model;
+            }
+        }
+        if (neediest == nullptr)
+            return;
+        if (!form_one(neediest->name, now))
+            hopeless.insert(neediest->name);
+    }
+}
+
+bool GroupPlanner::form_one(const std::string& name, Time now) {
+    const ModelShape& model = *shape(name);
+    const bool from_nothing = !ever_open_.contains(name);
+    const auto domains = free_by_domain(now);
+    std::vector<const EndpointReport*> best;
+    std::size_t best_free = 0;
+    std::size_t best_groups = 0;
+    for (const auto& [domain, hosts] : domains) {
+        std::vector<const EndpointReport*> fit;
+        for (const EndpointReport* report : hosts.free)
+            if (staged(*report, name) || (from_nothing && !traffic_))
+                fit.push_back(report);
+        if (fit.size() < model.size)
+            continue;
+        const std::size_t groups = live_groups(name, domain);
+        const bool better = best.empty() || groups < best_groups ||
+                            (groups == best_groups && fit.size() > best_free);
+        if (!better)
+            continue;
+        best_free = fit.size();
+        best_groups = groups;
+        best = std::move(fit);
+    }
+    if (best.empty()) {
+        // Across domains a group is several times slower, which is still better than none.
+        if (live_groups(name) > 0)
+            return false;
+        for (const auto& [domain, hosts] : domains)
+            for (const EndpointReport* report : hosts.free)
+                if (staged(*report, name))
+                    best.push_back(report);
+        if (best.size() < model.size)
+            return false;
+    }
+    std::stable_sort(best.begin(), best.end(), [&](const auto* a, const auto* b) {
+        const auto rank = [&](const EndpointReport* r) {
+            return staged(*r, name) ? (hosts_.at(r->id).warm == name ? 0 : 1) : 2;
+        };
+        return rank(a) < rank(b);
+    });
+    best.resize(model.size);
+    form(model, best, from_nothing ? "first group" : "below its share", now);
+    return true;
+}
+
+void GroupPlanner::form(const ModelShape& model, const std::vector<const EndpointReport*>& hosts,
+                        const std::string& why, Time now) {
+    const Epoch epoch = next_number();
+    Group& group = groups_[epoch];
+    group.epoch = epoch;
+    group.warm_up = hosts.size() == 1 && model.size != 1;
+    group.name = group_name(model.name, epoch, group.warm_up);
+    group.model = model.name;
+    group.since = now;
+    group.ours = true;
+    group.may_have_opened = false;
+    Duration longest{};
+    for (const EndpointReport* report : hosts) {
+        group.members.push_back(report->id);
+        const Host& host = hosts_[report->id];
+        const Duration joins = host.warm == model.name ? std::chrono::milliseconds(200)
+                               : staged(*report, model.name) ? model.warm_join
+                                                             : model.load;
+        longest = std::max(longest, joins);
+    }
+    const auto slower = static_cast<int>(hosts_known_ / std::max(1u, engine_.loads_at_once) + 1);
+    group.expected = now + (longest == model.load ? longest * slower : longest) + bounds_.beat;
+    for (const EndpointReport* report : hosts) {
+        if (!staged(*report, model.name))
+            loads_.begun(now);
+        order(OrderKind::Join, *report, &group);
+    }
+    note(group.warm_up ? "warming" : "formed", group.name, group.members.front(), why);
+}
+
+// ---- spares
+
+std::string GroupPlanner::model_to_stage(const EndpointReport& report, Time now) const {
+    std::string best;
+    double best_score = 0;
+    for (const ModelShape& model : engine_.models) {
+        std::size_t spares = 0;
+        for (const auto& [id, item] : registry_->items()) {
+            if (item.report.domain != report.domain || id == report.id)
+                continue;
+            const auto host = hosts_.find(id);
+            const bool staging = host != hosts_.end() && now < host->second.staging_until &&
+                                 host->second.staging == model.name;
+            spares += staging || (is_free(item.report, now) && staged(item.report, model.name)) ? 1
+                                                                                                : 0;
+        }
+        const std::size_t here = live_groups(model.name, report.domain) * model.size;
+        const bool wanted = live_groups(model.name) < target(model, now);
+        double score = static_cast<double>(here) / static_cast<double>(1 + 2 * spares);
+        if (wanted && (spares + 1) % model.size == 0)
+            score += 2.0 * model.size;
+        else if (wanted)
+            score += static_cast<double>(spares + 1) / model.size;
+        if (best.empty() || score > best_score) {
+            best = model.name;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+void GroupPlanner::stage_spares(Time now) {
+    if (ever_open_.empty() && now - hosts_changed_ < SettleTime)
+        return;
+    for (const auto& [id, item] : registry_->items()) {
+        const EndpointReport& report = item.report;
+        if (!is_free(report, now) || !report.staged.empty())
+            continue;
+        if (traffic_ && !loads_.allows(now))
+            return;
+        const std::string model = model_to_stage(report, now);
+        if (model.empty())
+            return;
+        Host& host = hosts_[id];
+        host.staging = model;
+        host.staging_until = now + 2 * shape(model)->load + FormingSlack;
+        loads_.begun(now);
+        order(OrderKind::Stage, report, nullptr).model = model;
+        note("staging", "", id, model);
+    }
+}
+
+// Joining takes a fifth of a second for a host that was in a group of the model since its start,
+// and over a second for one that has the weights on its disk only.
+void GroupPlanner::warm_spares(Time now) {
+    for (const auto& [id, item] : registry_->items()) {
+        const EndpointReport& report = item.report;
+        if (report.staged.empty() || !is_free(report, now))
+            continue;
+        const ModelShape* model = shape(report.staged.back());
+        const bool forming = std::any_of(groups_.begin(), groups_.end(), [&](const auto& pair) {
+            const Group& group = pair.second;
+            return group.warm_up && group.phase == Phase::Forming &&
+                   group.members.front() == id;
+        });
+        if (model == nullptr || model->size == 1 || forming || hosts_[id].warm == model->name)
+            continue;
+        form(*model, {&report}, "spare", now);
+    }
+}
+
+} // namespace liftweir
--- /dev/null
+++ b/src/process/groupplanner.h
@@ -0,0 +1,192 @@
+#ifndef GROUPPLANNER_H_INCLUDED
+#define GROUPPLANNER_H_INCLUDED
+
+#include "process/loadbudget.h"
+#include "process/registry.h"
+#include "version/deployment.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace liftweir {
+
+enum class OrderKind : std::uint8_t {
+    Join,  // hold a part of a group; loads the weights where they are missing
+    Open,  // the lead puts the group into service
+    Close, // the lead finishes what it has and takes nothing new
+    Leave, // give the part up at once
+    Stage  // fetch weights onto the host without joining
+};
+
+std::string_view name_of(OrderKind kind);
+
+// One order to an endpoint. The fence rises from order to order and from leader to leader, so an
+// endpoint refuses what is delivered late.
+struct EndpointOrder {
+    OrderKind kind = OrderKind::Join;
+    EndpointId endpoint;
+    std::string address;
+    std::string group;
+    Epoch epoch = NoEpoch;
+    std::string model;
+    std::vector<EndpointId> members; // the lead first
+    std::uint64_t fence = 0;
+
+    auto operator<=>(const EndpointOrder&) const = default;
+};
+
+enum class OrderAnswer : std::uint8_t {
+    Taken,     // begun, or holds already
+    Unfit,     // does not fit the endpoint's state
+    Stale,     // a higher fence or epoch was seen
+    Elsewhere, // another endpoint has the address
+    Silent     // no answer: it may still be carried out, seconds later
+};
+
+std::string_view name_of(OrderAnswer answer);
+
+// A decision of the planner, for the log.
+struct PlanEvent {
+    std::string what; // formed, opened, dissolved, staged, ...
+    std::string group;
+    EndpointId endpoint;
+    std::string why;
+
+    auto operator<=>(const PlanEvent&) const = default;
+};
+
+struct PlannerBounds {
+    Duration stall = std::chrono::seconds(5); // after it a group that lost a member is broken
+    Duration beat = std::chrono::milliseconds(1200); // between two reports of an endpoint
+    Duration load_window = std::chrono::seconds(5);
+
+    auto operator<=>(const PlannerBounds&) const = default;
+};
+
+// Decides which hosts form the groups of one service whose endpoints register themselves and take
+// fenced orders. Its state is read back from the endpoints' own reports, so that any control host
+// can go on from where the last leader stopped. Pure: no I/O, no clock but the times it is given.
+class GroupPlanner {
+  public:
+    GroupPlanner(std::string service, PlannerBounds bounds, Time started, bool first_start);
+
+    void configure(const EngineCost& engine);
+    // Every change of a report, on every control host, whether it leads or not.
+    void observe(const EndpointReport& report, Time now);
+    // This host leads from now on. Epochs and fences of a higher term are higher.
+    void take_over(std::uint64_t term, Time now);
+    // Callers' requests have begun: loads are slow, priced and limited from now on.
+    void traffic_began() { traffic_ = true; }
+    // An entry host sees all streams of a group stand still.
+    void suspect(Epoch epoch, Time now);
+
+    std::vector<EndpointOrder> plan(const Registry& registry, Time now);
+    // Endpoints that should be asked for a report now.
+    std::vector<EndpointId> take_probes();
+    void answered(const EndpointOrder& order, OrderAnswer answer, Time now);
+    void probed(const EndpointId& id, bool alive, Time now);
+    std::vector<PlanEvent> take_events() { return std::exchange(events_, {}); }
+
+    // Groups in service per model, as far as reports tell. For metrics.
+    std::map<std::string, std::size_t> open_groups() const;
+
+  private:
+    enum class Phase : std::uint8_t { Forming, Open, Closing, Dead };
+
+    struct Group {
+        Epoch epoch = NoEpoch;
+        std::string name;
+        std::string model;
+        std::vector<EndpointId> members; // by rank; empty where not yet known
+        Phase phase = Phase::Forming;
+        Time since{};              // begin of the phase
+        bool ours = false;         // formed by this host in this term
+        bool warm_up = false;      // one host alone, only to have the weights in its memory
+        bool may_have_opened = true;
+        bool lead_left = false;    // confirmed by the lead itself
+        Time broken_from{};        // a member left: the lead is broken from here on
+        Time open_due{};           // the lead is told again to open if it has not by then
+        Time expected{};           // when a forming group should be ready
+        Time suspected{};
+        Time probed{};             // begin of the last round of probes
+        std::set<EndpointId> awaited; // probes without an answer
+        int sound_rounds = 0;      // rounds in which all answered though nothing moved
+    };
+
+    struct Host {
+        Epoch last = NoEpoch; // group that it was in last
+        std::string warm;     // model that it could join at once
+        Time silent_until{};  // did not answer an order or a probe
+        Time staging_until{};
+        std::string staging;
+        bool ordered = false; // an order is under way
+    };
+
+    struct Domain {
+        std::vector<const EndpointReport*> free;
+    };
+
+    // progress of groups
+    void advance(Group& group, Time now);
+    void advance_forming(Group& group, Time now);
+    void advance_open(Group& group, Time now);
+    void advance_dead(Group& group, Time now);
+    void probe_if_suspected(Group& group, Time now);
+    void bury(Group& group, const std::string& why, Time now);
+    bool cannot_serve(const Group& group, Time now) const;
+    bool alive(const EndpointId& id, Time now) const;
+    bool replaceable(const Group& group, Time now) const;
+
+    // formation
+    void form_groups(Time now);
+    bool form_one(const std::string& model, Time now);
+    void form(const ModelShape& shape, const std::vector<const EndpointReport*>& hosts,
+              const std::string& why, Time now);
+    void stage_spares(Time now);
+    void warm_spares(Time now);
+    bool is_free(const EndpointReport& report, Time now) const;
+    bool staged(const EndpointReport& report, const std::string& model) const;
+    std::map<std::string, Domain> free_by_domain(Time now) const;
+    std::size_t target(const ModelShape& shape, Time now) const;
+    std::size_t live_groups(const std::string& model) const;
+    std::size_t live_groups(const std::string& model, const std::string& domain) const;
+    std::string model_to_stage(const EndpointReport& report, Time now) const;
+    const ModelShape* shape(const std::string& model) const;
+
+    EndpointOrder& order(OrderKind kind, const EndpointReport& report, const Group* group);
+    const EndpointReport* report_of(const EndpointId& id) const;
+    std::uint64_t next_number() { return (term_ << CounterBits) | ++counter_; }
+    void note(std::string what, const std::string& group, const EndpointId& endpoint,
+              std::string why);
+
+    // Orders and groups of one term; a term with more is ended by an overflow into the next.
+    static constexpr unsigned CounterBits = 20;
+
+    std::string service_;
+    PlannerBounds bounds_;
+    Time started_;
+    bool first_start_;
+    EngineCost engine_;
+    bool configured_ = false;
+    bool traffic_ = false;
+    std::uint64_t term_ = 0;
+    std::uint64_t counter_ = 0;
+    Time took_over_{};
+    Time hosts_changed_{};
+    std::size_t hosts_known_ = 0;
+    const Registry* registry_ = nullptr; // only within plan()
+    std::map<Epoch, Group> groups_;
+    std::map<EndpointId, Host> hosts_;
+    std::set<std::string> ever_open_; // models
+    LoadBudget loads_;
+    std::vector<EndpointOrder> orders_;
+    std::vector<EndpointId> probes_;
+    std::vector<PlanEvent> events_;
+};
+
+} // namespace liftweir
+
+#endif // GROUPPLANNER_H_INCLUDED
--- a/src/process/leasekeeper.cpp
+++ b/src/process/leasekeeper.cpp
@@ -1,7 +1,5 @@
 #include "process/leasekeeper.h"
 
-#include "process/inforce.h"
-
 #include <algorithm>
 #include <functional>
 #include <vector>
@@ -50,7 +48,7 @@
         return {};
     std::sort(proved.begin(), proved.end(), std::greater<>());
     const Time majority = proved[proved.size() / 2];
-    return majority == Time{} ? Time{} : majority + SettingsLease;
+    return majority == Time{} ? Time{} : majority + length_;
 }
 
 } // namespace liftweir
--- a/src/process/leasekeeper.h
+++ b/src/process/leasekeeper.h
@@ -3,6 +3,7 @@
 
 #include "connection/wire.h"
 #include "process/clock.h"
+#include "process/inforce.h"
 
 #include <map>
 #include <optional>
@@ -14,8 +15,8 @@
 // needed: any majority of vouchers shares a host with any majority that accepts a change.
 class LeaseKeeper {
   public:
-    LeaseKeeper(Voters voters, Incarnation incarnation)
-        : voters_(std::move(voters)), incarnation_(incarnation) {}
+    LeaseKeeper(Voters voters, Incarnation incarnation, Duration length = SettingsLease)
+        : voters_(std::move(voters)), incarnation_(incarnation), length_(length) {}
 
     // The next question to one control host.
     std::uint64_t asked(NodeId node, Time now);
@@ -37,6 +38,7 @@
     Voters voters_;
     Index voters_index_ = 0;
     Incarnation incarnation_;
+    Duration length_;
     std::uint64_t next_ = 1;
     bool behind_ = false;
     std::map<NodeId, Voucher> vouchers_;
--- /dev/null
+++ b/src/process/loadbudget.cpp
@@ -0,0 +1,31 @@
+#include "process/loadbudget.h"
+
+#include <algorithm>
+
+namespace liftweir {
+
+namespace {
+
+// Part of the permitted rate that is used. Orders that were not answered may begin a load seconds
+// later, beside newer ones.
+constexpr double UsedShare = 0.7;
+
+} // namespace
+
+void LoadBudget::configure(double loads_per_second, Duration window) {
+    window_ = window;
+    const double seconds = std::chrono::duration<double>(window).count();
+    most_ = std::max<std::size_t>(1, static_cast<std::size_t>(loads_per_second * seconds * UsedShare));
+}
+
+void LoadBudget::assume_full(Time now) {
+    begun_.assign(most_ / 2, now);
+}
+
+bool LoadBudget::allows(Time now) {
+    while (!begun_.empty() && now - begun_.front() > window_)
+        begun_.pop_front();
+    return begun_.size() < most_;
+}
+
+} // namespace liftweir
--- a/src/process/logstore.cpp
+++ b/src/process/logstore.cpp
@@ -156,6 +156,11 @@
             return tl::make_unexpected(loaded.error());
         segment_ = std::stoull(name.substr(SegmentPrefix.size()));
     }
+    // What a killed process had written but not synced is read back from memory: it counts as
+    // stored only once it is on the disk.
+    if (!segments.empty())
+        if (auto synced = storage_.sync(segments.back()); !synced)
+            return tl::make_unexpected(synced.error());
     if (auto removed = remove_segments_below(segment_name(first_segment_of(segments))); !removed)
         return tl::make_unexpected(removed.error());
     return out;
--- /dev/null
+++ b/src/process/node.cpp
@@ -0,0 +1,65 @@
+#include "process/node.h"
+
+#include <asio.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <random>
+
+namespace liftweir {
+
+namespace {
+
+constexpr const char* NodeFile = "node";
+constexpr unsigned AddressBits = 32;
+constexpr NodeId AddressMask = 0xffffffff;
+
+NodeId address_bits(const std::string& ip) {
+    asio::error_code error;
+    const auto address = asio::ip::make_address_v4(ip, error);
+    return error ? 0 : address.to_uint();
+}
+
+} // namespace
+
+NodeId founder_node(const std::string& ip) {
+    return address_bits(ip);
+}
+
+std::string ip_of(NodeId node) {
+    return asio::ip::address_v4(static_cast<std::uint32_t>(node & AddressMask)).to_string();
+}
+
+std::string address_of(NodeId node, std::uint16_t port) {
+    return ip_of(node) + ":" + std::to_string(port);
+}
+
+bool same_host(NodeId a, NodeId b) {
+    return (a & AddressMask) == (b & AddressMask);
+}
+
+Expected<NodeId> node_of_folder(Storage& storage, const std::string& ip, bool founder) {
+    const auto names = storage.list();
+    if (!names)
+        return tl::make_unexpected(names.error());
+    if (std::find(names->begin(), names->end(), NodeFile) != names->end()) {
+        const auto text = storage.read(NodeFile);
+        if (!text)
+            return tl::make_unexpected(text.error());
+        NodeId node = 0;
+        const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), node);
+        if (error == std::errc() && end == text->data() + text->size() && node != NoNode)
+            return node;
+        return fail(FailureKind::Damaged, "the file of the node number holds no number");
+    }
+    NodeId node = address_bits(ip);
+    if (!founder) {
+        std::random_device device;
+        node |= (static_cast<NodeId>(device()) | 1) << AddressBits;
+    }
+    if (auto kept = storage.replace(NodeFile, std::to_string(node)); !kept)
+        return tl::make_unexpected(kept.error());
+    return node;
+}
+
+} // namespace liftweir
--- a/src/process/program.cpp
+++ b/src/process/program.cpp
@@ -3,6 +3,7 @@
 #include "process/logging.h"
 
 #include <csignal>
+#include <filesystem>
 #include <iostream>
 #include <popt.h>
 
@@ -11,12 +12,13 @@
 namespace {
 
 constexpr const char* VersionText = "liftweir 0.1.0";
+// A settings file that changes without a signal is noticed this soon.
+constexpr auto SettingsFilePoll = std::chrono::seconds(2);
 
 } // namespace
 
-std::optional<ProcessConfig> program_config(Program program, int argc, const char** argv,
-                                            int& exit_code) {
-    const std::string name = "liftweir-" + std::string(name_of(program));
+std::optional<CommandLine> read_command_line(const std::string& name, const char* fallback,
+                                             int argc, const char** argv, int& exit_code) {
     char* file = nullptr;
     int check_only = 0;
     int version = 0;
@@ -27,7 +29,8 @@
         POPT_AUTOHELP POPT_TABLEEND};
     const poptContext context = poptGetContext(name.c_str(), argc, argv, options, 0);
     const int parsed = poptGetNextOpt(context);
-    const std::string config_file = file != nullptr ? file : "";
+    const char* chosen = file != nullptr ? file : fallback;
+    const std::string config_file = chosen != nullptr ? chosen : "";
     exit_code = ExitOk;
     if (parsed < -1) {
         std::cerr << name << ": " << poptBadOption(context, 0) << ": " << poptStrerror(parsed)
@@ -42,14 +45,23 @@
     poptFreeContext(context);
     if (exit_code != ExitOk || version != 0)
         return std::nullopt;
-    auto config = read_config(program, config_file);
+    return CommandLine{config_file, check_only != 0};
+}
+
+std::optional<ProcessConfig> program_config(Program program, int argc, const char** argv,
+                                            int& exit_code) {
+    const std::string name = "liftweir-" + std::string(name_of(program));
+    const auto line = read_command_line(name, nullptr, argc, argv, exit_code);
+    if (!line)
+        return std::nullopt;
+    auto config = read_config(program, line->settings_file);
     if (!config) {
         std::cerr << name << ": " << config.error().detail << "\n";
         exit_code = ExitBadSettings;
         return std::nullopt;
     }
-    if (check_only != 0) {
-        std::cout << config_file << ": good\n";
+    if (line->check_only) {
+        std::cout << line->settings_file << ": good\n";
         return std::nullopt;
     }
     start_logging(config->name);
@@ -57,6 +69,51 @@
     return *config;
 }
 
+void watch_settings_file(asio::io_context& io, const std::string& file,
+                         std::function<void()> reload) {
+    const auto changed_at = [file] {
+        std::error_code error;
+        const auto time = std::filesystem::last_write_time(file, error);
+        return error ? std::filesystem::file_time_type{} : time;
+    };
+    struct Watch {
+        explicit Watch(asio::io_context& io) : signals(io, SIGHUP), timer(io) {}
+        asio::signal_set signals;
+        asio::steady_timer timer;
+        std::filesystem::file_time_type seen;
+        std::function<void()> on_signal;
+        std::function<void()> on_timer;
+    };
+    const auto watch = std::make_shared<Watch>(io);
+    watch->seen = changed_at();
+    Watch* w = watch.get();
+    watch->on_signal = [w, watch_ref = std::weak_ptr<Watch>(watch), changed_at, reload] {
+        w->signals.async_wait([watch = watch_ref.lock(), changed_at, reload](asio::error_code error,
+                                                                             int) {
+            if (error)
+                return;
+            watch->seen = changed_at();
+            reload();
+            watch->on_signal();
+        });
+    };
+    watch->on_timer = [w, watch_ref = std::weak_ptr<Watch>(watch), changed_at, reload] {
+        w->timer.expires_after(SettingsFilePoll);
+        w->timer.async_wait([watch = watch_ref.lock(), changed_at, reload](asio::error_code error) {
+            if (error)
+                return;
+            const auto now = changed_at();
+            if (now != watch->seen) {
+                watch->seen = now;
+                reload();
+            }
+            watch->on_timer();
+        });
+    };
+    watch->on_signal();
+    watch->on_timer();
+}
+
 void run_until_stopped(asio::io_context& io, const std::function<void()>& on_signal) {
     asio::signal_set signals(io, SIGTERM, SIGINT);
     std::function<void()> wait = [&] {
--- a/src/process/raft.cpp
+++ b/src/process/raft.cpp
@@ -181,7 +181,7 @@
     progress_.clear();
     for (const NodeId node : voters_)
         if (node != self_)
-            progress_[node] = Progress{.next = last_index() + 1};
+            progress_[node] = Progress{.next = last_index() + 1, .heard = now_};
     quorum_due_ = now_ + tuning_.election_min;
     // Entries of earlier terms become committed only through one of the own term.
     append_entry({hard_.term, last_index() + 1, EntryKind::Noop, {}});
@@ -227,10 +227,37 @@
     auto index = propose(EntryKind::Voters, encode_struct(VotersRecord{voters}));
     for (const NodeId node : voters_)
         if (node != self_ && !progress_.contains(node))
-            progress_[node] = Progress{.next = last_index()};
+            progress_[node] = Progress{.next = last_index(), .heard = now_};
     return index;
 }
 
+// A removed voter stays in the table until it is no learner either, so that it hears of its own
+// removal.
+void Raft::set_learners(const Voters& learners) {
+    if (!leads())
+        return;
+    for (const NodeId node : learners)
+        if (node != self_ && !progress_.contains(node))
+            progress_[node] = Progress{.next = last_index() + 1, .heard = now_};
+    std::erase_if(progress_, [&](const auto& item) {
+        return !voters_.contains(item.first) && !learners.contains(item.first);
+    });
+}
+
+std::optional<Raft::PeerView> Raft::peer(NodeId node) const {
+    const auto found = progress_.find(node);
+    if (!leads() || found == progress_.end())
+        return std::nullopt;
+    return PeerView{found->second.match, found->second.heard};
+}
+
+std::size_t Raft::synced_copies(Index index) const {
+    std::size_t copies = voters_.contains(self_) && stored_ >= index ? 1 : 0;
+    for (const auto& [node, progress] : progress_)
+        copies += voters_.contains(node) && progress.match >= index ? 1 : 0;
+    return copies;
+}
+
 Expected<std::uint64_t> Raft::read_index() {
     if (!leads_with_commit())
         return fail(FailureKind::NotLeader, std::to_string(leader_));
@@ -401,6 +428,7 @@
         return;
     Progress& progress = progress_[from];
     progress.active = true;
+    progress.heard = now_;
     progress.round = std::max(progress.round, m.round);
     confirm_reads();
     if (!m.success) {
--- a/src/process/raft.h
+++ b/src/process/raft.h
@@ -17,7 +17,9 @@
 
 namespace liftweir {
 
-using NodeId = std::uint32_t;
+// Names one data folder, not one machine: a host whose disk was lost gets a new one. See
+// process/node.h for how a number is drawn.
+using NodeId = std::uint64_t;
 using Term = std::uint64_t;
 using Index = std::uint64_t;
 
@@ -146,6 +148,8 @@
     Expected<Index> propose(EntryKind kind, std::string data);
     // Adds or removes one voter. Fails with NotLeader, or Conflict while another change runs.
     Expected<Index> propose_voters(const Voters& voters);
+    // Non-voting nodes that the leader keeps up to date. Forgotten when leadership is lost.
+    void set_learners(const Voters& learners);
     // Asks for a confirmation that this node still leads. The id comes back in RaftReady.
     Expected<std::uint64_t> read_index();
 
@@ -163,6 +167,14 @@
     NodeId leader() const { return leader_; }
     Term term() const { return hard_.term; }
     NodeId voted_for() const { return hard_.voted_for; }
+    // What the leader knows of another node; nothing where it does not replicate to it.
+    struct PeerView {
+        Index match = 0;
+        Time heard{};
+    };
+    std::optional<PeerView> peer(NodeId node) const;
+    // Voters, this one included, that have synced the log up to an index. Leader only.
+    std::size_t synced_copies(Index index) const;
     // Voters in force at an index of the log.
     Voters voters_at(Index index) const;
     Index commit() const { return commit_; }
@@ -181,6 +193,7 @@
         std::uint64_t round = 0; // newest round that this follower answered
         bool active = false;     // heard since the last quorum check
         bool probing = true;     // one append in flight until the match is found
+        Time heard{};            // last answer, or when replication to it began
         Time sent{};
     };
     struct PendingRead {
--- a/src/process/replica.cpp
+++ b/src/process/replica.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t CompactAfterBytes = 8u << 20;
 // Large answers fill the log with few entries; a snapshot for each handful would cost more.
 constexpr Index EntriesBetweenSnapshots = 500;
+// Beyond this the disk goes first: the smallest control hosts have 128 MB, and a snapshot needs
+// room beside the log that it replaces.
+constexpr std::size_t CompactAnywayBytes = 4 * CompactAfterBytes;
 
 } // namespace
 
@@ -179,8 +182,10 @@
 }
 
 Expected<void> Replica::maybe_compact() {
-    if (store_->bytes_since_snapshot() < CompactAfterBytes ||
-        applied_ <= raft_.snapshot().index + EntriesBetweenSnapshots)
+    const std::size_t bytes = store_->bytes_since_snapshot();
+    const bool enough_entries = applied_ > raft_.snapshot().index + EntriesBetweenSnapshots;
+    if (bytes < CompactAfterBytes || (!enough_entries && bytes < CompactAnywayBytes) ||
+        applied_ == raft_.snapshot().index)
         return {};
     Snapshot snapshot;
     snapshot.index = applied_;
--- a/src/process/replica.h
+++ b/src/process/replica.h
@@ -41,6 +41,8 @@
 
     const State& state() const { return state_; }
     const Raft& raft() const { return raft_; }
+    // For the leader's care of voters and learners.
+    Raft& mutable_raft() { return raft_; }
     // No command above this index that raises the lease version stands in the log, committed or
     // not. What an entry host's settings lease rests on.
     Version logged_lease_version() const {
--- /dev/null
+++ b/src/request/callerprotocol.h
@@ -0,0 +1,61 @@
+#ifndef CALLERPROTOCOL_H_INCLUDED
+#define CALLERPROTOCOL_H_INCLUDED
+
+#include "connection/httpchannel.h"
+#include "connection/httpserver.h"
+#include "process/failure.h"
+#include "process/registry.h"
+
+#include <optional>
+#include <string>
+
+namespace liftweir {
+
+// What a caller's request asks for, whatever its headers are called.
+struct CallerRequest {
+    std::string id; // the caller's own, one for each attempt; empty where it gave none
+    std::string host;
+    std::string path;
+    std::optional<std::string> key; // of a customer
+    std::optional<Duration> patience; // how long the caller will wait from now
+    std::string model;                // empty for plain services
+    std::uint32_t prompt_tokens = 0;
+    std::string last_event; // the caller resumes a stream behind this event
+    bool wellformed = true;
+
+    auto operator<=>(const CallerRequest&) const = default;
+};
+
+// What an entry host adds to a request that it passes on.
+struct ForwardNote {
+    EndpointId endpoint;
+    std::string customer; // empty where the route needs no key
+    Duration time_left{};
+    std::string last_event; // empty: from the beginning
+
+    auto operator<=>(const ForwardNote&) const = default;
+};
+
+// What the head of an endpoint's answer says beyond its status.
+struct AnswerNote {
+    bool not_run = false;       // the endpoint promises that it did not run the request
+    bool other_request = false; // the answer belongs to another request
+    bool misdirected = false;   // another incarnation has the address
+
+    auto operator<=>(const AnswerNote&) const = default;
+};
+
+// The callers' and endpoints' dialect of HTTP. Translates; decides nothing.
+class CallerProtocol {
+  public:
+    virtual ~CallerProtocol() = default;
+    virtual CallerRequest read(const HttpExchange& exchange) const = 0;
+    virtual HttpRequestHead forward(const HttpExchange& exchange, const ForwardNote& note) const = 0;
+    virtual AnswerNote judge(const HttpResponseHead& head, const CallerRequest& request) const = 0;
+    // Headers of an answer that liftweir gives itself; `retry_after` zero where it names none.
+    virtual HttpHeaders own_answer(const CallerRequest& request, Duration retry_after) const = 0;
+};
+
+} // namespace liftweir
+
+#endif // CALLERPROTOCOL_H_INCLUDED
--- /dev/null
+++ b/src/request/directory.cpp
@@ -0,0 +1,113 @@
+#include "request/directory.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace liftweir {
+
+namespace {
+
+constexpr Duration FirstAvoided = std::chrono::milliseconds(250);
+constexpr std::uint32_t MostDoublings = 4;
+// A forecast this far above the goal is too late; below that it may still be met, since a
+// forecast is an estimate of other hosts' work.
+constexpr double GoalSlack = 1.25;
+// Below this part of the places taken nobody is refused, whatever the forecast says.
+constexpr double RefuseAbove = 0.55;
+// Forecasts closer than this are equal; then chance decides, so that entry hosts that see the
+// same do not all choose the same.
+constexpr double ForecastNoise = 0.15;
+
+} // namespace
+
+std::string model_of_group(const std::string& group) {
+    return group.substr(0, group.rfind('.'));
+}
+
+void Directory::expire(Time now) {
+    registry_.expire(now);
+    std::erase_if(uses_, [&](const auto& item) {
+        return item.second.in_flight == 0 && registry_.find(item.first) == nullptr;
+    });
+}
+
+void Directory::failed(const EndpointId& id, Time now) {
+    EndpointUse& use = uses_[id];
+    const std::uint32_t doublings = std::min(use.failures++, MostDoublings);
+    use.avoid_until = std::max(use.avoid_until, now + FirstAvoided * (1 << doublings));
+}
+
+tl::expected<Pick, PickFailure> Directory::pick(const Demand& demand,
+                                                const std::set<EndpointId>& tried, Time now) {
+    return demand.service->engine && !demand.model.empty() ? pick_group(demand, tried, now)
+                                                           : pick_plain(demand, tried, now);
+}
+
+tl::expected<Pick, PickFailure> Directory::pick_group(const Demand& demand,
+                                                      const std::set<EndpointId>& tried,
+                                                      Time now) {
+    const EngineCost& engine = *demand.service->engine;
+    const auto shape = std::find_if(engine.models.begin(), engine.models.end(),
+                                    [&](const ModelShape& m) { return m.name == demand.model; });
+    if (shape == engine.models.end())
+        return tl::make_unexpected(PickFailure::NoneServes);
+    const double goal =
+        std::chrono::duration<double, std::milli>(demand.latency_goal).count() * GoalSlack;
+    std::optional<Pick> best;
+    double best_score = 0;
+    bool any_open = false;
+    for (const auto& [id, item] : registry_.items()) {
+        const EndpointReport& report = item.report;
+        if (!report.leads_open_group() || report.service != demand.service->name ||
+            model_of_group(report.membership.group) != demand.model)
+            continue;
+        const EndpointUse& use = uses_[id];
+        if (use.avoided(now) || tried.contains(id))
+            continue;
+        any_open = true;
+        GroupLoad load = use.load;
+        load.seen_pass_ms = use.watch.pass_ms();
+        const LoadForecast f = forecast(engine, *shape, load, demand.prompt_tokens, others_);
+        const bool late = goal > 0 && f.first_event_ms > goal;
+        const bool full = f.in_flight >= engine.slots;
+        if (f.in_flight > RefuseAbove * engine.slots && (late || full))
+            continue;
+        const double noise =
+            1 + ForecastNoise * std::uniform_real_distribution<double>(0, 1)(random_);
+        const double score = (f.first_event_ms + f.pause_ms) * noise;
+        if (best && score >= best_score)
+            continue;
+        best_score = score;
+        best = Pick{id, report.address, f};
+    }
+    if (best)
+        return *best;
+    return tl::make_unexpected(any_open ? PickFailure::AllFull : PickFailure::NoneServes);
+}
+
+tl::expected<Pick, PickFailure> Directory::pick_plain(const Demand& demand,
+                                                      const std::set<EndpointId>& tried,
+                                                      Time now) {
+    std::optional<Pick> best;
+    std::pair<int, double> best_score;
+    for (const auto& [id, item] : registry_.items()) {
+        const EndpointReport& report = item.report;
+        if (report.phase != EndpointPhase::Serving || report.service != demand.service->name ||
+            tried.contains(id))
+            continue;
+        const EndpointUse& use = uses_[id];
+        // An endpoint that failed lately is better than none.
+        const std::pair<int, double> score{
+            use.avoided(now) ? 1 : 0,
+            use.in_flight + std::uniform_real_distribution<double>(0, 1)(random_)};
+        if (best && score >= best_score)
+            continue;
+        best_score = score;
+        best = Pick{id, report.address, {}};
+    }
+    if (best)
+        return *best;
+    return tl::make_unexpected(PickFailure::NoneServes);
+}
+
+} // namespace liftweir
--- /dev/null
+++ b/src/request/directory.h
@@ -0,0 +1,86 @@
+#ifndef DIRECTORY_H_INCLUDED
+#define DIRECTORY_H_INCLUDED
+
+#include "process/registry.h"
+#include "request/groupload.h"
+#include "request/stallwatch.h"
+#include "version/routetable.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace liftweir {
+
+// What this entry host knows of one endpoint beyond its report.
+struct EndpointUse {
+    GroupLoad load;
+    StallWatch watch;
+    std::uint32_t in_flight = 0;
+    std::uint32_t failures = 0; // in a row
+    Time avoid_until{};         // failed or stood still lately
+
+    bool avoided(Time now) const { return now < avoid_until; }
+};
+
+struct Demand {
+    const Service* service = nullptr;
+    std::string model; // empty for plain services
+    std::uint32_t prompt_tokens = 0;
+    Duration latency_goal{};
+    Duration pause_goal{};
+};
+
+enum class PickFailure : std::uint8_t {
+    NoneServes, // no group or endpoint takes requests now
+    AllFull     // one more would come too late everywhere
+};
+
+struct Pick {
+    EndpointId endpoint;
+    std::string address;
+    LoadForecast forecast;
+};
+
+// The endpoints as one entry host sees them, and the choice among them.
+class Directory {
+  public:
+    explicit Directory(std::uint64_t seed) : random_(seed) {}
+
+    Registry& registry() { return registry_; }
+    const Registry& registry() const { return registry_; }
+    EndpointUse& use(const EndpointId& id) { return uses_[id]; }
+    const std::map<EndpointId, EndpointUse>& uses() const { return uses_; }
+    // How many times this host's own work all entry hosts have under way together.
+    void set_others(double others) { others_ = others; }
+    void expire(Time now);
+
+    // Endpoints in `tried` are left out.
+    tl::expected<Pick, PickFailure> pick(const Demand& demand, const std::set<EndpointId>& tried,
+                                         Time now);
+    // The endpoint failed a request, or took no connection.
+    void failed(const EndpointId& id, Time now);
+    void succeeded(const EndpointId& id) { uses_[id].failures = 0; }
+
+  private:
+    tl::expected<Pick, PickFailure> pick_group(const Demand& demand,
+                                               const std::set<EndpointId>& tried, Time now);
+    tl::expected<Pick, PickFailure> pick_plain(const Demand& demand,
+                                               const std::set<EndpointId>& tried, Time now);
+
+    Registry registry_;
+    std::map<EndpointId, EndpointUse> uses_;
+    std::minstd_rand random_;
+    double others_ = 1;
+};
+
+// The model that a group holds, read from its name.
+std::string model_of_group(const std::string& group);
+
+} // namespace liftweir
+
+#endif // DIRECTORY_H_INCLUDED
--- /dev/null
+++ b/src/request/groupload.h
@@ -0,0 +1,38 @@
+#ifndef GROUPLOAD_H_INCLUDED
+#define GROUPLOAD_H_INCLUDED
+
+#include "process/clock.h"
+#include "version/deployment.h"
+
+#include <cstdint>
+
+namespace liftweir {
+
+// What an entry host has under way at one group, and what it has seen of the group's speed.
+struct GroupLoad {
+    std::uint32_t writing = 0;       // streams past their first event
+    std::uint32_t reading = 0;       // requests before their first event
+    std::uint64_t reading_tokens = 0; // prompt tokens of those
+    double seen_pass_ms = 0;         // smoothed time between events; zero where none was seen
+
+    std::uint32_t in_flight() const { return writing + reading; }
+    auto operator<=>(const GroupLoad&) const = default;
+};
+
+struct LoadForecast {
+    double first_event_ms = 0; // until the first event of one more request
+    double pause_ms = 0;       // between events of all streams of the group then
+    double in_flight = 0;      // requests of all entry hosts, estimated
+
+    auto operator<=>(const LoadForecast&) const = default;
+};
+
+// Predicts what one more request meets at a group. The engine makes passes: in each it reads at
+// most a chunk of prompts and writes a few tokens of every stream. `others` is how many times
+// this host's own work all entry hosts have there together.
+LoadForecast forecast(const EngineCost& engine, const ModelShape& model, const GroupLoad& load,
+                      std::uint32_t prompt_tokens, double others);
+
+} // namespace liftweir
+
+#endif // GROUPLOAD_H_INCLUDED
--- /dev/null
+++ b/src/request/relay.cpp
@@ -0,0 +1,441 @@
+#include "request/relay.h"
+
+#include "process/logging.h"
+#include "process/metrics.h"
+
+#include <algorithm>
+
+namespace liftweir {
+
+namespace {
+
+// A call that no endpoint takes is held for this part of its latency goal: long enough for a group
+// that is just being put together, short enough that a refusal leaves time for another try.
+constexpr int HoldPartOfGoal = 4;
+// A group that lost a member serves again after about this long.
+constexpr Duration RetryAfterNoGroup = std::chrono::milliseconds(1000);
+// A full group frees places as streams end.
+constexpr Duration RetryAfterFull = std::chrono::milliseconds(600);
+// Callers give a stream up after the longest of these; liftweir goes on trying until just before.
+constexpr Duration CallerGap = std::chrono::milliseconds(2000);
+constexpr int CallerGapGoals = 4;
+constexpr int CallerGapPauses = 8;
+constexpr Duration GapMargin = std::chrono::milliseconds(150);
+// A safe call without an answer is sent elsewhere after this part of its latency goal.
+constexpr double RepeatAfterGoal = 0.6;
+// Beside the permitted number of runs, one send that provably did not run may be repeated.
+constexpr std::uint32_t ExtraSends = 1;
+constexpr std::uint32_t MostConnectFailures = 4;
+// Answers that are held back until they are whole; larger ones are cut off as failures.
+constexpr std::size_t MaxWholeBody = 8u << 20;
+// A slow caller holds its endpoint back beyond this many bytes.
+constexpr std::size_t MaxUnwritten = 256u << 10;
+
+std::string millis_text(Duration d) {
+    return std::to_string(to_millis(d));
+}
+
+bool is_event_stream(const HttpResponseHead& head) {
+    return find_header(head.headers, "content-type").starts_with("text/event-stream");
+}
+
+HttpHeaders end_to_end(const HttpResponseHead& head) {
+    HttpHeaders out;
+    const std::string_view named = find_header(head.headers, "connection");
+    for (const HttpHeader& header : head.headers)
+        if (!is_hop_by_hop(header.first) && !has_token(named, header.first))
+            out.push_back(header);
+    return out;
+}
+
+} // namespace
+
+RelayedCall::RelayedCall(RelayHost& host, std::shared_ptr<HttpExchange> exchange,
+                         CallerRequest request, RelayPlan plan)
+    : host_(host),
+      exchange_(std::move(exchange)),
+      request_(std::move(request)),
+      plan_(std::move(plan)),
+      received_(exchange_->received()),
+      deadline_(received_ + std::min(plan_.route->timeout,
+                                     request_.patience.value_or(plan_.route->timeout))),
+      last_event_(request_.last_event) {}
+
+void RelayedCall::start() {
+    host_.budget(plan_.service->name).request(received_);
+    exchange_->on_gone([self = shared_from_this()] { self->finish(0, "the caller left"); });
+    attempt(received_);
+}
+
+Demand RelayedCall::demand() const {
+    return {plan_.service, request_.model, request_.prompt_tokens, plan_.route->latency_goal,
+            plan_.route->pause_goal};
+}
+
+// ---- sending
+
+void RelayedCall::attempt(Time now) {
+    if (done_)
+        return;
+    const auto pick = host_.directory().pick(demand(), tried_, now);
+    if (pick) {
+        waiting_ = false;
+        send(*pick, now);
+        return;
+    }
+    if (pick.error() == PickFailure::AllFull && !begun_) {
+        refuse("all groups are full", RetryAfterFull);
+        return;
+    }
+    waiting_ = true;
+    tick(now);
+}
+
+bool RelayedCall::may_send_again(Time now) {
+    if (sends_ == 0)
+        return true;
+    const std::uint32_t runs_allowed = std::max(1u, plan_.route->max_attempts);
+    if (runs_ >= runs_allowed || sends_ >= runs_allowed + ExtraSends)
+        return false;
+    return host_.budget(plan_.service->name).take(now);
+}
+
+void RelayedCall::send(const Pick& pick, Time now) {
+    if (!may_send_again(now)) {
+        if (begun_)
+            cut("no attempt is left");
+        else
+            refuse("no attempt is left", RetryAfterFull);
+        return;
+    }
+    ++sends_;
+    endpoint_ = pick.endpoint;
+    endpoints_ += (endpoints_.empty() ? "" : ",") + pick.endpoint;
+    tried_.insert(pick.endpoint);
+    sent_ = now;
+    first_seen_ = false;
+    head_ = {};
+    note_ = {};
+    body_.clear();
+    splitter_ = {};
+    EndpointUse& use = host_.directory().use(endpoint_);
+    ++use.in_flight;
+    if (uses_engine()) {
+        ++use.load.reading;
+        use.load.reading_tokens += request_.prompt_tokens;
+        use.watch.started(now);
+    }
+    const ForwardNote note{endpoint_, plan_.customer, deadline_ - now, last_event_};
+    ChannelOptions options;
+    options.fresh = !plan_.route->repeatable();
+    const std::weak_ptr<RelayedCall> weak = weak_from_this();
+    CallEvents events;
+    events.on_head = [weak](const HttpResponseHead& head) {
+        if (const auto self = weak.lock())
+            self->on_head(head);
+    };
+    events.on_body = [weak](std::string_view bytes) {
+        if (const auto self = weak.lock())
+            self->on_body(bytes);
+    };
+    events.on_end = [weak](CallEnd how, bool) {
+        if (const auto self = weak.lock())
+            self->on_end(how);
+    };
+    call_ = host_.pool().start(pick.address, host_.protocol().forward(*exchange_, note),
+                               std::string(exchange_->body()), options, std::move(events));
+}
+
+void RelayedCall::release_endpoint() {
+    if (call_)
+        call_->cancel();
+    call_.reset();
+    if (endpoint_.empty())
+        return;
+    EndpointUse& use = host_.directory().use(endpoint_);
+    use.in_flight -= use.in_flight > 0 ? 1 : 0;
+    if (uses_engine()) {
+        if (first_seen_) {
+            --use.load.writing;
+        } else {
+            --use.load.reading;
+            use.load.reading_tokens -= request_.prompt_tokens;
+        }
+        use.watch.ended();
+    }
+    endpoint_.clear();
+}
+
+// ---- the endpoint's answer
+
+void RelayedCall::on_head(const HttpResponseHead& head) {
+    head_ = head;
+    note_ = host_.protocol().judge(head, request_);
+    if (note_.other_request) {
+        on_broken("the answer belongs to another request");
+        return;
+    }
+    events_ = status_class(head.status) == 2 && is_event_stream(head);
+    if (begun_ && !events_ && !note_.not_run)
+        on_broken("a stream was not taken up");
+}
+
+void RelayedCall::on_body(std::string_view bytes) {
+    if (done_ || endpoint_.empty())
+        return;
+    if (!events_) {
+        body_.append(bytes);
+        if (body_.size() > MaxWholeBody)
+            on_broken("the answer is too large");
+        return;
+    }
+    splitter_.feed(bytes);
+    pass_events();
+}
+
+void RelayedCall::pass_events() {
+    const Time now = BootClock::now();
+    for (std::string event = splitter_.next(); !event.empty(); event = splitter_.next()) {
+        EndpointUse& use = host_.directory().use(endpoint_);
+        use.watch.progress(now);
+        if (!std::exchange(first_seen_, true)) {
+            --use.load.reading;
+            use.load.reading_tokens -= request_.prompt_tokens;
+            ++use.load.writing;
+        }
+        pass_event(std::move(event));
+    }
+}
+
+void RelayedCall::pass_event(std::string event) {
+    const Time now = BootClock::now();
+    if (const std::string_view id = id_of_event(event); !id.empty())
+        last_event_ = id;
+    if (!begun_) {
+        begun_ = true;
+        first_event_took_ = now - received_;
+        exchange_->begin(head_.status, end_to_end(head_));
+    } else {
+        longest_pause_ = std::max(longest_pause_, now - last_passed_);
+    }
+    last_passed_ = now;
+    pass_bytes(std::move(event));
+}
+
+void RelayedCall::pass_bytes(std::string bytes) {
+    const std::size_t size = bytes.size();
+    unwritten_ += size;
+    if (unwritten_ > MaxUnwritten && call_)
+        call_->pause();
+    exchange_->write(std::move(bytes), [weak = weak_from_this(), size](bool) {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->unwritten_ -= size;
+        if (self->unwritten_ < MaxUnwritten / 2 && self->call_)
+            self->call_->resume();
+    });
+}
+
+void RelayedCall::on_end(CallEnd how) {
+    if (done_ || endpoint_.empty())
+        return;
+    const Time now = BootClock::now();
+    if (how == CallEnd::ConnectFailed) {
+        host_.directory().failed(endpoint_, now);
+        release_endpoint();
+        --sends_;
+        if (tried_.size() < MostConnectFailures)
+            attempt(now);
+        else if (begun_)
+            cut("no endpoint takes connections");
+        else
+            refuse("no endpoint takes connections", RetryAfterNoGroup);
+        return;
+    }
+    if (how != CallEnd::Complete) {
+        host_.directory().failed(endpoint_, now);
+        on_broken(how == CallEnd::Broken ? "the endpoint broke off" : "not an answer");
+        return;
+    }
+    if (note_.not_run) {
+        on_not_run();
+        return;
+    }
+    on_complete();
+}
+
+void RelayedCall::on_not_run() {
+    const Time now = BootClock::now();
+    const bool leading = host_.directory().registry().find(endpoint_) != nullptr && uses_engine();
+    if (note_.misdirected || leading)
+        host_.directory().failed(endpoint_, now);
+    release_endpoint();
+    attempt(now);
+}
+
+// The request may have run. Only what may run twice is sent again; a stream goes on behind the
+// last event that the caller has.
+void RelayedCall::on_broken(const char* why) {
+    const Time now = BootClock::now();
+    release_endpoint();
+    ++runs_;
+    if (!plan_.route->repeatable()) {
+        if (begun_)
+            cut(why);
+        else
+            fail(502, why);
+        return;
+    }
+    if (begun_)
+        ++resumed_;
+    const std::uint32_t runs_allowed = std::max(1u, plan_.route->max_attempts);
+    if (runs_ >= runs_allowed) {
+        if (begun_)
+            cut(why);
+        else
+            fail(502, why);
+        return;
+    }
+    attempt(now);
+}
+
+void RelayedCall::on_complete() {
+    const Time now = BootClock::now();
+    if (events_) {
+        std::string rest = splitter_.rest();
+        if (!rest.empty() && begun_)
+            pass_bytes(std::move(rest));
+        host_.directory().succeeded(endpoint_);
+        release_endpoint();
+        if (!begun_)
+            exchange_->begin(head_.status, end_to_end(head_));
+        exchange_->finish();
+        finish(head_.status, "");
+        return;
+    }
+    const bool failure = status_class(head_.status) == 5;
+    if (failure)
+        host_.directory().failed(endpoint_, now);
+    else
+        host_.directory().succeeded(endpoint_);
+    const HttpResponseHead head = head_;
+    std::string body = std::move(body_);
+    release_endpoint();
+    ++runs_;
+    if (failure && plan_.route->repeatable() && runs_ < plan_.route->max_attempts &&
+        host_.directory().pick(demand(), tried_, now)) {
+        attempt(now);
+        return;
+    }
+    exchange_->respond(head.status, end_to_end(head), std::move(body));
+    finish(head.status, "");
+}
+
+// ---- time
+
+void RelayedCall::tick(Time now) {
+    if (done_)
+        return;
+    if (now >= deadline_) {
+        if (begun_)
+            cut("out of time");
+        else if (sends_ == 0)
+            refuse("out of time", RetryAfterNoGroup);
+        else
+            fail(504, "out of time");
+        return;
+    }
+    if (waiting_) {
+        const auto pick = host_.directory().pick(demand(), tried_, now);
+        if (pick) {
+            waiting_ = false;
+            send(*pick, now);
+        } else if (begun_) {
+            const Duration gap = std::max({CallerGap, CallerGapGoals * plan_.route->latency_goal,
+                                           CallerGapPauses * plan_.route->pause_goal});
+            if (now - last_passed_ > gap - GapMargin)
+                cut("no group to go on at");
+        } else if (now - received_ >= plan_.route->latency_goal / HoldPartOfGoal) {
+            refuse(sends_ == 0 ? "no endpoint serves" : "no other endpoint serves",
+                   RetryAfterNoGroup);
+        }
+        return;
+    }
+    const auto repeat_after = std::chrono::duration_cast<Duration>(
+        RepeatAfterGoal * std::chrono::duration<double>(plan_.route->latency_goal));
+    const bool overdue = plan_.route->kind == CallKind::Safe && head_.status == 0 &&
+                         now - sent_ > repeat_after && runs_ + 1 < plan_.route->max_attempts;
+    if (overdue && host_.directory().pick(demand(), tried_, now))
+        on_broken("no answer in time");
+}
+
+void RelayedCall::stalled(const EndpointId& lead, Time now) {
+    if (done_ || endpoint_ != lead || !plan_.route->repeatable() ||
+        runs_ + 1 >= plan_.route->max_attempts)
+        return;
+    if (host_.directory().pick(demand(), tried_, now))
+        on_broken("the group stands still");
+}
+
+// ---- ends
+
+void RelayedCall::refuse(const char* why, Duration retry_after) {
+    if (done_)
+        return;
+    release_endpoint();
+    // What may have run must not be called refused, unless running twice does no harm.
+    if (runs_ > 0 && !plan_.route->repeatable()) {
+        fail(502, why);
+        return;
+    }
+    exchange_->respond(503, host_.protocol().own_answer(request_, retry_after),
+                       "{\"error\":{\"kind\":\"no_endpoint\",\"outcome\":\"not-run\"}}\n");
+    finish(503, why);
+}
+
+void RelayedCall::fail(int status, const char* why) {
+    if (done_)
+        return;
+    release_endpoint();
+    exchange_->respond(status, host_.protocol().own_answer(request_, Duration::zero()),
+                       "{\"error\":{\"kind\":\"endpoint_failed\",\"outcome\":\"unknown\"}}\n");
+    finish(status, why);
+}
+
+void RelayedCall::cut(const char* why) {
+    if (done_)
+        return;
+    exchange_->abort();
+    finish(0, why);
+}
+
+void RelayedCall::abandon() {
+    if (begun_)
+        cut("the process ends");
+    else if (sends_ == 0 || plan_.route->repeatable())
+        refuse("the process ends", RetryAfterFull);
+    else
+        fail(502, "the process ends");
+}
+
+void RelayedCall::finish(int status, const char* why) {
+    if (std::exchange(done_, true))
+        return;
+    release_endpoint();
+    const Duration took = BootClock::now() - received_;
+    log(LogLevel::Info, "call",
+        {{"request", request_.id},
+         {"route", plan_.route->name},
+         {"document", std::to_string(plan_.table->deployment().version)},
+         {"endpoints", endpoints_},
+         {"status", std::to_string(status)},
+         {"ms", millis_text(took)},
+         {"first_event_ms", millis_text(first_event_took_)},
+         {"longest_pause_ms", millis_text(longest_pause_)},
+         {"resumed", std::to_string(resumed_)},
+         {"why", why}});
+    host_.ended(plan_.route->name, status, took);
+}
+
+} // namespace liftweir
--- /dev/null
+++ b/src/request/relay.h
@@ -0,0 +1,114 @@
+#ifndef RELAY_H_INCLUDED
+#define RELAY_H_INCLUDED
+
+#include "connection/eventsplitter.h"
+#include "connection/httpchannel.h"
+#include "connection/httpserver.h"
+#include "request/callerprotocol.h"
+#include "request/directory.h"
+#include "request/repeatbudget.h"
+#include "version/routetable.h"
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace liftweir {
+
+// What calls need of the entry host that they run on.
+class RelayHost {
+  public:
+    virtual ~RelayHost() = default;
+    virtual Directory& directory() = 0;
+    virtual HttpChannelPool& pool() = 0;
+    virtual const CallerProtocol& protocol() const = 0;
+    virtual RepeatBudget& budget(const std::string& service) = 0;
+    // The call has ended and is forgotten; it may be destroyed from here on.
+    virtual void ended(const std::string& route, int status, Duration took) = 0;
+};
+
+// Where a caller's request goes, decided before it is passed on.
+struct RelayPlan {
+    std::shared_ptr<const RouteTable> table; // keeps route and service alive
+    const Route* route = nullptr;
+    const Service* service = nullptr;
+    std::string customer;
+};
+
+// One caller's request from its arrival to its last byte: sends it to an endpoint, passes the
+// answer on, and sends it again or goes on with a broken stream elsewhere where that is allowed.
+class RelayedCall : public std::enable_shared_from_this<RelayedCall> {
+  public:
+    RelayedCall(RelayHost& host, std::shared_ptr<HttpExchange> exchange, CallerRequest request,
+                RelayPlan plan);
+
+    void start();
+    // Time limits, and another try for a call that waits for an endpoint.
+    void tick(Time now);
+    // All streams of an endpoint stand still.
+    void stalled(const EndpointId& lead, Time now);
+    // Cut: the process ends.
+    void abandon();
+    bool done() const { return done_; }
+
+  private:
+    // sending
+    void attempt(Time now);
+    bool may_send_again(Time now);
+    void send(const Pick& pick, Time now);
+    void release_endpoint();
+    Demand demand() const;
+    bool uses_engine() const { return plan_.service->engine && !request_.model.empty(); }
+
+    // the endpoint's answer
+    void on_head(const HttpResponseHead& head);
+    void on_body(std::string_view bytes);
+    void on_end(CallEnd how);
+    void on_not_run();
+    void on_broken(const char* why);
+    void pass_events();
+    void pass_event(std::string event);
+    void pass_bytes(std::string bytes);
+    void on_complete();
+
+    // ends
+    void refuse(const char* why, Duration retry_after);
+    void fail(int status, const char* why);
+    void cut(const char* why);
+    void finish(int status, const char* why);
+
+    RelayHost& host_;
+    std::shared_ptr<HttpExchange> exchange_;
+    CallerRequest request_;
+    RelayPlan plan_;
+    Time received_;
+    Time deadline_;
+    bool done_ = false;
+
+    std::unique_ptr<HttpCallHandle> call_;
+    EndpointId endpoint_; // empty while no endpoint has the request
+    std::string endpoints_; // all that had it, for the log
+    std::set<EndpointId> tried_;
+    std::uint32_t sends_ = 0;  // that reached an endpoint, or may have
+    std::uint32_t runs_ = 0;   // that may have been run
+    Time sent_{};
+    bool first_seen_ = false; // an event came from the present endpoint
+    bool waiting_ = false;    // no endpoint takes it at the moment
+
+    HttpResponseHead head_;
+    AnswerNote note_;
+    bool events_ = false; // the answer is a stream of events
+    bool begun_ = false;  // the caller has the head
+    EventSplitter splitter_;
+    std::string body_;
+    std::string last_event_;
+    Time last_passed_{};
+    Duration first_event_took_{};
+    Duration longest_pause_{};
+    std::uint32_t resumed_ = 0;
+    std::size_t unwritten_ = 0;
+};
+
+} // namespace liftweir
+
+#endif // RELAY_H_INCLUDED
--- a/src/version/state.cpp
+++ b/src/version/state.cpp
@@ -60,6 +60,7 @@
 
 bool raises_lease_version(const Command& command) {
     return std::holds_alternative<ChangeSettings>(command) ||
+           std::holds_alternative<ReplaceDocument>(command) ||
            std::holds_alternative<RetireEntry>(command);
 }
 
@@ -138,6 +139,16 @@
     return done(index);
 }
 
+// A resend, or a change that a newer one has overtaken, is answered like the first time and
+// changes nothing.
+ApplyResult State::on(Version index, const ReplaceDocument& c) {
+    if (c.version > document_.version) {
+        document_ = {c.version, index, c.body};
+        lease_version_ = index;
+    }
+    return done(document_.version);
+}
+
 ApplyResult State::on(Version index, const RegisterEntry& c) {
     EntryRecord& entry = entries_[c.entry.name];
     if (c.entry.incarnation < entry.incarnation)
--- a/src/version/state.h
+++ b/src/version/state.h
@@ -255,9 +255,26 @@
     MSGPACK_DEFINE(order, customer, key, ran, author)
 };
 
+// The operators' whole document of routes, services and customers, exactly as it was sent. The
+// highest version wins; the bytes are opaque to the log.
+struct ReplaceDocument {
+    Version version = 0;
+    std::string body;
+    MSGPACK_DEFINE(version, body)
+};
+
+// The document in force, with the log index that put it there.
+struct StoredDocument {
+    Version version = 0;
+    Version index = 0;
+    std::string body;
+    auto operator<=>(const StoredDocument&) const = default;
+    MSGPACK_DEFINE(version, index, body)
+};
+
 using Command = std::variant<RegisterHost, RegisterEntry, ReleaseHost, FormGroup, DissolveGroup,
                              DrainGroup, SetHostMode, ChangeSettings, ClaimOnce, CloseClaim,
-                             DropClaim, ExpireClaims, ResolveClaim, RetireEntry>;
+                             DropClaim, ExpireClaims, ResolveClaim, RetireEntry, ReplaceDocument>;
 
 // What applying a command answered. Equal on every replica.
 struct ApplyResult {
@@ -357,6 +374,7 @@
     // change of settings, or the retirement of an entry host.
     Version lease_version() const { return lease_version_; }
     Version table_version() const { return table_version_; }
+    const StoredDocument& document() const { return document_; }
     std::optional<ClaimRecord> claim(const std::string& customer, const std::string& key) const;
     std::vector<std::pair<std::string, ClaimRecord>> claims_of(const std::string& customer,
                                                                std::size_t limit) const;
@@ -371,7 +389,7 @@
 
     MSGPACK_DEFINE(hosts_, groups_, entries_, settings_, history_, settings_version_,
                    table_version_, claims_, orders_, order_queue_, lease_version_, removed_,
-                   removed_floor_, dropped_, dropped_queue_)
+                   removed_floor_, dropped_, dropped_queue_, document_)
 
   private:
     using Claims = std::map<std::string, ClaimRecord>;
@@ -390,6 +408,7 @@
     ApplyResult on(Version index, const ExpireClaims& c);
     ApplyResult on(Version index, const ResolveClaim& c);
     ApplyResult on(Version index, const RetireEntry& c);
+    ApplyResult on(Version index, const ReplaceDocument& c);
 
     void disown_claims(Incarnation entry);
     void unbind(Version index, Host& host);
@@ -415,6 +434,7 @@
     Version removed_floor_ = 0;   // removals up to here are forgotten
     std::set<AttemptId> dropped_; // claims that were given up; a delayed copy must not claim
     std::deque<AttemptId> dropped_queue_;
+    StoredDocument document_;
 };
 
 // True for commands that raise the lease version if they succeed.
