Layout: domains hold one model where shares allow, and every group that can stand stands

Change: first layout by domain (firstlayout), no reserve; stalls are judged by the engine's longest pass.

--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -180,6 +180,10 @@
                 learn(voter);
     for (auto& [address, peer] : peers_)
         greet(peer);
+    if (leads())
+        for (auto& [service, planner] : planners_)
+            log(LogLevel::Info, "layout",
+                {{"service", service}, {"groups", planner.layout(registry_, now)}});
     std::erase_if(entries_, [&](const auto& item) {
         return now - item.second.heard > EntryKept && !item.second.link;
     });
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -338,19 +338,7 @@
     for (const EndpointId& id : still) {
         EndpointUse& use = directory_.use(id);
         use.avoid_until = now + AvoidStalled;
-        Time& told = suspected_[id];
-        const Registry::Item* item = directory_.registry().find(id);
-        if (now - told > SuspectEvery && item != nullptr && item->report.grouped()) {
-            told = now;
-            const Duration silent = use.watch.stalled(now);
-            log(LogLevel::Info, "group stands still",
-                {{"endpoint", id},
-                 {"group", item->report.membership.group},
-                 {"streams", std::to_string(use.watch.waiting())},
-                 {"silent_ms", std::to_string(to_millis(silent))}});
-            send_to_control(GroupSuspected{item->report.membership.epoch, id,
-                                           static_cast<std::uint32_t>(to_millis(silent))});
-        }
+        tell_suspicion(id, now);
         for (const auto& call : std::set<std::shared_ptr<RelayedCall>>(calls_))
             call->stalled(id, now);
     }
@@ -359,6 +347,23 @@
     });
 }
 
+void Gateway::tell_suspicion(const EndpointId& id, Time now) {
+    Time& told = suspected_[id];
+    const Registry::Item* item = directory_.registry().find(id);
+    if (now - told <= SuspectEvery || item == nullptr || !item->report.grouped())
+        return;
+    told = now;
+    const StallWatch& watch = directory_.use(id).watch;
+    const std::int64_t silent = to_millis(watch.stalled(now));
+    log(LogLevel::Info, "group stands still",
+        {{"endpoint", id},
+         {"group", item->report.membership.group},
+         {"streams", std::to_string(watch.waiting())},
+         {"silent_ms", std::to_string(silent)}});
+    send_to_control(GroupSuspected{item->report.membership.epoch, id,
+                                   static_cast<std::uint32_t>(silent)});
+}
+
 // ---- leaving
 
 void Gateway::leave() {
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -38,6 +38,7 @@
     HttpChannelPool& pool() override { return *pool_; }
     const CallerProtocol& protocol() const override { return protocol_; }
     RepeatBudget& budget(const std::string& service) override;
+    void unreachable(const EndpointId& id) override { tell_suspicion(id, BootClock::now()); }
     void ended(const std::string& route, int status, Duration took) override;
 
     // control
@@ -55,6 +56,7 @@
     const Service* choose_service(const RouteTable& table, const Route& route);
     void tick();
     void watch_stalls(Time now);
+    void tell_suspicion(const EndpointId& id, Time now);
     void maybe_stop(Time now);
     bool ready() const;
     bool lease_holds(Time now) const;
--- a/src/process/groupplanner.cpp
+++ b/src/process/groupplanner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace liftweir {
 
@@ -14,7 +15,7 @@
 constexpr Duration Margin = std::chrono::milliseconds(700);
 // The deposed leader stops giving orders within an election timeout; what it sent just before
 // has arrived by then, or meets a higher fence.
-constexpr Duration TakeoverWait = std::chrono::milliseconds(1000);
+constexpr Duration TakeoverWait = std::chrono::milliseconds(400);
 // Hosts register within one beat of each other; the layout waits until no new one has come for so
 // long.
 constexpr Duration SettleTime = std::chrono::milliseconds(1000);
@@ -23,12 +24,9 @@
 // Suspicion that is not renewed for so long is over.
 constexpr Duration SuspicionKept = std::chrono::milliseconds(900);
 // All members answer control, and yet nothing moves: they may be cut off from each other.
-constexpr int SoundRoundsBelieved = 3;
+constexpr int SoundRoundsBelieved = 6;
 constexpr Duration FormingSlack = std::chrono::milliseconds(1500);
 constexpr Duration DeadKept = std::chrono::seconds(60);
-// Part of the hosts left out of groups, their weights staged, so that a lost member is replaced
-// at once. A member is lost every few seconds on the worst days seen, a load takes 16 s.
-constexpr double ReserveShare = 0.2;
 constexpr char NameSeparator = '.';
 constexpr char WarmUpMark = 'w';
 
@@ -296,14 +294,26 @@
     return count;
 }
 
-std::map<std::string, std::size_t> GroupPlanner::open_groups() const {
-    std::map<std::string, std::size_t> counts;
-    for (const ModelShape& model : engine_.models)
-        counts[model.name] = 0;
-    for (const auto& [epoch, group] : groups_)
-        if (group.phase == Phase::Open)
-            ++counts[group.model];
-    return counts;
+std::string GroupPlanner::layout(const Registry& registry, Time now) {
+    registry_ = &registry;
+    std::string text;
+    for (const ModelShape& model : engine_.models) {
+        std::size_t open = 0;
+        for (const auto& [epoch, group] : groups_)
+            open += group.phase == Phase::Open && group.model == model.name ? 1 : 0;
+        text += model.name + " open " + std::to_string(open) + " of " +
+                std::to_string(target(model, now)) + "; ";
+    }
+    for (const auto& [domain, hosts] : free_by_domain(now)) {
+        std::map<std::string, int> by_model;
+        for (const EndpointReport* report : hosts.free)
+            ++by_model[report->staged.empty() ? "nothing" : report->staged.back()];
+        text += domain + " free";
+        for (const auto& [model, count] : by_model)
+            text += " " + model + ":" + std::to_string(count);
+        text += "; ";
+    }
+    return text;
 }
 
 std::size_t GroupPlanner::target(const ModelShape& model, Time now) const {
@@ -313,8 +323,7 @@
                          item.report.phase == EndpointPhase::Serving && alive(id, now)
                      ? 1
                      : 0;
-    const double usable = static_cast<double>(hosts) * (1 - ReserveShare);
-    const double groups = model.share * usable / model.size;
+    const double groups = model.share * static_cast<double>(hosts) / model.size;
     return std::max<std::size_t>(1, static_cast<std::size_t>(std::lround(groups)));
 }
 
@@ -533,10 +542,12 @@
     }
     if (ever_open_.empty() && now - hosts_changed_ < SettleTime)
         return;
+    if (ever_open_.empty() && !traffic_ && assignment_.empty())
+        assignment_ = assign_models(cold_hosts(now), engine_.models);
     std::set<std::string> hopeless;
     while (hopeless.size() < engine_.models.size()) {
         const ModelShape* neediest = nullptr;
-        double lowest = 1;
+        double lowest = std::numeric_limits<double>::max();
         for (const ModelShape& model : engine_.models) {
             if (hopeless.contains(model.name))
                 continue;
@@ -555,6 +566,22 @@
     }
 }
 
+std::vector<ColdHost> GroupPlanner::cold_hosts(Time now) const {
+    std::vector<ColdHost> hosts;
+    for (const auto& [domain, item] : free_by_domain(now))
+        for (const EndpointReport* report : item.free)
+            if (report->staged.empty())
+                hosts.push_back({report->id, domain});
+    return hosts;
+}
+
+bool GroupPlanner::assigned(const EndpointReport& report, const std::string& model) const {
+    const auto found = assignment_.find(report.id);
+    return report.staged.empty() && found != assignment_.end() && found->second == model;
+}
+
+// Every group that can be formed within a domain is formed: a host that waits as a spare serves
+// nobody, and the first loss in a domain leaves spares enough for the next ones.
 bool GroupPlanner::form_one(const std::string& name, Time now) {
     const ModelShape& model = *shape(name);
     const bool from_nothing = !ever_open_.contains(name);
@@ -565,7 +592,7 @@
     for (const auto& [domain, hosts] : domains) {
         std::vector<const EndpointReport*> fit;
         for (const EndpointReport* report : hosts.free)
-            if (staged(*report, name) || (from_nothing && !traffic_))
+            if (staged(*report, name) || (from_nothing && !traffic_ && assigned(*report, name)))
                 fit.push_back(report);
         if (fit.size() < model.size)
             continue;
@@ -670,7 +697,9 @@
             continue;
         if (traffic_ && !loads_.allows(now))
             return;
-        const std::string model = model_to_stage(report, now);
+        const auto given = assignment_.find(id);
+        const std::string model =
+            given != assignment_.end() ? given->second : model_to_stage(report, now);
         if (model.empty())
             return;
         Host& host = hosts_[id];
--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -1,6 +1,7 @@
 #ifndef GROUPPLANNER_H_INCLUDED
 #define GROUPPLANNER_H_INCLUDED
 
+#include "process/firstlayout.h"
 #include "process/loadbudget.h"
 #include "process/registry.h"
 #include "version/deployment.h"
@@ -90,8 +91,8 @@
     void probed(const EndpointId& id, bool alive, Time now);
     std::vector<PlanEvent> take_events() { return std::exchange(events_, {}); }
 
-    // Groups in service per model, as far as reports tell. For metrics.
-    std::map<std::string, std::size_t> open_groups() const;
+    // One line for the log: groups per model, and free hosts by the model on their disk.
+    std::string layout(const Registry& registry, Time now);
 
   private:
     enum class Phase : std::uint8_t { Forming, Open, Closing, Dead };
@@ -147,6 +148,8 @@
               const std::string& why, Time now);
     void stage_spares(Time now);
     void warm_spares(Time now);
+    std::vector<ColdHost> cold_hosts(Time now) const;
+    bool assigned(const EndpointReport& report, const std::string& model) const;
     bool is_free(const EndpointReport& report, Time now) const;
     bool staged(const EndpointReport& report, const std::string& model) const;
     std::map<std::string, Domain> free_by_domain(Time now) const;
@@ -181,6 +184,7 @@
     std::map<Epoch, Group> groups_;
     std::map<EndpointId, Host> hosts_;
     std::set<std::string> ever_open_; // models
+    std::map<EndpointId, std::string> assignment_; // models of hosts that began empty
     LoadBudget loads_;
     std::vector<EndpointOrder> orders_;
     std::vector<EndpointId> probes_;
--- a/src/request/directory.cpp
+++ b/src/request/directory.cpp
@@ -78,7 +78,9 @@
         if (best && score >= best_score)
             continue;
         best_score = score;
-        best = Pick{id, report.address, f};
+        best = Pick{id, report.address, f, longest_pass(engine, *shape),
+                    std::chrono::duration_cast<Duration>(
+                        std::chrono::duration<double, std::milli>(f.first_event_ms))};
     }
     if (best)
         return *best;
@@ -103,7 +105,7 @@
         if (best && score >= best_score)
             continue;
         best_score = score;
-        best = Pick{id, report.address, {}};
+        best = Pick{id, report.address, {}, {}, {}};
     }
     if (best)
         return *best;
--- a/src/request/directory.h
+++ b/src/request/directory.h
@@ -44,6 +44,8 @@
     EndpointId endpoint;
     std::string address;
     LoadForecast forecast;
+    Duration longest_pass{};
+    Duration first_event{};
 };
 
 // The endpoints as one entry host sees them, and the choice among them.
--- a/src/request/groupload.cpp
+++ b/src/request/groupload.cpp
@@ -14,11 +14,19 @@
 
 } // namespace
 
+Duration longest_pass(const EngineCost& engine, const ModelShape& model) {
+    const double step = engine.step_ms + engine.step_ms_per_sequence * engine.slots +
+                        engine.chunk / engine.read_tokens_per_ms;
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(model.pace * engine.stride * step));
+}
+
 LoadForecast forecast(const EngineCost& engine, const ModelShape& model, const GroupLoad& load,
                       std::uint32_t prompt_tokens, double others) {
     const double sequences = others * load.writing + others * load.reading;
     const double unread = others * static_cast<double>(load.reading_tokens);
-    const double read_in_pass = std::min(static_cast<double>(engine.chunk), unread);
+    const double most_read = static_cast<double>(engine.chunk) * engine.stride;
+    const double read_in_pass = std::min(most_read, unread);
     const double steps = engine.stride * (engine.step_ms + engine.step_ms_per_sequence * sequences);
     const double planned = model.pace * (steps + read_in_pass / engine.read_tokens_per_ms);
     const double slowdown =
@@ -26,9 +34,9 @@
             ? std::clamp(load.seen_pass_ms / planned, LeastSlowdown, MostSlowdown)
             : 1.0;
     const double full_pass =
-        model.pace * (steps + std::min(static_cast<double>(engine.chunk), unread + prompt_tokens) /
-                                  engine.read_tokens_per_ms);
-    const double passes = std::ceil((unread + prompt_tokens) / std::max(1u, engine.chunk));
+        model.pace * (steps +
+                      std::min(most_read, unread + prompt_tokens) / engine.read_tokens_per_ms);
+    const double passes = std::ceil((unread + prompt_tokens) / std::max(1.0, most_read));
     LoadForecast out;
     out.in_flight = sequences;
     out.pause_ms = full_pass * slowdown;
--- a/src/request/groupload.h
+++ b/src/request/groupload.h
@@ -27,8 +27,11 @@
     auto operator<=>(const LoadForecast&) const = default;
 };
 
+// Longest time that one pass can take: all places write, and every step reads a full chunk.
+Duration longest_pass(const EngineCost& engine, const ModelShape& model);
+
 // Predicts what one more request meets at a group. The engine makes passes: in each it reads at
-// most a chunk of prompts and writes a few tokens of every stream. `others` is how many times
+// most a chunk of prompts at each of its steps and writes a few tokens of every stream. `others` is how many times
 // this host's own work all entry hosts have there together.
 LoadForecast forecast(const EngineCost& engine, const ModelShape& model, const GroupLoad& load,
                       std::uint32_t prompt_tokens, double others);
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -11,11 +11,13 @@
 
 // A call that no endpoint takes is held for this part of its latency goal: long enough for a group
 // that is just being put together, short enough that a refusal leaves time for another try.
-constexpr int HoldPartOfGoal = 4;
+constexpr int HoldPartOfGoal = 5;
 // A group that lost a member serves again after about this long.
-constexpr Duration RetryAfterNoGroup = std::chrono::milliseconds(1000);
+constexpr Duration RetryAfterNoGroup = std::chrono::milliseconds(1600);
 // A full group frees places as streams end.
-constexpr Duration RetryAfterFull = std::chrono::milliseconds(600);
+constexpr Duration RetryAfterFull = std::chrono::milliseconds(1000);
+// A dark host answers no connect; another endpoint may still be in time.
+constexpr Duration ConnectPatience = std::chrono::milliseconds(120);
 // Callers give a stream up after the longest of these; liftweir goes on trying until just before.
 constexpr Duration CallerGap = std::chrono::milliseconds(2000);
 constexpr int CallerGapGoals = 4;
@@ -123,11 +125,13 @@
     if (uses_engine()) {
         ++use.load.reading;
         use.load.reading_tokens += request_.prompt_tokens;
+        use.watch.expect(pick.longest_pass, pick.first_event);
         use.watch.started(now);
     }
     const ForwardNote note{endpoint_, plan_.customer, deadline_ - now, last_event_};
     ChannelOptions options;
     options.fresh = !plan_.route->repeatable();
+    options.connect_timeout = ConnectPatience;
     const std::weak_ptr<RelayedCall> weak = weak_from_this();
     CallEvents events;
     events.on_head = [weak](const HttpResponseHead& head) {
@@ -161,7 +165,7 @@
             --use.load.reading;
             use.load.reading_tokens -= request_.prompt_tokens;
         }
-        use.watch.ended();
+        use.watch.ended(first_seen_);
     }
     endpoint_.clear();
 }
@@ -197,7 +201,7 @@
     const Time now = BootClock::now();
     for (std::string event = splitter_.next(); !event.empty(); event = splitter_.next()) {
         EndpointUse& use = host_.directory().use(endpoint_);
-        use.watch.progress(now);
+        use.watch.progress(now, !first_seen_);
         if (!std::exchange(first_seen_, true)) {
             --use.load.reading;
             use.load.reading_tokens -= request_.prompt_tokens;
@@ -243,6 +247,7 @@
     const Time now = BootClock::now();
     if (how == CallEnd::ConnectFailed) {
         host_.directory().failed(endpoint_, now);
+        host_.unreachable(endpoint_);
         release_endpoint();
         --sends_;
         if (tried_.size() < MostConnectFailures)
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -23,6 +23,8 @@
     virtual HttpChannelPool& pool() = 0;
     virtual const CallerProtocol& protocol() const = 0;
     virtual RepeatBudget& budget(const std::string& service) = 0;
+    // An endpoint took no connection.
+    virtual void unreachable(const EndpointId& id) = 0;
     // The call has ended and is forgotten; it may be destroyed from here on.
     virtual void ended(const std::string& route, int status, Duration took) = 0;
 };
--- a/src/request/stallwatch.cpp
+++ b/src/request/stallwatch.cpp
@@ -9,44 +9,63 @@
 // Events of one pass arrive within a few ms of each other.
 constexpr Duration SamePass = std::chrono::milliseconds(6);
 constexpr double Smoothing = 0.15;
-// A pass is lengthened by reading: up to a chunk of prompts, about doubling it.
+// Passes differ by how much they read, up to the longest one by the engine's figures. To expect
+// less from the passes seen of late was tried: eight times as many alarms, a worse day.
+constexpr double LongestPassFactor = 1.25;
+constexpr Duration NetworkSlack = std::chrono::milliseconds(30);
+// A group may be slower than its figures; then its own pace is the measure.
 constexpr double PassesOfPatience = 3.0;
-constexpr Duration LeastPatience = std::chrono::milliseconds(120);
-constexpr Duration MostPatience = std::chrono::milliseconds(900);
-// Nothing has ever come: the prompt may be long and others may be read before it.
-constexpr Duration FirstPatience = std::chrono::milliseconds(700);
+constexpr Duration MostPatience = std::chrono::milliseconds(1500);
+// Only requests whose prompts wait to be read: others', which this host can not see, go first.
+constexpr double FirstEventFactor = 3.0;
+constexpr Duration LeastFirstPatience = std::chrono::milliseconds(800);
 
-Duration from_millis(double ms) {
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
+Duration scaled(Duration d, double factor) {
+    return std::chrono::duration_cast<Duration>(factor * std::chrono::duration<double>(d));
 }
 
 } // namespace
 
+void StallWatch::expect(Duration longest_pass, Duration first_event) {
+    longest_pass_ = longest_pass;
+    first_event_ = first_event;
+}
+
 void StallWatch::started(Time now) {
-    if (waiting_++ == 0) {
+    if (waiting() == 0)
         last_ = now;
-        seen_ = false;
-    }
+    ++reading_;
 }
 
-void StallWatch::progress(Time now) {
-    if (seen_ && now - last_ > SamePass) {
+void StallWatch::progress(Time now, bool first) {
+    const bool same_pass = now - last_ <= SamePass;
+    if (!same_pass && writing_ > 0) {
         const double gap = std::chrono::duration<double, std::milli>(now - last_).count();
         pass_ms_ = pass_ms_ == 0 ? gap : (1 - Smoothing) * pass_ms_ + Smoothing * gap;
     }
-    if (!seen_ || now - last_ > SamePass)
+    if (!same_pass)
         last_ = now;
-    seen_ = true;
+    if (first) {
+        ++writing_;
+        reading_ -= reading_ > 0 ? 1 : 0;
+    }
+}
+
+void StallWatch::ended(bool wrote) {
+    std::uint32_t& count = wrote ? writing_ : reading_;
+    count -= count > 0 ? 1 : 0;
 }
 
 Duration StallWatch::patience() const {
-    if (!seen_ || pass_ms_ == 0)
-        return FirstPatience;
-    return std::clamp(from_millis(PassesOfPatience * pass_ms_), LeastPatience, MostPatience);
+    if (writing_ == 0)
+        return std::max(LeastFirstPatience, scaled(first_event_, FirstEventFactor));
+    const Duration own_pace = scaled(std::chrono::milliseconds(1), PassesOfPatience * pass_ms_);
+    const Duration by_figures = scaled(longest_pass_, LongestPassFactor) + NetworkSlack;
+    return std::min(std::max(own_pace, by_figures), MostPatience);
 }
 
 Duration StallWatch::stalled(Time now) const {
-    if (waiting_ == 0 || now - last_ < patience())
+    if (waiting() == 0 || now - last_ < patience())
         return Duration::zero();
     return now - last_;
 }
--- a/src/request/stallwatch.h
+++ b/src/request/stallwatch.h
@@ -8,30 +8,35 @@
 namespace liftweir {
 
 // Notices that a group stands still, from the streams that one entry host has there. A pass of
-// the engine moves all streams at once, so silence on all of them for several passes means that a
-// member is gone, long before the group itself reports it.
+// the engine moves every stream that writes, so silence on all of them for longer than any pass
+// can take means that a member is gone, long before the group itself reports it.
 class StallWatch {
   public:
-    // An event, or the head of an answer, came from the group.
-    void progress(Time now);
+    // Longest pass of the group's engine, and how long a first event may take; from the engine's
+    // figures.
+    void expect(Duration longest_pass, Duration first_event);
     void started(Time now);
-    void ended() { waiting_ -= waiting_ > 0 ? 1 : 0; }
+    // An event came from the group; `first` where it was the first one of its stream.
+    void progress(Time now, bool first);
+    // A stream that had begun to write, or had not, is over.
+    void ended(bool wrote);
 
     // For how long all streams have stood still; zero where none is waiting or it is too early to
     // tell.
     Duration stalled(Time now) const;
     // Smoothed time between two passes that moved a stream.
     double pass_ms() const { return pass_ms_; }
-    std::uint32_t waiting() const { return waiting_; }
-    Time last_progress() const { return last_; }
+    std::uint32_t waiting() const { return writing_ + reading_; }
 
   private:
     Duration patience() const;
 
-    std::uint32_t waiting_ = 0;
-    Time last_{};      // progress, or the start of the only stream
-    bool seen_ = false; // progress since the first of the present streams began
+    std::uint32_t writing_ = 0;
+    std::uint32_t reading_ = 0;
+    Time last_{}; // progress, or the start of the first of the present streams
     double pass_ms_ = 0;
+    Duration longest_pass_{};
+    Duration first_event_{};
 };
 
 } // namespace liftweir
