--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -40,7 +40,6 @@
       orders_(orders),
       decode_(std::move(decode)),
       identity_{ProcessRole::Control, config_.name, new_incarnation()},
-      started_(BootClock::now()),
       keeper_(2 * config_.tolerated_hosts + 1),
       ticker_(io, TickEvery, [this] { tick(); }) {}
 
@@ -354,12 +353,11 @@
             continue;
         auto found = planners_.find(service.name);
         if (found == planners_.end()) {
-            const PlannerBounds bounds{config_.bounds.stall, config_.bounds.beat,
-                                       config_.bounds.load_window};
-            found = planners_
-                        .emplace(service.name, GroupPlanner(service.name, bounds, started_,
-                                                            config_.first_start))
-                        .first;
+            const PlannerBounds bounds{config_.bounds.beat, config_.bounds.load_window};
+            found =
+                planners_
+                    .emplace(service.name, GroupPlanner(service.name, bounds, config_.first_start))
+                    .first;
             for (const auto& [id, item] : registry_.items())
                 if (item.report.service == service.name)
                     found->second.observe(item.report, BootClock::now());
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -127,7 +127,6 @@
     DocumentDecoder decode_;
     Identity identity_;
     ClusterKeys keys_ = ClusterKeys::none();
-    Time started_;
     std::unique_ptr<Storage> storage_;
     std::unique_ptr<Replica> replica_; // null while the disk refuses to work
     NodeId node_ = NoNode;
--- a/src/process/fleetconfig.h
+++ b/src/process/fleetconfig.h
@@ -18,7 +18,6 @@
     Duration grace = std::chrono::seconds(8);         // from SIGTERM to SIGKILL
     Duration revoke = std::chrono::milliseconds(5000); // a removed key works no longer than this
     bool fail_closed = true; // without touch to control, keys are not believed after `revoke`
-    Duration stall = std::chrono::milliseconds(5000); // a group without a member is broken by then
     Duration load_window = std::chrono::seconds(5);
     Duration retry_window = std::chrono::seconds(10);
     double retry_ratio = 0.2;      // repeats for each request, all entry hosts together
--- a/src/process/groupplanner.cpp
+++ b/src/process/groupplanner.cpp
@@ -11,8 +11,6 @@
 // A host that has missed two reports is taken for no new group.
 constexpr int BeatsMissed = 2;
 constexpr Duration BeatSlack = std::chrono::milliseconds(400);
-// Added to every bound that the endpoints keep on their own clocks.
-constexpr Duration Margin = std::chrono::milliseconds(700);
 // The deposed leader stops giving orders within an election timeout; what it sent just before
 // has arrived by then, or meets a higher fence.
 constexpr Duration TakeoverWait = std::chrono::milliseconds(400);
@@ -81,12 +79,8 @@
     return "unknown";
 }
 
-GroupPlanner::GroupPlanner(std::string service, PlannerBounds bounds, Time started,
-                           bool first_start)
-    : service_(std::move(service)),
-      bounds_(bounds),
-      started_(started),
-      first_start_(first_start) {}
+GroupPlanner::GroupPlanner(std::string service, PlannerBounds bounds, bool first_start)
+    : service_(std::move(service)), bounds_(bounds), first_start_(first_start) {}
 
 void GroupPlanner::configure(const EngineCost& engine) {
     engine_ = engine;
@@ -105,16 +99,10 @@
 void GroupPlanner::observe(const EndpointReport& report, Time now) {
     Host& host = hosts_[report.id];
     const Membership& membership = report.membership;
-    if (host.last != NoEpoch && host.last != membership.epoch) {
-        const auto old = groups_.find(host.last);
-        if (old != groups_.end() && old->second.broken_from == Time{})
-            old->second.broken_from = now + bounds_.stall + Margin;
-    }
     if (host.staging == (report.staged.empty() ? "" : report.staged.back()))
         host.staging_until = {};
     if (membership.epoch == NoEpoch)
         return;
-    host.last = membership.epoch;
     Group& group = groups_[membership.epoch];
     if (group.epoch == NoEpoch) {
         group.epoch = membership.epoch;
@@ -174,14 +162,8 @@
     if (order.kind == OrderKind::Join && answer != OrderAnswer::Taken &&
         group.phase == Phase::Forming)
         bury(group, "join of " + order.endpoint + " was " + std::string(name_of(answer)), now);
-    if (order.kind != OrderKind::Leave || answer == OrderAnswer::Silent ||
-        answer == OrderAnswer::Elsewhere)
-        return;
-    // An endpoint that holds the group no more answers that the order does not fit.
-    if (!group.members.empty() && group.members.front() == order.endpoint)
-        group.lead_left = answer != OrderAnswer::Stale;
-    else if (group.broken_from == Time{})
-        group.broken_from = now + bounds_.stall + Margin;
+    if (order.kind == OrderKind::Leave && answer == OrderAnswer::Taken)
+        group.left.insert(order.endpoint);
 }
 
 void GroupPlanner::probed(const EndpointId& id, bool alive, Time now) {
@@ -219,15 +201,13 @@
     return now - item->heard < BeatsMissed * bounds_.beat + BeatSlack;
 }
 
-// The one question that keeps a host out of two groups: can the lead of this group still work on
-// a request? A silent lead may be cut off from control alone and serve the entry hosts.
-bool GroupPlanner::cannot_serve(const Group& group, Time now) const {
-    if (!group.may_have_opened || group.lead_left)
-        return true;
-    if (group.broken_from != Time{} && now >= group.broken_from)
-        return true;
+// By its own word the lead can work on no request of this group any more. Silence is no such word:
+// a lead may be cut off from control alone, and serve the entry hosts.
+bool GroupPlanner::lead_is_out(const Group& group) const {
     if (group.members.empty() || group.members.front().empty())
         return false;
+    if (group.left.contains(group.members.front()))
+        return true;
     const EndpointReport* lead = report_of(group.members.front());
     if (lead == nullptr)
         return false;
@@ -235,6 +215,13 @@
            lead->membership.state == MemberState::Broken;
 }
 
+// Whether a member may be in no other group yet. It is set free by its own word that it left, or
+// by the lead's that the group can not serve; a group that was never opened binds nobody.
+bool GroupPlanner::binds(const Group& group, const EndpointReport& member) const {
+    return group.may_have_opened && member.membership.epoch == group.epoch &&
+           !group.left.contains(member.id) && !lead_is_out(group);
+}
+
 bool GroupPlanner::is_free(const EndpointReport& report, Time now) const {
     if (report.phase != EndpointPhase::Serving || report.service != service_ ||
         !alive(report.id, now))
@@ -250,15 +237,10 @@
             std::find(group.members.begin(), group.members.end(), report.id) != group.members.end();
         if (!member)
             continue;
-        if (group.phase != Phase::Dead && !group.warm_up)
-            return false;
-        if (!cannot_serve(group, now))
+        if ((group.phase != Phase::Dead && !group.warm_up) || binds(group, report))
             return false;
     }
-    // A host that this process has never seen in a group may have left one just before.
-    const bool history_known = first_start_ || report.grouped() ||
-                               now - started_ > bounds_.stall + Margin + bounds_.beat;
-    return history_known;
+    return true;
 }
 
 bool GroupPlanner::staged(const EndpointReport& report, const std::string& model) const {
@@ -374,8 +356,7 @@
         advance(group, now);
     std::erase_if(groups_, [&](const auto& pair) {
         const Group& group = pair.second;
-        return group.phase == Phase::Dead && now - group.since > DeadKept &&
-               cannot_serve(group, now);
+        return group.phase == Phase::Dead && now - group.since > DeadKept;
     });
     form_groups(now);
     stage_spares(now);
@@ -505,28 +486,19 @@
     note("suspected", group.name, group.members.front(), "its streams stand still");
 }
 
-// The lead's own word frees all members at once. Where it is silent, one member that leaves
-// breaks the group after the time in which it stands still.
+// The lead's own word frees all members with one order. Where it is silent, each of them has to
+// leave for itself.
 void GroupPlanner::advance_dead(Group& group, Time now) {
-    if (cannot_serve(group, now) || group.members.empty())
+    if (group.members.empty() || !group.may_have_opened || lead_is_out(group))
         return;
     const EndpointId& lead = group.members.front();
-    const EndpointReport* report = lead.empty() ? nullptr : report_of(lead);
-    if (report != nullptr && alive(lead, now)) {
-        if (!hosts_[lead].ordered)
-            order(OrderKind::Leave, *report, &group);
-        return;
-    }
-    if (group.broken_from != Time{})
-        return;
+    const bool ask_lead = !lead.empty() && alive(lead, now);
     for (const EndpointId& id : group.members) {
         const EndpointReport* member = id.empty() ? nullptr : report_of(id);
-        if (id == lead || member == nullptr || !alive(id, now) ||
-            member->membership.epoch != group.epoch)
+        if ((ask_lead && id != lead) || member == nullptr || !alive(id, now) ||
+            !binds(group, *member) || hosts_[id].ordered)
             continue;
-        if (!hosts_[id].ordered)
-            order(OrderKind::Leave, *member, &group);
-        return;
+        order(OrderKind::Leave, *member, &group);
     }
 }
 
--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -60,7 +60,6 @@
 };
 
 struct PlannerBounds {
-    Duration stall = std::chrono::seconds(5); // after it a group that lost a member is broken
     Duration beat = std::chrono::milliseconds(1200); // between two reports of an endpoint
     Duration load_window = std::chrono::seconds(5);
 
@@ -72,7 +71,7 @@
 // can go on from where the last leader stopped. Pure: no I/O, no clock but the times it is given.
 class GroupPlanner {
   public:
-    GroupPlanner(std::string service, PlannerBounds bounds, Time started, bool first_start);
+    GroupPlanner(std::string service, PlannerBounds bounds, bool first_start);
 
     void configure(const EngineCost& engine);
     // Every change of a report, on every control host, whether it leads or not.
@@ -107,8 +106,7 @@
         bool ours = false;         // formed by this host in this term
         bool warm_up = false;      // one host alone, only to have the weights in its memory
         bool may_have_opened = true;
-        bool lead_left = false;    // confirmed by the lead itself
-        Time broken_from{};        // a member left: the lead is broken from here on
+        std::set<EndpointId> left; // members that have confirmed that they left
         Time open_due{};           // the lead is told again to open if it has not by then
         Time expected{};           // when a forming group should be ready
         Time suspected{};
@@ -118,7 +116,6 @@
     };
 
     struct Host {
-        Epoch last = NoEpoch; // group that it was in last
         std::string warm;     // model that it could join at once
         Time silent_until{};  // did not answer an order or a probe
         Time staging_until{};
@@ -137,7 +134,8 @@
     void advance_dead(Group& group, Time now);
     void probe_if_suspected(Group& group, Time now);
     void bury(Group& group, const std::string& why, Time now);
-    bool cannot_serve(const Group& group, Time now) const;
+    bool lead_is_out(const Group& group) const;
+    bool binds(const Group& group, const EndpointReport& member) const;
     bool alive(const EndpointId& id, Time now) const;
     bool replaceable(const Group& group, Time now) const;
 
@@ -170,7 +168,6 @@
 
     std::string service_;
     PlannerBounds bounds_;
-    Time started_;
     bool first_start_;
     EngineCost engine_;
     bool configured_ = false;
