Leads that deregister still serve: their groups close first; members leave for themselves

Change: a member is bound by its own report until it confirms leave, the lead is out by its own word, or the group closed; a leaving lead's group is closed with wait. Ruled out: waiting for the stall time (5.7 s idle).

--- a/src/process/groupplanner.cpp
+++ b/src/process/groupplanner.cpp
@@ -24,6 +24,8 @@
 // All members answer control, and yet nothing moves: they may be cut off from each other.
 constexpr int SoundRoundsBelieved = 6;
 constexpr Duration FormingSlack = std::chrono::milliseconds(1500);
+// Endpoints let a leaving member's group finish for 10 s at most.
+constexpr Duration MostClosing = std::chrono::seconds(10);
 constexpr Duration DeadKept = std::chrono::seconds(60);
 constexpr char NameSeparator = '.';
 constexpr char WarmUpMark = 'w';
@@ -162,6 +164,8 @@
     if (order.kind == OrderKind::Join && answer != OrderAnswer::Taken &&
         group.phase == Phase::Forming)
         bury(group, "join of " + order.endpoint + " was " + std::string(name_of(answer)), now);
+    if (order.kind == OrderKind::Close && answer != OrderAnswer::Taken)
+        bury(group, "close was " + std::string(name_of(answer)), now);
     if (order.kind == OrderKind::Leave && answer == OrderAnswer::Taken)
         group.left.insert(order.endpoint);
 }
@@ -201,8 +205,9 @@
     return now - item->heard < BeatsMissed * bounds_.beat + BeatSlack;
 }
 
-// By its own word the lead can work on no request of this group any more. Silence is no such word:
-// a lead may be cut off from control alone, and serve the entry hosts.
+// By its own word the lead can work on no request of this group any more. Silence is no such word,
+// since a lead may be cut off from control alone and serve the entry hosts; nor is having
+// deregistered, since an endpoint finishes what it has after that.
 bool GroupPlanner::lead_is_out(const Group& group) const {
     if (group.members.empty() || group.members.front().empty())
         return false;
@@ -211,14 +216,14 @@
     const EndpointReport* lead = report_of(group.members.front());
     if (lead == nullptr)
         return false;
-    return lead->phase == EndpointPhase::Gone || lead->membership.epoch != group.epoch ||
+    return lead->membership.epoch != group.epoch ||
            lead->membership.state == MemberState::Broken;
 }
 
 // Whether a member may be in no other group yet. It is set free by its own word that it left, or
 // by the lead's that the group can not serve; a group that was never opened binds nobody.
 bool GroupPlanner::binds(const Group& group, const EndpointReport& member) const {
-    return group.may_have_opened && member.membership.epoch == group.epoch &&
+    return group.may_have_opened && !group.closed && member.membership.epoch == group.epoch &&
            !group.left.contains(member.id) && !lead_is_out(group);
 }
 
@@ -429,29 +434,46 @@
             return;
         }
         if (group.phase == Phase::Closing && lead->membership.state == MemberState::Ready) {
+            group.closed = true;
             bury(group, "closed", now);
             return;
         }
     }
+    if (group.phase == Phase::Closing && now - group.since > MostClosing) {
+        bury(group, "did not close in time", now);
+        return;
+    }
     for (const EndpointId& id : group.members) {
         const EndpointReport* report = report_of(id);
         if (report == nullptr)
             continue;
-        if (report->phase == EndpointPhase::Gone || report->membership.epoch != group.epoch) {
+        if (report->membership.epoch != group.epoch) {
             bury(group, "member " + id + " left", now);
             return;
         }
-        if (report->phase == EndpointPhase::Draining && group.phase == Phase::Open &&
-            replaceable(group, now) && lead != nullptr && !hosts_[lead->id].ordered) {
-            group.phase = Phase::Closing;
-            group.since = now;
-            order(OrderKind::Close, *lead, &group);
-            note("closing", group.name, id, "a member is leaving and a spare is at hand");
-        }
     }
+    close_if_leaving(group, lead, now);
     probe_if_suspected(group, now);
 }
 
+// A leaving member goes on with what its group has, for a while. Without its lead a group gets
+// nothing new anyway; without another member it pays to close early only where a spare is at hand.
+void GroupPlanner::close_if_leaving(Group& group, const EndpointReport* lead, Time now) {
+    if (group.phase != Phase::Open || lead == nullptr || hosts_[lead->id].ordered)
+        return;
+    const bool leaving =
+        std::any_of(group.members.begin(), group.members.end(), [&](const EndpointId& id) {
+            const EndpointReport* report = report_of(id);
+            return report != nullptr && report->phase != EndpointPhase::Serving;
+        });
+    if (!leaving || (lead->phase == EndpointPhase::Serving && !replaceable(group, now)))
+        return;
+    group.phase = Phase::Closing;
+    group.since = now;
+    order(OrderKind::Close, *lead, &group);
+    note("closing", group.name, lead->id, "a member is leaving");
+}
+
 // Closing early pays only where the group can be put together again without the leaving member.
 bool GroupPlanner::replaceable(const Group& group, Time now) const {
     const EndpointReport* lead = report_of(group.members.front());
--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -106,6 +106,7 @@
         bool ours = false;         // formed by this host in this term
         bool warm_up = false;      // one host alone, only to have the weights in its memory
         bool may_have_opened = true;
+        bool closed = false;       // in service before, and the lead says that it is no more
         std::set<EndpointId> left; // members that have confirmed that they left
         Time open_due{};           // the lead is told again to open if it has not by then
         Time expected{};           // when a forming group should be ready
@@ -138,6 +139,7 @@
     bool binds(const Group& group, const EndpointReport& member) const;
     bool alive(const EndpointId& id, Time now) const;
     bool replaceable(const Group& group, Time now) const;
+    void close_if_leaving(Group& group, const EndpointReport* lead, Time now);
 
     // formation
     void form_groups(Time now);
