--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -260,10 +260,16 @@
     MSGPACK_DEFINE(epoch, lead, silent_ms)
 };
 
+// Groups that serve no more, though their leads, which are lost, last said that they do.
+struct GroupsDissolved {
+    std::vector<Epoch> epochs;
+    MSGPACK_DEFINE(epochs)
+};
+
 using Wire = std::variant<RaftPacket, AgentStatus, AgentOrder, NotLeaderReply, Renew, Vouch,
                           CommandRequest, CommandReply, Attempt, CancelAttempt, Credit, GateState,
                           Refused, Head, Chunk, End, Broken, PeerHello, EndpointChanges,
-                          EndpointsAlive, DocumentPush, GroupSuspected>;
+                          EndpointsAlive, DocumentPush, GroupSuspected, GroupsDissolved>;
 
 // ---- member to member, by UDP
 
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -509,6 +509,8 @@
     // A closed log can vouch for nothing.
     if (replica_)
         link->send(make_vouch(renew.sequence));
+    if (new_link && leads())
+        tell_dissolved(link);
     if (replica_ && renew.want_delta && renew.lease < replica_->state().document().index)
         link->send(DocumentPush{replica_->state().document()});
     session.digest_misses = renew.registry == registry_.digest() ? 0 : session.digest_misses + 1;
@@ -642,6 +644,27 @@
                  {"why", event.why},
                  {"term", std::to_string(replica_->raft().term())}});
     }
+    tell_dissolved(nullptr);
+}
+
+// Entry hosts believe a lead's own report. A lost lead can not take back its last one.
+void Coordinator::tell_dissolved(const Link::Ptr& only) {
+    GroupsDissolved message;
+    std::set<Epoch> all;
+    for (const auto& [service, planner] : planners_)
+        for (const Epoch epoch : planner.dissolved(registry_))
+            all.insert(epoch);
+    const bool news = !std::includes(dissolved_.begin(), dissolved_.end(), all.begin(), all.end());
+    dissolved_ = all;
+    message.epochs.assign(all.begin(), all.end());
+    if (message.epochs.empty())
+        return;
+    if (only)
+        only->send(message);
+    else if (news)
+        for (auto& [name, session] : entries_)
+            if (session.link)
+                session.link->send(message);
 }
 
 void Coordinator::give(GroupPlanner& planner, const EndpointOrder& order) {
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -115,6 +115,7 @@
     // groups
     void plan();
     void plan_soon();
+    void tell_dissolved(const Link::Ptr& only);
     GroupPlanner* planner_of(const std::string& service);
     void give(GroupPlanner& planner, const EndpointOrder& order);
 
@@ -139,6 +140,7 @@
     Registry registry_;
     std::vector<EndpointReport> changes_;        // to peers and entry hosts
     std::vector<EndpointReport> entry_changes_;  // to entry hosts only
+    std::set<Epoch> dissolved_; // told to entry hosts
     std::set<EndpointId> alive_;                 // heard since the last flush
     std::map<std::string, GroupPlanner> planners_;
     std::vector<Waiting> waiting_;
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -140,6 +140,8 @@
         on_vouch(address, *vouch);
     } else if (const auto* push = std::get_if<DocumentPush>(&message)) {
         on_document(*push);
+    } else if (const auto* dissolved = std::get_if<GroupsDissolved>(&message)) {
+        directory_.dissolve(dissolved->epochs);
     } else if (const auto* changes = std::get_if<EndpointChanges>(&message)) {
         const Time now = BootClock::now();
         bool changed = false;
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -5,7 +5,7 @@
 #include "process/fleetconfig.h"
 #include "process/leasekeeper.h"
 #include "process/ticker.h"
-#include "request/relay.h"
+#include "request/relayedcall.h"
 #include "version/deployment.h"
 
 #include <functional>
--- a/src/process/groupplanner.cpp
+++ b/src/process/groupplanner.cpp
@@ -281,6 +281,19 @@
     return count;
 }
 
+std::vector<Epoch> GroupPlanner::dissolved(const Registry& registry) const {
+    std::vector<Epoch> epochs;
+    for (const auto& [epoch, group] : groups_) {
+        if (group.phase != Phase::Dead || group.members.empty())
+            continue;
+        const Registry::Item* lead = registry.find(group.members.front());
+        if (lead != nullptr && lead->report.leads_open_group() &&
+            lead->report.membership.epoch == epoch)
+            epochs.push_back(epoch);
+    }
+    return epochs;
+}
+
 std::string GroupPlanner::layout(const Registry& registry, Time now) {
     registry_ = &registry;
     std::string text;
@@ -453,9 +466,41 @@
         }
     }
     close_if_leaving(group, lead, now);
+    gather(group, now);
     probe_if_suspected(group, now);
 }
 
+bool GroupPlanner::spans_domains(const Group& group) const {
+    std::set<std::string> domains;
+    for (const EndpointId& id : group.members)
+        if (const EndpointReport* report = report_of(id))
+            domains.insert(report->domain);
+    return domains.size() > 1;
+}
+
+// A group across domains is a makeshift: it ends once one domain alone can hold a group.
+void GroupPlanner::gather(Group& group, Time now) {
+    const ModelShape* model = shape(group.model);
+    if (group.phase != Phase::Open || model == nullptr || !spans_domains(group))
+        return;
+    std::map<std::string, std::size_t> hosts;
+    for (const EndpointId& id : group.members)
+        if (const EndpointReport* report = report_of(id))
+            ++hosts[report->domain];
+    for (const auto& [domain, free] : free_by_domain(now))
+        for (const EndpointReport* report : free.free)
+            hosts[domain] += staged(*report, group.model) ? 1 : 0;
+    const bool one_is_enough = std::any_of(
+        hosts.begin(), hosts.end(), [&](const auto& item) { return item.second >= model->size; });
+    const EndpointReport* lead = report_of(group.members.front());
+    if (!one_is_enough || lead == nullptr || hosts_[lead->id].ordered)
+        return;
+    group.phase = Phase::Closing;
+    group.since = now;
+    order(OrderKind::Close, *lead, &group);
+    note("closing", group.name, lead->id, "one domain can hold it now");
+}
+
 // A leaving member goes on with what its group has, for a while. Without its lead a group gets
 // nothing new anyway; without another member it pays to close early only where a spare is at hand.
 void GroupPlanner::close_if_leaving(Group& group, const EndpointReport* lead, Time now) {
@@ -599,28 +644,42 @@
         best_groups = groups;
         best = std::move(fit);
     }
-    if (best.empty()) {
-        // Across domains a group is several times slower, which is still better than none.
-        if (live_groups(name) > 0)
-            return false;
-        for (const auto& [domain, hosts] : domains)
-            for (const EndpointReport* report : hosts.free)
-                if (staged(*report, name))
-                    best.push_back(report);
-        if (best.size() < model.size)
-            return false;
-    }
+    if (best.empty())
+        best = across_domains(model, now);
+    if (best.empty())
+        return false;
     std::stable_sort(best.begin(), best.end(), [&](const auto* a, const auto* b) {
         const auto rank = [&](const EndpointReport* r) {
             return staged(*r, name) ? (hosts_.at(r->id).warm == name ? 0 : 1) : 2;
         };
         return rank(a) < rank(b);
     });
-    best.resize(model.size);
+    best.resize(std::min<std::size_t>(best.size(), model.size));
     form(model, best, from_nothing ? "first group" : "below its share", now);
     return true;
 }
 
+// Across domains a group is several times slower, which is still better than none. Beside groups
+// that stand it does harm: it takes the spares that would mend them. It takes hosts first that are
+// of no use as spares, in domains without a group of the model.
+std::vector<const EndpointReport*> GroupPlanner::across_domains(const ModelShape& model,
+                                                                Time now) const {
+    std::vector<const EndpointReport*> hosts;
+    if (live_groups(model.name) > 0)
+        return hosts;
+    for (const auto& [domain, item] : free_by_domain(now))
+        for (const EndpointReport* report : item.free)
+            if (staged(*report, model.name))
+                hosts.push_back(report);
+    if (hosts.size() < model.size)
+        return {};
+    std::stable_sort(hosts.begin(), hosts.end(), [&](const auto* a, const auto* b) {
+        return live_groups(model.name, a->domain) < live_groups(model.name, b->domain);
+    });
+    hosts.resize(model.size);
+    return hosts;
+}
+
 void GroupPlanner::form(const ModelShape& model, const std::vector<const EndpointReport*>& hosts,
                         const std::string& why, Time now) {
     const Epoch epoch = next_number();
--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -90,6 +90,8 @@
     void probed(const EndpointId& id, bool alive, Time now);
     std::vector<PlanEvent> take_events() { return std::exchange(events_, {}); }
 
+    // Groups given up whose leads, by their last reports, still serve.
+    std::vector<Epoch> dissolved(const Registry& registry) const;
     // One line for the log: groups per model, and free hosts by the model on their disk.
     std::string layout(const Registry& registry, Time now);
 
@@ -144,6 +146,9 @@
     // formation
     void form_groups(Time now);
     bool form_one(const std::string& model, Time now);
+    std::vector<const EndpointReport*> across_domains(const ModelShape& model, Time now) const;
+    void gather(Group& group, Time now);
+    bool spans_domains(const Group& group) const;
     void form(const ModelShape& shape, const std::vector<const EndpointReport*>& hosts,
               const std::string& why, Time now);
     void stage_spares(Time now);
--- a/src/request/directory.cpp
+++ b/src/request/directory.cpp
@@ -31,6 +31,13 @@
     });
 }
 
+bool Directory::spans_domains(const EndpointReport& lead) const {
+    return std::any_of(registry_.items().begin(), registry_.items().end(), [&](const auto& item) {
+        const EndpointReport& other = item.second.report;
+        return other.membership.epoch == lead.membership.epoch && other.domain != lead.domain;
+    });
+}
+
 void Directory::failed(const EndpointId& id, Time now) {
     EndpointUse& use = uses_[id];
     const std::uint32_t doublings = std::min(use.failures++, MostDoublings);
@@ -62,12 +69,16 @@
             model_of_group(report.membership.group) != demand.model)
             continue;
         const EndpointUse& use = uses_[id];
-        if (use.avoided(now) || tried.contains(id))
+        if (use.avoided(now) || tried.contains(id) ||
+            dissolved_.contains(report.membership.epoch))
             continue;
         any_open = true;
         GroupLoad load = use.load;
         load.seen_pass_ms = use.watch.pass_ms();
-        const LoadForecast f = forecast(engine, *shape, load, demand.prompt_tokens, others_);
+        ModelShape model = *shape;
+        if (spans_domains(report))
+            model.pace *= engine.far_factor;
+        const LoadForecast f = forecast(engine, model, load, demand.prompt_tokens, others_);
         const bool late = goal > 0 && f.first_event_ms > goal;
         const bool full = f.in_flight >= engine.slots;
         if (f.in_flight > RefuseAbove * engine.slots && (late || full))
@@ -78,7 +89,7 @@
         if (best && score >= best_score)
             continue;
         best_score = score;
-        best = Pick{id, report.address, f, longest_pass(engine, *shape),
+        best = Pick{id, report.address, f, longest_pass(engine, model),
                     std::chrono::duration_cast<Duration>(
                         std::chrono::duration<double, std::milli>(f.first_event_ms))};
     }
--- a/src/request/directory.h
+++ b/src/request/directory.h
@@ -59,6 +59,10 @@
     const std::map<EndpointId, EndpointUse>& uses() const { return uses_; }
     // How many times this host's own work all entry hosts have under way together.
     void set_others(double others) { others_ = others; }
+    // Control has given these groups up, whatever their leads said last.
+    void dissolve(const std::vector<Epoch>& epochs) {
+        dissolved_.insert(epochs.begin(), epochs.end());
+    }
     void expire(Time now);
 
     // Endpoints in `tried` are left out.
@@ -74,10 +78,13 @@
     tl::expected<Pick, PickFailure> pick_plain(const Demand& demand,
                                                const std::set<EndpointId>& tried, Time now);
 
+    bool spans_domains(const EndpointReport& lead) const;
+
     Registry registry_;
     std::map<EndpointId, EndpointUse> uses_;
     std::minstd_rand random_;
     double others_ = 1;
+    std::set<Epoch> dissolved_;
 };
 
 // The model that a group holds, read from its name.
--- a/src/request/relay.cpp
+++ b/src/request/relayedcall.cpp
@@ -1,4 +1,4 @@
-#include "request/relay.h"
+#include "request/relayedcall.h"
 
 #include "process/logging.h"
 #include "process/metrics.h"
--- a/src/request/relay.h
+++ b/src/request/relayedcall.h
@@ -1,5 +1,5 @@
-#ifndef RELAY_H_INCLUDED
-#define RELAY_H_INCLUDED
+#ifndef RELAYEDCALL_H_INCLUDED
+#define RELAYEDCALL_H_INCLUDED
 
 #include "connection/eventsplitter.h"
 #include "connection/httpchannel.h"
@@ -113,4 +113,4 @@
 
 } // namespace liftweir
 
-#endif // RELAY_H_INCLUDED
+#endif // RELAYEDCALL_H_INCLUDED
--- a/src/version/deployment.h
+++ b/src/version/deployment.h
@@ -73,6 +73,7 @@
     double loads_per_second = 1;      // loads that may begin, over all hosts
     std::uint32_t loads_at_once = 1;  // more slow each other down
     Duration open_delay{};            // from the order to open until a group serves
+    double far_factor = 1;            // on all times of a group whose hosts are in two domains
     std::uint32_t staged_kept = 1;    // models that a host keeps on its disk
     std::vector<ModelShape> models;
 
