--- a/src/connection/httpchannel.cpp
+++ b/src/connection/httpchannel.cpp
@@ -27,12 +27,13 @@
 
 class Channel : public std::enable_shared_from_this<Channel> {
   public:
-    Channel(asio::io_context& io, Pool& pool, std::string address)
-        : socket_(io), timer_(io), pool_(pool), address_(std::move(address)) {}
+    Channel(asio::io_context& io, std::weak_ptr<Pool> pool, std::string address)
+        : socket_(io), timer_(io), pool_(std::move(pool)), address_(std::move(address)) {}
 
     void connect(Duration timeout);
-    void begin(const HttpRequestHead& head, const std::string& body, CallEvents events);
-    void cancel();
+    // Returns the number of the call, by which it is cancelled.
+    std::uint64_t begin(const HttpRequestHead& head, const std::string& body, CallEvents events);
+    void cancel(std::uint64_t call);
     void pause() { paused_ = true; }
     void resume();
     void close();
@@ -55,8 +56,9 @@
 
     asio::ip::tcp::socket socket_;
     asio::steady_timer timer_;
-    Pool& pool_;
+    std::weak_ptr<Pool> pool_; // gone when the process ends
     std::string address_;
+    std::uint64_t call_ = 0; // calls begun on this connection
     http_parser parser_{};
     std::array<char, ReadBytes> in_{};
     std::string out_;
@@ -78,22 +80,16 @@
 
 using ChannelPtr = std::shared_ptr<Channel>;
 
-class Pool final : public HttpChannelPool {
+class Pool : public std::enable_shared_from_this<Pool> {
   public:
     explicit Pool(asio::io_context& io) : io_(io) {}
-    ~Pool() override {
-        for (auto& [address, channels] : kept_)
-            for (const ChannelPtr& channel : channels)
-                channel->close();
-    }
-    Pool(const Pool&) = delete;
-    Pool& operator=(const Pool&) = delete;
 
     std::unique_ptr<HttpCallHandle> start(const std::string& address, const HttpRequestHead& head,
                                           const std::string& body, ChannelOptions options,
-                                          CallEvents events) override;
-    void forget(const std::string& address) override;
-    std::uint64_t opened() const override { return opened_; }
+                                          CallEvents events);
+    void forget(const std::string& address);
+    void forget_all();
+    std::uint64_t opened() const { return opened_; }
 
     void keep(const ChannelPtr& channel);
     void drop(const ChannelPtr& channel);
@@ -108,17 +104,17 @@
 
 class Handle final : public HttpCallHandle {
   public:
-    explicit Handle(ChannelPtr channel) : channel_(std::move(channel)) {}
+    Handle(const ChannelPtr& channel, std::uint64_t call) : channel_(channel), call_(call) {}
     ~Handle() override {
         if (const auto channel = channel_.lock())
-            channel->cancel();
+            channel->cancel(call_);
     }
     Handle(const Handle&) = delete;
     Handle& operator=(const Handle&) = delete;
 
     void cancel() override {
         if (const auto channel = channel_.lock())
-            channel->cancel();
+            channel->cancel(call_);
         channel_.reset();
     }
     void pause() override {
@@ -132,6 +128,7 @@
 
   private:
     std::weak_ptr<Channel> channel_;
+    std::uint64_t call_;
 };
 
 void Channel::connect(Duration timeout) {
@@ -163,8 +160,10 @@
     });
 }
 
-void Channel::begin(const HttpRequestHead& head, const std::string& body, CallEvents events) {
+std::uint64_t Channel::begin(const HttpRequestHead& head, const std::string& body,
+                             CallEvents events) {
     active_ = true;
+    ++call_;
     written_ = message_complete_ = bytes_seen_ = in_value_ = paused_ = false;
     head_ = {};
     head_bytes_ = 0;
@@ -181,6 +180,7 @@
     out_ += body;
     if (connected_)
         write_request();
+    return call_;
 }
 
 void Channel::write_request() {
@@ -346,16 +346,18 @@
         return;
     const auto self = shared_from_this();
     const CallEvents events = std::exchange(events_, {});
-    if (how == CallEnd::Complete && reusable())
-        pool_.keep(self);
+    const auto pool = pool_.lock();
+    if (how == CallEnd::Complete && reusable() && pool)
+        pool->keep(self);
     else
         close();
     if (events.on_end)
         events.on_end(how, bytes_seen_);
 }
 
-void Channel::cancel() {
-    if (!std::exchange(active_, false))
+// A connection may serve the next call already when the last one is cancelled.
+void Channel::cancel(std::uint64_t call) {
+    if (call != call_ || !std::exchange(active_, false))
         return;
     // Released from the loop: this may run within one of the call's own events.
     asio::post(socket_.get_executor(), [self = shared_from_this()] { self->events_ = {}; });
@@ -368,7 +370,8 @@
     asio::error_code ignored;
     timer_.cancel();
     socket_.close(ignored);
-    pool_.drop(shared_from_this());
+    if (const auto pool = pool_.lock())
+        pool->drop(shared_from_this());
 }
 
 ChannelPtr Pool::take_kept(const std::string& address) {
@@ -392,13 +395,13 @@
     ChannelPtr channel = options.fresh ? nullptr : take_kept(address);
     const bool kept = channel != nullptr;
     if (!kept) {
-        channel = std::make_shared<Channel>(io_, *this, address);
+        channel = std::make_shared<Channel>(io_, weak_from_this(), address);
         ++opened_;
     }
-    channel->begin(head, body, std::move(events));
+    const std::uint64_t call = channel->begin(head, body, std::move(events));
     if (!kept)
         channel->connect(options.connect_timeout);
-    return std::make_unique<Handle>(channel);
+    return std::make_unique<Handle>(channel, call);
 }
 
 void Pool::keep(const ChannelPtr& channel) {
@@ -427,10 +430,36 @@
         channel->close();
 }
 
+void Pool::forget_all() {
+    for (const auto& [address, channels] : std::exchange(kept_, {}))
+        for (const ChannelPtr& channel : channels)
+            channel->close();
+}
+
+// Channels outlive their calls' owner by a turn of the loop, so they only know the pool weakly.
+class SharedPool final : public HttpChannelPool {
+  public:
+    explicit SharedPool(asio::io_context& io) : pool_(std::make_shared<Pool>(io)) {}
+    ~SharedPool() override { pool_->forget_all(); }
+    SharedPool(const SharedPool&) = delete;
+    SharedPool& operator=(const SharedPool&) = delete;
+
+    std::unique_ptr<HttpCallHandle> start(const std::string& address, const HttpRequestHead& head,
+                                          const std::string& body, ChannelOptions options,
+                                          CallEvents events) override {
+        return pool_->start(address, head, body, options, std::move(events));
+    }
+    void forget(const std::string& address) override { pool_->forget(address); }
+    std::uint64_t opened() const override { return pool_->opened(); }
+
+  private:
+    std::shared_ptr<Pool> pool_;
+};
+
 } // namespace
 
 std::unique_ptr<HttpChannelPool> make_channel_pool(asio::io_context& io) {
-    return std::make_unique<Pool>(io);
+    return std::make_unique<SharedPool>(io);
 }
 
 } // namespace liftweir
--- /dev/null
+++ b/tests/unit/fleet_test.cpp
@@ -0,0 +1,279 @@
+// Membership of control hosts and registrations of endpoints.
+
+#include "process/fleetconfig.h"
+#include "process/loadbudget.h"
+#include "process/node.h"
+#include "process/registry.h"
+#include "process/voterkeeper.h"
+#include "request/groupload.h"
+#include "request/repeatbudget.h"
+#include "request/stallwatch.h"
+#include "unit/memstorage.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+
+namespace liftweir {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Time Start{};
+
+// ---- node numbers
+
+TEST(Node, AWipedHostIsAnotherNode) {
+    MemStorage disk;
+    const auto founder = node_of_folder(disk, "10.1.0.4", true);
+    ASSERT_TRUE(founder);
+    EXPECT_EQ(*founder, founder_node("10.1.0.4"));
+    EXPECT_EQ(node_of_folder(disk, "10.1.0.4", false).value(), *founder);
+    MemStorage empty;
+    const auto again = node_of_folder(empty, "10.1.0.4", false);
+    ASSERT_TRUE(again);
+    EXPECT_NE(*again, *founder);
+    EXPECT_TRUE(same_host(*again, *founder));
+    EXPECT_EQ(address_of(*again, 7340), "10.1.0.4:7340");
+}
+
+// ---- voters
+
+class KeeperTest : public testing::Test {
+  protected:
+    static NodeId node(int host, NodeId folder = 0) {
+        return founder_node("10.0.0." + std::to_string(host)) | folder << 32;
+    }
+    static NodeView live(NodeId n) { return {n, true, milliseconds(50)}; }
+    static NodeView silent(NodeId n) { return {n, false, seconds(5)}; }
+    VoterKeeper keeper_{5};
+};
+
+TEST_F(KeeperTest, GrowsOneAtATimeUpToTheTarget) {
+    const Voters three{node(1), node(2), node(3)};
+    const std::vector<NodeView> all{live(node(2)), live(node(3)), live(node(4)), live(node(5))};
+    const auto next = keeper_.next(node(1), three, all);
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->size(), 4u);
+}
+
+TEST_F(KeeperTest, TakesNoSpareThatLagsBehind) {
+    const Voters three{node(1), node(2), node(3)};
+    EXPECT_FALSE(keeper_.next(node(1), three,
+                              {live(node(2)), live(node(3)), {node(4), false, milliseconds(10)}}));
+}
+
+TEST_F(KeeperTest, ReplacesALostVoterByAddingFirst) {
+    const Voters five{node(1), node(2), node(3), node(4), node(5)};
+    const std::vector<NodeView> views{live(node(2)), live(node(3)), live(node(4)), silent(node(5)),
+                                      live(node(6))};
+    const auto added = keeper_.next(node(1), five, views);
+    ASSERT_TRUE(added);
+    EXPECT_TRUE(added->contains(node(6)));
+    EXPECT_TRUE(added->contains(node(5)));
+    const auto removed = keeper_.next(node(1), *added, views);
+    ASSERT_TRUE(removed);
+    EXPECT_FALSE(removed->contains(node(5)));
+    EXPECT_EQ(removed->size(), 5u);
+}
+
+TEST_F(KeeperTest, ReplacesALostVoterByNobodyNever) {
+    const Voters five{node(1), node(2), node(3), node(4), node(5)};
+    EXPECT_FALSE(keeper_.next(node(1), five,
+                              {live(node(2)), live(node(3)), silent(node(4)), silent(node(5))}));
+}
+
+TEST_F(KeeperTest, AWipedVoterIsReplacedByItsSuccessorAtOnce) {
+    const Voters five{node(1), node(2), node(3), node(4), node(5)};
+    const NodeId wiped = node(5, 77);
+    const std::vector<NodeView> views{live(node(2)), live(node(3)), live(node(4)),
+                                      {node(5), false, milliseconds(100)}, live(wiped)};
+    const auto added = keeper_.next(node(1), five, views);
+    ASSERT_TRUE(added);
+    EXPECT_TRUE(added->contains(wiped));
+}
+
+TEST_F(KeeperTest, NeverRemovesItself) {
+    const Voters six{node(1), node(2), node(3), node(4), node(5), node(6)};
+    std::vector<NodeView> views;
+    for (int i = 1; i <= 5; ++i)
+        views.push_back(live(node(i)));
+    const auto next = keeper_.next(node(6), six, views);
+    ASSERT_TRUE(next);
+    EXPECT_TRUE(next->contains(node(6)));
+}
+
+// ---- registry
+
+EndpointReport report(const std::string& id, std::uint64_t sequence) {
+    EndpointReport r;
+    r.id = id;
+    r.service = "llm";
+    r.address = "10.0.0." + id + ":80";
+    r.sequence = sequence;
+    return r;
+}
+
+TEST(Registry, ALateReportChangesNothing) {
+    Registry registry;
+    EXPECT_TRUE(registry.merge(report("1", 5), Start));
+    EndpointReport late = report("1", 4);
+    late.phase = EndpointPhase::Draining;
+    EXPECT_FALSE(registry.merge(late, Start));
+    EXPECT_EQ(registry.find("1")->report.phase, EndpointPhase::Serving);
+}
+
+TEST(Registry, AnEndpointThatIsGoneStaysGone) {
+    Registry registry;
+    registry.merge(report("1", 5), Start);
+    EXPECT_TRUE(registry.mark_gone("1", Start));
+    EXPECT_FALSE(registry.merge(report("1", 9), Start));
+    EXPECT_EQ(registry.find("1")->report.phase, EndpointPhase::Gone);
+}
+
+TEST(Registry, ANewIncarnationAtAnAddressEndsTheOneBefore) {
+    Registry registry;
+    registry.merge(report("1", 5), Start);
+    EndpointReport other = report("2", 1);
+    other.address = report("1", 0).address;
+    registry.merge(other, Start);
+    EXPECT_EQ(registry.find("1")->report.phase, EndpointPhase::Gone);
+    EXPECT_EQ(registry.find("2")->report.phase, EndpointPhase::Serving);
+}
+
+// Reports reach every copy in another order, some twice. All copies end up the same.
+RC_GTEST_PROP(Registry, CopiesConverge, ()) {
+    std::vector<EndpointReport> reports;
+    const auto count = *rc::gen::inRange(1, 12);
+    for (int i = 0; i < count; ++i) {
+        EndpointReport r = report(std::to_string(*rc::gen::inRange(1, 4)),
+                                  static_cast<std::uint64_t>(i + 1));
+        r.membership = {"g", static_cast<Epoch>(*rc::gen::inRange(0, 3)), 0, MemberState::Ready};
+        if (*rc::gen::inRange(0, 6) == 0)
+            r.phase = EndpointPhase::Gone;
+        reports.push_back(r);
+    }
+    Registry in_order;
+    for (const EndpointReport& r : reports)
+        in_order.merge(r, Start);
+    Registry shuffled;
+    std::vector<EndpointReport> mixed = reports;
+    for (std::size_t i = mixed.size(); i > 1; --i)
+        std::swap(mixed[i - 1],
+                  mixed[static_cast<std::size_t>(*rc::gen::inRange<int>(0, static_cast<int>(i)))]);
+    mixed.insert(mixed.end(), reports.begin(), reports.end());
+    for (const EndpointReport& r : mixed)
+        shuffled.merge(r, Start);
+    RC_ASSERT(in_order.digest() == shuffled.digest());
+}
+
+// ---- budgets
+
+TEST(LoadBudget, StaysUnderTheCeilingInEveryWindow) {
+    LoadBudget budget;
+    budget.configure(3, seconds(5));
+    std::vector<Time> begun;
+    for (Time now = Start; now < Start + seconds(30); now += milliseconds(50))
+        if (budget.allows(now)) {
+            budget.begun(now);
+            begun.push_back(now);
+        }
+    for (const Time from : begun) {
+        const auto in_window = std::count_if(begun.begin(), begun.end(), [&](Time t) {
+            return t >= from && t < from + seconds(5);
+        });
+        EXPECT_LE(in_window, 15);
+    }
+    EXPECT_GT(begun.size(), 40u);
+}
+
+TEST(RepeatBudget, RepeatsAreAShareOfRequestsInEveryWindow) {
+    RepeatBudget budget(seconds(10), 0.2, 100);
+    budget.set_share(0.2);
+    const Time now = Start + seconds(100);
+    for (int i = 0; i < 100; ++i)
+        budget.request(now);
+    int taken = 0;
+    while (budget.take(now))
+        ++taken;
+    EXPECT_LE(taken, 40);
+    EXPECT_GE(taken, 25);
+    EXPECT_FALSE(budget.take(now + seconds(5)));
+    EXPECT_TRUE(budget.take(now + seconds(12)));
+}
+
+// ---- load and stalls
+
+EngineCost engine() {
+    EngineCost e;
+    e.slots = 48;
+    e.step_ms = 6;
+    e.step_ms_per_sequence = 0.24;
+    e.read_tokens_per_ms = 46;
+    e.chunk = 2048;
+    e.stride = 3;
+    return e;
+}
+
+TEST(GroupLoad, MoreWorkMeansALaterFirstEvent) {
+    const ModelShape model{"m", 4, 1, 1, {}, {}};
+    GroupLoad idle;
+    GroupLoad busy;
+    busy.writing = 6;
+    busy.reading = 2;
+    busy.reading_tokens = 9000;
+    const LoadForecast a = forecast(engine(), model, idle, 1400, 5);
+    const LoadForecast b = forecast(engine(), model, busy, 1400, 5);
+    EXPECT_LT(a.first_event_ms, b.first_event_ms);
+    EXPECT_LT(a.pause_ms, b.pause_ms);
+    EXPECT_DOUBLE_EQ(b.in_flight, 40);
+}
+
+TEST(StallWatch, SilenceOfAllWritersIsNoticedAfterTheLongestPass) {
+    StallWatch watch;
+    watch.expect(milliseconds(186), milliseconds(100));
+    Time now = Start + seconds(1);
+    watch.started(now);
+    watch.progress(now + milliseconds(80), true);
+    for (int i = 2; i < 10; ++i)
+        watch.progress(now + i * milliseconds(80), false);
+    now += 9 * milliseconds(80);
+    EXPECT_EQ(watch.stalled(now + milliseconds(200)), Duration::zero());
+    EXPECT_GT(watch.stalled(now + milliseconds(300)), Duration::zero());
+    watch.ended(true);
+    EXPECT_EQ(watch.stalled(now + seconds(10)), Duration::zero());
+}
+
+TEST(StallWatch, ARequestThatWaitsToBeReadIsGivenLonger) {
+    StallWatch watch;
+    watch.expect(milliseconds(186), milliseconds(100));
+    watch.started(Start);
+    EXPECT_EQ(watch.stalled(Start + milliseconds(700)), Duration::zero());
+    EXPECT_GT(watch.stalled(Start + milliseconds(900)), Duration::zero());
+}
+
+// ---- settings file
+
+TEST(FleetConfig, ReadsTextsAsNumbersAndNamesWhatIsWrong) {
+    const std::string file = testing::TempDir() + "/fleet.json";
+    const auto write = [&](const std::string& text) { std::ofstream(file) << text; };
+    write(R"({"name":"a","ip":"10.0.0.1","link_port":7340,"seeds":["10.0.0.1:80"],
+              "first_start":true,"revoke_ms":"4000","tolerated_hosts":""})");
+    const auto good = read_fleet_config(file);
+    ASSERT_TRUE(good) << good.error().detail;
+    EXPECT_EQ(good->bounds.revoke, milliseconds(4000));
+    EXPECT_EQ(good->tolerated_hosts, 1u);
+    EXPECT_EQ(good->seed_ips(), std::vector<std::string>{"10.0.0.1"});
+    write(R"({"name":"a","ip":"10.0.0.1","link_port":7340,"seeds":[],"revoke_ms":"soon"})");
+    const auto bad = read_fleet_config(file);
+    ASSERT_FALSE(bad);
+    EXPECT_NE(bad.error().detail.find("revoke_ms"), std::string::npos);
+    std::remove(file.c_str());
+    EXPECT_FALSE(read_fleet_config(file));
+}
+
+} // namespace
+} // namespace liftweir
--- /dev/null
+++ b/tests/unit/groupplanner_test.cpp
@@ -0,0 +1,429 @@
+// The planner against endpoints that keep their own state, as real ones do: orders change it, and
+// only reports tell of it.
+
+#include "process/firstlayout.h"
+#include "process/groupplanner.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+namespace liftweir {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+EngineCost engine() {
+    EngineCost e;
+    e.slots = 48;
+    e.loads_per_second = 3;
+    e.loads_at_once = 6;
+    e.open_delay = milliseconds(300);
+    e.models = {{"big", 4, 0.67, 1.0, seconds(16), milliseconds(1600)},
+                {"small", 2, 0.33, 0.6, seconds(12), milliseconds(1100)}};
+    return e;
+}
+
+// Endpoints with what they hold, as the users' workers behave.
+class Fleet {
+  public:
+    struct Endpoint {
+        EndpointReport report;
+        std::vector<EndpointId> list; // of the present group
+        Time ready_at{};
+        Time open_at{};
+        bool dark = false; // neither reports nor answers
+        std::uint64_t fence = 0;
+        std::string warm;
+    };
+
+    explicit Fleet(int domains, int hosts) {
+        for (int d = 0; d < domains; ++d)
+            for (int h = 0; h < hosts; ++h)
+                add("d" + std::to_string(d));
+    }
+
+    EndpointId add(const std::string& domain) {
+        const int number = next_++;
+        Endpoint e;
+        e.report.id = "i" + std::string(number < 10 ? "0" : "") + std::to_string(number);
+        e.report.service = "llm";
+        e.report.address = "10.0.0." + std::to_string(number + 1) + ":80";
+        e.report.domain = domain;
+        endpoints.emplace(e.report.id, e);
+        return e.report.id;
+    }
+
+    void tell(Endpoint& e) {
+        ++e.report.sequence;
+        if (registry.merge(e.report, now))
+            planner.observe(registry.find(e.report.id)->report, now);
+    }
+
+    // One step of 50 ms: endpoints move on and report, the planner plans, orders are answered.
+    void step() {
+        now += milliseconds(50);
+        for (auto& [id, e] : endpoints) {
+            if (e.dark)
+                continue;
+            advance(e);
+            if (now - beat_[id] >= milliseconds(1200)) {
+                beat_[id] = now;
+                tell(e);
+            }
+        }
+        for (const EndpointOrder& order : planner.plan(registry, now)) {
+            ++orders;
+            planner.answered(order, take(order), now);
+        }
+        for (const EndpointId& id : planner.take_probes())
+            planner.probed(id, !endpoints.at(id).dark, now);
+        (void)planner.take_events();
+    }
+
+    void run(Duration time) {
+        for (const Time until = now + time; now < until;)
+            step();
+    }
+
+    std::size_t open(const std::string& model) const {
+        return static_cast<std::size_t>(
+            std::count_if(endpoints.begin(), endpoints.end(), [&](const auto& item) {
+                const EndpointReport& r = item.second.report;
+                return !item.second.dark && r.leads_open_group() &&
+                       r.membership.group.starts_with(model + ".");
+            }));
+    }
+
+    Endpoint& lead_of(const std::string& model) {
+        for (auto& [id, e] : endpoints)
+            if (!e.dark && e.report.leads_open_group() &&
+                e.report.membership.group.starts_with(model + "."))
+                return e;
+        throw std::runtime_error("no open group of " + model);
+    }
+
+    Time now{seconds(100)};
+    GroupPlanner planner{"llm", PlannerBounds{}, true};
+    Registry registry;
+    std::map<EndpointId, Endpoint> endpoints;
+    std::vector<std::string> violations;
+    int orders = 0;
+    std::set<EndpointId> silent; // answer no order, but carry it out
+
+  private:
+    void advance(Endpoint& e) {
+        Membership& m = e.report.membership;
+        if (m.epoch != NoEpoch && m.state == MemberState::Joining && now >= e.ready_at) {
+            m.state = MemberState::Ready;
+            const std::string model = m.group.substr(0, m.group.rfind('.'));
+            e.report.staged = {model};
+            e.warm = model;
+            tell(e);
+        }
+        if (m.state == MemberState::Ready && e.open_at != Time{} && now >= e.open_at) {
+            m.state = MemberState::Open;
+            e.open_at = {};
+            tell(e);
+        }
+        if (staging_.contains(e.report.id) && now >= staging_[e.report.id].second) {
+            e.report.staged = {staging_[e.report.id].first};
+            staging_.erase(e.report.id);
+            tell(e);
+        }
+    }
+
+    OrderAnswer take(const EndpointOrder& order) {
+        Endpoint& e = endpoints.at(order.endpoint);
+        if (e.dark)
+            return OrderAnswer::Silent;
+        if (order.fence <= e.fence)
+            violations.push_back("a fence that does not rise");
+        e.fence = order.fence;
+        const OrderAnswer answer = carry_out(e, order);
+        return silent.contains(order.endpoint) ? OrderAnswer::Silent : answer;
+    }
+
+    OrderAnswer carry_out(Endpoint& e, const EndpointOrder& order) {
+        Membership& m = e.report.membership;
+        const bool same = m.epoch == order.epoch;
+        switch (order.kind) {
+        case OrderKind::Join:
+            join(e, order);
+            return OrderAnswer::Taken;
+        case OrderKind::Open:
+            check_open(e, order);
+            if (!same || m.state != MemberState::Ready)
+                return OrderAnswer::Unfit;
+            e.open_at = now + milliseconds(300);
+            return OrderAnswer::Taken;
+        case OrderKind::Close:
+            if (!same)
+                return OrderAnswer::Unfit;
+            m.state = MemberState::Ready;
+            tell(e);
+            return OrderAnswer::Taken;
+        case OrderKind::Leave:
+            if (!same)
+                return OrderAnswer::Unfit;
+            m = {};
+            tell(e);
+            return OrderAnswer::Taken;
+        case OrderKind::Stage:
+            staging_[order.endpoint] = {order.model, now + seconds(2)};
+            return OrderAnswer::Taken;
+        }
+        return OrderAnswer::Unfit;
+    }
+
+    // The rule that no host is in two groups: it was set free by itself or by its lead.
+    void join(Endpoint& e, const EndpointOrder& order) {
+        const Membership& old = e.report.membership;
+        if (old.epoch != NoEpoch && !e.list.empty()) {
+            const Endpoint& lead = endpoints.at(e.list.front());
+            const Membership& l = lead.report.membership;
+            if (l.epoch == old.epoch &&
+                (l.state == MemberState::Open || l.state == MemberState::Closing))
+                violations.push_back(order.endpoint + " joins while its lead is open");
+        }
+        const bool staged = !e.report.staged.empty() && e.report.staged.front() == order.model;
+        const Duration takes = e.warm == order.model ? milliseconds(200)
+                               : staged              ? milliseconds(1600)
+                                                     : seconds(2);
+        e.list = order.members;
+        const auto at = std::find(order.members.begin(), order.members.end(), order.endpoint);
+        e.report.membership = {order.group, order.epoch,
+                               static_cast<std::uint32_t>(at - order.members.begin()),
+                               MemberState::Joining};
+        e.ready_at = now + takes;
+        e.open_at = {};
+        tell(e);
+    }
+
+    void check_open(const Endpoint& lead, const EndpointOrder& order) {
+        for (const EndpointId& id : lead.list) {
+            const Membership& m = endpoints.at(id).report.membership;
+            if (m.epoch != order.epoch || m.state == MemberState::Joining)
+                violations.push_back("opened while " + id + " is not ready");
+        }
+        const std::size_t size = order.model == "big" ? 4 : 2;
+        if (lead.list.size() != size)
+            violations.push_back("opened with a wrong number of members");
+    }
+
+    int next_ = 0;
+    std::map<EndpointId, Time> beat_;
+    std::map<EndpointId, std::pair<std::string, Time>> staging_;
+};
+
+class PlannerTest : public testing::Test {
+  protected:
+    void start() {
+        fleet_.planner.configure(engine());
+        fleet_.planner.take_over(1, fleet_.now);
+        fleet_.run(seconds(10));
+    }
+    Fleet fleet_{3, 8};
+};
+
+TEST_F(PlannerTest, FormsAllGroupsBeforeTheFirstRequest) {
+    start();
+    EXPECT_EQ(fleet_.open("big"), 3u);
+    EXPECT_EQ(fleet_.open("small"), 5u);
+    EXPECT_TRUE(fleet_.violations.empty());
+    // 12 + 10 joins, 8 opens, and two spares staged and warmed; nothing is ordered again.
+    EXPECT_LE(fleet_.orders, 36);
+    const int before = fleet_.orders;
+    fleet_.run(seconds(5));
+    EXPECT_EQ(fleet_.orders, before);
+}
+
+TEST_F(PlannerTest, ReplacesALostMemberByASpareWithinSeconds) {
+    start();
+    fleet_.planner.traffic_began();
+    Fleet::Endpoint& lead = fleet_.lead_of("big");
+    const Epoch epoch = lead.report.membership.epoch;
+    fleet_.endpoints.at(lead.list[2]).dark = true;
+    fleet_.planner.suspect(epoch, fleet_.now);
+    fleet_.run(seconds(2));
+    EXPECT_TRUE(fleet_.violations.empty()) << fleet_.violations.front();
+    EXPECT_GE(fleet_.open("big"), 2u);
+    EXPECT_NE(lead.report.membership.epoch, epoch);
+}
+
+TEST_F(PlannerTest, MembersOfASilentLeadLeaveBeforeTheyJoinAgain) {
+    start();
+    Fleet::Endpoint& lead = fleet_.lead_of("small");
+    const Epoch epoch = lead.report.membership.epoch;
+    const EndpointId other = lead.list[1];
+    lead.dark = true;
+    fleet_.planner.suspect(epoch, fleet_.now);
+    fleet_.run(seconds(4));
+    EXPECT_TRUE(fleet_.violations.empty()) << fleet_.violations.front();
+    EXPECT_NE(fleet_.endpoints.at(other).report.membership.epoch, epoch);
+    const auto dissolved = fleet_.planner.dissolved(fleet_.registry);
+    EXPECT_EQ(dissolved, std::vector<Epoch>{epoch});
+}
+
+// Found by the users' days: an endpoint that deregisters goes on serving for seconds.
+TEST_F(PlannerTest, ALeadThatDeregisteredStillHoldsItsGroup) {
+    start();
+    Fleet::Endpoint& lead = fleet_.lead_of("big");
+    fleet_.registry.mark_gone(lead.report.id, fleet_.now);
+    fleet_.planner.observe(fleet_.registry.find(lead.report.id)->report, fleet_.now);
+    fleet_.run(seconds(4));
+    EXPECT_TRUE(fleet_.violations.empty()) << fleet_.violations.front();
+}
+
+// Silence towards control proves nothing: the group may serve on.
+TEST_F(PlannerTest, ASilentMemberAloneDissolvesNothing) {
+    start();
+    Fleet::Endpoint& lead = fleet_.lead_of("big");
+    fleet_.endpoints.at(lead.list[1]).dark = true;
+    fleet_.run(seconds(10));
+    EXPECT_EQ(lead.report.membership.state, MemberState::Open);
+}
+
+TEST_F(PlannerTest, AnAlarmThatNobodyRepeatsDissolvesNothing) {
+    start();
+    Fleet::Endpoint& lead = fleet_.lead_of("big");
+    const Epoch epoch = lead.report.membership.epoch;
+    fleet_.planner.suspect(epoch, fleet_.now);
+    fleet_.run(seconds(5));
+    EXPECT_EQ(lead.report.membership.epoch, epoch);
+    EXPECT_EQ(lead.report.membership.state, MemberState::Open);
+}
+
+TEST_F(PlannerTest, AGroupThatKeepsStandingStillIsPutTogetherAnew) {
+    start();
+    Fleet::Endpoint& lead = fleet_.lead_of("big");
+    const Epoch epoch = lead.report.membership.epoch;
+    for (int i = 0; i < 20; ++i) {
+        fleet_.planner.suspect(epoch, fleet_.now);
+        fleet_.run(milliseconds(300));
+    }
+    EXPECT_NE(lead.report.membership.epoch, epoch);
+    EXPECT_TRUE(fleet_.violations.empty());
+}
+
+// A new leader knows nothing but what the endpoints say, and goes on from there.
+TEST_F(PlannerTest, ANewLeaderTakesTheGroupsThatStand) {
+    start();
+    const std::size_t big = fleet_.open("big");
+    const int before = fleet_.orders;
+    GroupPlanner successor("llm", PlannerBounds{}, false);
+    successor.configure(engine());
+    for (const auto& [id, item] : fleet_.registry.items())
+        successor.observe(item.report, fleet_.now);
+    successor.take_over(2, fleet_.now);
+    fleet_.planner = std::move(successor);
+    fleet_.run(seconds(6));
+    EXPECT_EQ(fleet_.open("big"), big);
+    EXPECT_LE(fleet_.orders - before, 2);
+    EXPECT_TRUE(fleet_.violations.empty());
+}
+
+TEST_F(PlannerTest, AnUnansweredJoinEndsTheAttempt) {
+    fleet_.silent.insert("i00");
+    start();
+    EXPECT_TRUE(fleet_.violations.empty());
+    EXPECT_GE(fleet_.open("big") + fleet_.open("small"), 6u);
+}
+
+TEST_F(PlannerTest, ALeavingMembersGroupClosesOnceASpareIsAtHand) {
+    start();
+    Fleet::Endpoint& lead = fleet_.lead_of("big");
+    Fleet::Endpoint& member = fleet_.endpoints.at(lead.list[3]);
+    member.report.phase = EndpointPhase::Draining;
+    fleet_.tell(member);
+    fleet_.run(seconds(4));
+    EXPECT_TRUE(fleet_.violations.empty());
+    EXPECT_GE(fleet_.open("big"), 2u);
+}
+
+// Losses, drains, silent answers and new hosts in any order break no rule.
+RC_GTEST_PROP(PlannerProperty, NoHostIsEverInTwoGroups, ()) {
+    Fleet fleet(2, 6);
+    fleet.planner.configure(engine());
+    fleet.planner.take_over(1, fleet.now);
+    fleet.run(seconds(8));
+    fleet.planner.traffic_began();
+    const auto events = *rc::gen::inRange(1, 12);
+    std::uint64_t term = 1;
+    for (int i = 0; i < events; ++i) {
+        auto victim = fleet.endpoints.begin();
+        std::advance(victim, *rc::gen::inRange<int>(0, static_cast<int>(fleet.endpoints.size())));
+        switch (*rc::gen::inRange(0, 7)) {
+        case 0:
+            victim->second.dark = true;
+            break;
+        case 1:
+            victim->second.dark = false;
+            break;
+        case 2:
+            victim->second.report.phase = EndpointPhase::Draining;
+            fleet.tell(victim->second);
+            break;
+        case 3:
+            fleet.registry.mark_gone(victim->first, fleet.now);
+            fleet.planner.observe(fleet.registry.find(victim->first)->report, fleet.now);
+            break;
+        case 4:
+            fleet.add("d0");
+            break;
+        case 5:
+            fleet.planner.take_over(++term, fleet.now);
+            break;
+        default:
+            fleet.silent.insert(victim->first);
+            break;
+        }
+        const Epoch epoch = victim->second.report.membership.epoch;
+        for (int k = 0; k < 6; ++k) {
+            fleet.planner.suspect(epoch, fleet.now);
+            fleet.run(milliseconds(200));
+        }
+    }
+    RC_ASSERT(fleet.violations.empty());
+}
+
+// ---- the first layout
+
+TEST(FirstLayout, DomainsHoldOneModelAndNoModelHasOneDomain) {
+    std::vector<ColdHost> hosts;
+    for (int d = 0; d < 3; ++d)
+        for (int h = 0; h < 8; ++h)
+            hosts.push_back({std::to_string(d) + std::to_string(h), "d" + std::to_string(d)});
+    const auto layout = assign_models(hosts, engine().models);
+    ASSERT_EQ(layout.size(), hosts.size());
+    std::map<std::string, std::set<std::string>> domains;
+    std::map<std::string, int> count;
+    for (const ColdHost& host : hosts) {
+        domains[layout.at(host.id)].insert(host.domain);
+        ++count[layout.at(host.id)];
+    }
+    EXPECT_EQ(domains["big"].size(), 2u);
+    EXPECT_EQ(domains["small"].size(), 2u);
+    EXPECT_GE(count["big"], 12);
+    EXPECT_GE(count["small"], 8);
+}
+
+RC_GTEST_PROP(FirstLayout, EveryHostGetsAModel, ()) {
+    std::vector<ColdHost> hosts;
+    const int n = *rc::gen::inRange(0, 40);
+    for (int i = 0; i < n; ++i)
+        hosts.push_back({std::to_string(i), "d" + std::to_string(*rc::gen::inRange(0, 4))});
+    std::vector<ModelShape> models;
+    const int kinds = *rc::gen::inRange(1, 4);
+    for (int i = 0; i < kinds; ++i)
+        models.push_back({"m" + std::to_string(i),
+                          static_cast<std::uint32_t>(*rc::gen::inRange(1, 9)), 1.0 / kinds, 1.0,
+                          seconds(1), seconds(1)});
+    RC_ASSERT(assign_models(hosts, models).size() == hosts.size());
+}
+
+} // namespace
+} // namespace liftweir
--- /dev/null
+++ b/tests/unit/httpserver_test.cpp
@@ -0,0 +1,168 @@
+// Bad and hostile callers: each gets a typed answer within a bound of time and memory.
+
+#include "connection/httpserver.h"
+#include "connection/link.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace liftweir {
+namespace {
+
+class ServerTest : public testing::Test {
+  protected:
+    void serve(HttpServerLimits limits = {}) {
+        {
+            const asio::ip::tcp::acceptor probe(io_, {asio::ip::make_address("127.0.0.1"), 0});
+            address_ = "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+        }
+        server_ = serve_http(io_, address_, limits, [this](const std::shared_ptr<HttpExchange>& e) {
+            ++handled_;
+            last_body_ = e->body();
+            last_target_ = e->target();
+            handler_(e);
+        });
+    }
+
+    // Sends bytes, and returns all that comes back until the connection ends or time is out.
+    std::string talk(const std::string& bytes, std::chrono::milliseconds patience) {
+        asio::ip::tcp::socket socket(io_);
+        socket.connect(parse_address(address_).value());
+        asio::error_code ignored;
+        asio::write(socket, asio::buffer(bytes), ignored);
+        std::string got;
+        std::array<char, 4096> buffer{};
+        bool ended = false;
+        std::function<void()> read = [&] {
+            socket.async_read_some(asio::buffer(buffer), [&](asio::error_code error,
+                                                             std::size_t size) {
+                got.append(buffer.data(), size);
+                if (error)
+                    ended = true;
+                else
+                    read();
+            });
+        };
+        read();
+        const auto until = std::chrono::steady_clock::now() + patience;
+        while (!ended && std::chrono::steady_clock::now() < until)
+            io_.run_for(std::chrono::milliseconds(5));
+        closed_ = ended;
+        socket.close(ignored);
+        io_.poll();
+        return got;
+    }
+
+    asio::io_context io_;
+    std::string address_;
+    std::unique_ptr<HttpServer> server_;
+    std::function<void(const std::shared_ptr<HttpExchange>&)> handler_ =
+        [](const std::shared_ptr<HttpExchange>& e) { e->respond(200, {}, "ok"); };
+    int handled_ = 0;
+    bool closed_ = false;
+    std::string last_body_;
+    std::string last_target_;
+};
+
+constexpr auto Patience = std::chrono::milliseconds(2500);
+
+TEST_F(ServerTest, AnswersRequestsThatCanBeFramedInTwoWays) {
+    serve();
+    const std::string two_lengths =
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab";
+    EXPECT_TRUE(talk(two_lengths, Patience).starts_with("HTTP/1.1 400 "));
+    const std::string both = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    EXPECT_TRUE(talk(both, Patience).starts_with("HTTP/1.1 400 "));
+    EXPECT_TRUE(closed_);
+    EXPECT_EQ(handled_, 0);
+}
+
+TEST_F(ServerTest, RefusesRequestsWithoutHostOrWithGarbage) {
+    serve();
+    EXPECT_TRUE(talk("GET / HTTP/1.1\r\n\r\n", Patience).starts_with("HTTP/1.1 400 "));
+    EXPECT_TRUE(talk("\x01\x02garbage\r\n\r\n", Patience).starts_with("HTTP/1.1 400 "));
+    const std::string zero = std::string("GET /a\0b HTTP/1.1\r\nHost: x\r\n\r\n", 31);
+    EXPECT_TRUE(talk(zero, Patience).starts_with("HTTP/1.1 400 "));
+    EXPECT_EQ(handled_, 0);
+}
+
+TEST_F(ServerTest, BoundsHeadsAndBodies) {
+    serve({.body_bytes = 100, .header_bytes = 1000});
+    const std::string large_head =
+        "GET / HTTP/1.1\r\nHost: x\r\nX: " + std::string(70000, 'a') + "\r\n\r\n";
+    EXPECT_TRUE(talk(large_head, Patience).starts_with("HTTP/1.1 431 "));
+    const std::string large_body = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n";
+    EXPECT_TRUE(talk(large_body, Patience).starts_with("HTTP/1.1 413 "));
+    const std::string large_chunk = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                    "c8\r\n" +
+                                    std::string(200, 'b') + "\r\n0\r\n\r\n";
+    EXPECT_TRUE(talk(large_chunk, Patience).starts_with("HTTP/1.1 413 "));
+    EXPECT_EQ(handled_, 0);
+}
+
+TEST_F(ServerTest, BoundsTheTimeOfHeadsAndBodies) {
+    serve({.header_timeout = std::chrono::milliseconds(300)});
+    EXPECT_TRUE(talk("GET / HT", Patience).starts_with("HTTP/1.1 408 "));
+    EXPECT_TRUE(talk("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\na", Patience)
+                    .starts_with("HTTP/1.1 408 "));
+    EXPECT_TRUE(closed_);
+    EXPECT_EQ(handled_, 0);
+}
+
+TEST_F(ServerTest, ClosesConnectionsThatRest) {
+    serve({.idle_timeout = std::chrono::milliseconds(200)});
+    EXPECT_EQ(talk("", Patience), "");
+    EXPECT_TRUE(closed_);
+}
+
+TEST_F(ServerTest, AnswersPipelinedRequestsInOrder) {
+    serve();
+    const std::string one = "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n";
+    const std::string two = "GET /2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    handler_ = [](const std::shared_ptr<HttpExchange>& e) {
+        e->respond(200, {}, std::string(e->target()));
+    };
+    const std::string got = talk(one + two, Patience);
+    EXPECT_LT(got.find("/1"), got.find("/2"));
+    EXPECT_EQ(handled_, 2);
+    EXPECT_TRUE(closed_);
+}
+
+TEST_F(ServerTest, AnAbortedStreamNeverLooksComplete) {
+    serve();
+    handler_ = [](const std::shared_ptr<HttpExchange>& e) {
+        e->begin(200, {});
+        e->write("part", [e](bool) { e->abort(); });
+    };
+    const std::string got = talk("GET / HTTP/1.1\r\nHost: x\r\n\r\n", Patience);
+    EXPECT_NE(got.find("part"), std::string::npos);
+    EXPECT_EQ(got.find("0\r\n\r\n"), std::string::npos);
+    EXPECT_TRUE(closed_);
+}
+
+TEST_F(ServerTest, ARequestThatIsDroppedEndsItsConnection) {
+    serve();
+    handler_ = [](const std::shared_ptr<HttpExchange>&) {};
+    EXPECT_EQ(talk("GET / HTTP/1.1\r\nHost: x\r\n\r\n", Patience), "");
+    EXPECT_TRUE(closed_);
+}
+
+TEST_F(ServerTest, ClosesAfterAnswersOnceItLeaves) {
+    serve();
+    server_->close_after_answers();
+    const std::string got = talk("GET / HTTP/1.1\r\nHost: x\r\n\r\n", Patience);
+    EXPECT_NE(got.find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(closed_);
+}
+
+// Whatever comes in, the process goes on and serves the next caller.
+RC_GTEST_FIXTURE_PROP(ServerTest, SurvivesAnyBytes, (const std::string& bytes)) {
+    serve({.header_timeout = std::chrono::milliseconds(50)});
+    (void)talk("POST /" + bytes, std::chrono::milliseconds(30));
+    const std::string good = "GET /after HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    RC_ASSERT(talk(good, Patience).starts_with("HTTP/1.1 200 "));
+}
+
+} // namespace
+} // namespace liftweir
