--- a/models/check.py
+++ b/models/check.py
@@ -19,6 +19,7 @@
         "LAST_GROUP_ONLY": ["EPOCHS=3", "RESTARTS=0"]}),
     "lease": ([[]], {
         name: [] for name in ("RECEIPT_TIME", "ONE_VOUCHER", "VOUCH_APPLIED", "NO_WAIT")}),
+    "voters": ([[]], {name: [] for name in ("SAME_NUMBER", "ACK_EARLY", "JOIN_EMPTY")}),
 }
 MEMORY_MB = 3000
 
