Logs on standard output, bounded and never waiting; liftweirctl why joins them by request

Change: a Boost.Log backend that writes only where the pipe has room, a budget of lines a second with a count of what was left out, lines for each ended or repeated attempt with forecast, budget and age, and a command that joins all logs by request, endpoint and group. Tests: a reader that stops, the budget, a planted cause.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,6 +1,7 @@
 #include "connection/secret.h"
 #include "ctl/session.h"
 #include "ctl/timelineview.h"
+#include "ctl/why.h"
 #include "process/clock.h"
 #include "process/config.h"
 #include "version/keys.h"
@@ -304,6 +305,10 @@
              filter.json = o.json;
              return show_timeline(s, filter);
          }},
+        {"why", "REQUEST FILE...", "what led to a request's end, from the logs of all processes", 2,
+         [](Session&, O, A a) {
+             return explain_request(a[0], Arguments(a.begin() + 1, a.end()));
+         }},
         {"ticket", "[--days N]", "a ticket for /metrics and /events of every process", 0,
          [](Session& s, O o, A) {
              constexpr std::int64_t MsPerDay = 24LL * 3600 * 1000;
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -679,7 +679,7 @@
              {"endpoint", order.endpoint},
              {"group", order.group},
              {"answer", std::string(name_of(answer))},
-             {"ms", std::to_string(to_millis(now - sent))}});
+             {"took_ms", std::to_string(to_millis(now - sent))}});
         planner.answered(order, answer, now);
         plan_soon();
     });
--- a/src/process/logging.cpp
+++ b/src/process/logging.cpp
@@ -1,18 +1,19 @@
 #include "process/logging.h"
 
 #include "process/clock.h"
+#include "process/metrics.h"
 #include "version/keys.h"
 
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/make_shared.hpp>
-#include <iostream>
+#include <mutex>
+#include <poll.h>
 #include <unistd.h>
 
 namespace liftweir {
@@ -22,8 +23,26 @@
 namespace blog = boost::log;
 using Severity = blog::trivial::severity_level;
 
+// About ten lines for each request of a busy entry host, and an eighth of a megabyte a second.
+constexpr std::uint32_t LinesPerSecond = 600;
+// A pipe that polls as writable takes this many bytes without waiting (POSIX PIPE_BUF).
+constexpr std::size_t LongestLine = 4096;
+
 std::string process_name;
 bool on_terminal = false;
+LogBudget budget(LinesPerSecond);
+
+// Hands finished lines to standard output without ever waiting for its reader.
+class NonBlockingBackend
+    : public blog::sinks::basic_formatted_sink_backend<char, blog::sinks::synchronized_feeding> {
+  public:
+    void consume(const blog::record_view&, const string_type& line) {
+        if (!write_line_now(STDOUT_FILENO, line)) {
+            budget.dropped("reader is behind");
+            Metrics::instance().counter("liftweir_log_lines_dropped").add();
+        }
+    }
+};
 
 Severity severity_of(LogLevel level) {
     switch (level) {
@@ -60,15 +79,29 @@
 
 } // namespace
 
+bool LogBudget::take(std::int64_t now_s) {
+    if (now_s != second_) {
+        second_ = now_s;
+        used_ = 0;
+    }
+    return used_++ < per_second_;
+}
+
+bool write_line_now(int descriptor, std::string_view line) {
+    std::string bytes(line.substr(0, LongestLine - 1));
+    bytes += '\n';
+    pollfd wait{descriptor, POLLOUT, 0};
+    if (::poll(&wait, 1, 0) != 1 || (wait.revents & POLLOUT) == 0)
+        return false;
+    return ::write(descriptor, bytes.data(), bytes.size()) ==
+           static_cast<ssize_t>(bytes.size());
+}
+
 void start_logging(const std::string& process) {
     process_name = process;
-    on_terminal = ::isatty(STDERR_FILENO) != 0;
-    using Backend = blog::sinks::text_ostream_backend;
-    const auto backend = boost::make_shared<Backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-    backend->auto_flush(true);
-    blog::core::get()->add_sink(
-        boost::make_shared<blog::sinks::synchronous_sink<Backend>>(backend));
+    on_terminal = ::isatty(STDOUT_FILENO) != 0;
+    blog::core::get()->add_sink(boost::make_shared<blog::sinks::synchronous_sink<NonBlockingBackend>>(
+        boost::make_shared<NonBlockingBackend>()));
     set_log_level("info");
 }
 
@@ -79,6 +112,21 @@
 }
 
 void log(LogLevel level, std::string_view message, const LogFields& fields) {
+    static std::mutex mutex;
+    {
+        const std::lock_guard lock(mutex);
+        if (!budget.take(wall_millis() / 1000)) {
+            budget.dropped(message);
+            Metrics::instance().counter("liftweir_log_lines_dropped").add();
+            return;
+        }
+        if (budget.has_dropped()) {
+            LogFields counts;
+            for (const auto& [what, count] : budget.take_dropped())
+                counts.emplace_back(what, std::to_string(count));
+            write_line_now(STDOUT_FILENO, as_json(LogLevel::Warning, "lines dropped", counts));
+        }
+    }
     static blog::sources::severity_logger_mt<Severity> logger;
     BOOST_LOG_SEV(logger, severity_of(level))
         << (on_terminal ? as_text(level, message, fields) : as_json(level, message, fields));
--- a/src/process/logging.h
+++ b/src/process/logging.h
@@ -1,6 +1,8 @@
 #ifndef LOGGING_H_INCLUDED
 #define LOGGING_H_INCLUDED
 
+#include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -12,7 +14,31 @@
 
 using LogFields = std::vector<std::pair<std::string, std::string>>;
 
-// One JSON object a line on standard error, or text where that is a terminal.
+// Decides which lines are written: a bounded number a second, and none that would make the process
+// wait for a reader that stopped. What is left out is counted by message, and told once there is
+// room again.
+class LogBudget {
+  public:
+    explicit LogBudget(std::uint32_t lines_per_second) : per_second_(lines_per_second) {}
+
+    // `now_s`: any clock in whole seconds.
+    bool take(std::int64_t now_s);
+    void dropped(std::string_view message) { ++dropped_[std::string(message)]; }
+    // Counts by message since the last call; empty where nothing was left out.
+    std::map<std::string, std::uint64_t> take_dropped() { return std::exchange(dropped_, {}); }
+    bool has_dropped() const { return !dropped_.empty(); }
+
+  private:
+    std::uint32_t per_second_;
+    std::int64_t second_ = 0;
+    std::uint32_t used_ = 0;
+    std::map<std::string, std::uint64_t> dropped_;
+};
+
+// Writes one line to a descriptor if that can be done at once; false where its reader is behind.
+bool write_line_now(int descriptor, std::string_view line);
+
+// One JSON object a line on standard output, or text where that is a terminal.
 void start_logging(const std::string& process);
 void set_log_level(std::string_view level);
 void log(LogLevel level, std::string_view message, const LogFields& fields = {});
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -4,6 +4,7 @@
 #include "process/metrics.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace liftweir {
 
@@ -110,7 +111,14 @@
             refuse("no attempt is left", RetryAfterFull);
         return;
     }
-    ++sends_;
+    if (sends_++ > 0)
+        log(LogLevel::Info, "sent again",
+            {{"request", request_.id},
+             {"endpoint", pick.endpoint},
+             {"last_event", last_event_},
+             {"forecast_ms", std::to_string(std::lround(pick.forecast.first_event_ms))},
+             {"repeats_used", std::to_string(host_.budget(plan_.service->name).used(now))}});
+    forecast_ = pick.forecast;
     endpoint_ = pick.endpoint;
     endpoints_ += (endpoints_.empty() ? "" : ",") + pick.endpoint;
     tried_.insert(pick.endpoint);
@@ -283,6 +291,13 @@
 // last event that the caller has.
 void RelayedCall::on_broken(const char* why) {
     const Time now = BootClock::now();
+    log(LogLevel::Info, "attempt ended",
+        {{"request", request_.id},
+         {"endpoint", endpoint_},
+         {"why", why},
+         {"last_event", last_event_},
+         {"since_sent_ms", millis_text(now - sent_)},
+         {"repeatable", plan_.route->repeatable() ? "yes" : "no"}});
     release_endpoint();
     ++runs_;
     if (!plan_.route->repeatable()) {
@@ -435,7 +450,9 @@
          {"document", std::to_string(plan_.table->deployment().version)},
          {"endpoints", endpoints_},
          {"status", std::to_string(status)},
-         {"ms", millis_text(took)},
+         {"took_ms", millis_text(took)},
+         {"forecast_ms", std::to_string(std::lround(forecast_.first_event_ms))},
+         {"forecast_in_flight", std::to_string(std::lround(forecast_.in_flight))},
          {"first_event_ms", millis_text(first_event_took_)},
          {"longest_pause_ms", millis_text(longest_pause_)},
          {"resumed", std::to_string(resumed_)},
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -94,6 +94,7 @@
     std::uint32_t sends_ = 0;  // that reached an endpoint, or may have
     std::uint32_t runs_ = 0;   // that may have been run
     Time sent_{};
+    LoadForecast forecast_; // of the last pick
     bool first_seen_ = false; // an event came from the present endpoint
     bool waiting_ = false;    // no endpoint takes it at the moment
 
--- /dev/null
+++ b/tests/unit/why_test.cpp
@@ -0,0 +1,78 @@
+// From a request's id to the cause of its end, with nothing but logs.
+
+#include "ctl/why.h"
+#include "process/logging.h"
+
+#include <gtest/gtest.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace liftweir {
+namespace {
+
+const std::string Logs =
+    "  1.0 core {\"ms\":1000,\"process\":\"core\",\"message\":\"leads\",\"term\":\"3\"}\n"
+    "no json here\n"
+    "{\"ms\":5000,\"process\":\"core\",\"message\":\"group suspected\",\"endpoint\":\"i-1\","
+    "\"group\":\"m.7\",\"why\":\"its streams stand still\"}\n"
+    "{\"ms\":5220,\"process\":\"core\",\"message\":\"group dissolved\",\"endpoint\":\"i-1\","
+    "\"group\":\"m.7\",\"why\":\"member i-2 does not answer\"}\n"
+    "{\"ms\":5100,\"process\":\"core\",\"message\":\"group dissolved\",\"endpoint\":\"i-9\","
+    "\"group\":\"m.8\",\"why\":\"another one\"}\n"
+    "{\"ms\":5230,\"process\":\"e1\",\"message\":\"attempt ended\",\"request\":\"r1\","
+    "\"endpoint\":\"i-1\",\"why\":\"the endpoint broke off\"}\n"
+    "{\"ms\":5300,\"process\":\"e1\",\"message\":\"call\",\"request\":\"r2\",\"endpoints\":\"i-1\"}\n"
+    "{\"ms\":5400,\"process\":\"e1\",\"message\":\"call\",\"request\":\"r1\",\"endpoints\":\"i-1\","
+    "\"status\":\"0\",\"took_ms\":\"900\",\"why\":\"no attempt is left\"}\n";
+
+TEST(Why, JoinsTheLogsOfAllProcessesByRequestEndpointAndGroup) {
+    const auto story = story_of("r1", parse_log(Logs));
+    std::vector<std::string> messages;
+    for (const LogLine& line : story)
+        messages.push_back(line.message);
+    EXPECT_EQ(messages, (std::vector<std::string>{"leads", "group suspected", "group dissolved",
+                                                  "attempt ended", "call"}));
+    EXPECT_EQ(story[2].fields.at("why"), "member i-2 does not answer");
+}
+
+TEST(Why, SaysNothingOfAnUnknownRequest) {
+    EXPECT_TRUE(story_of("nobody", parse_log(Logs)).empty());
+    EXPECT_TRUE(parse_log("garbage {\n{]").empty());
+}
+
+TEST(LogBudget, BoundsLinesInEverySecondAndCountsTheRest) {
+    LogBudget budget(3);
+    int taken = 0;
+    for (int i = 0; i < 10; ++i)
+        if (budget.take(1))
+            ++taken;
+        else
+            budget.dropped("call");
+    EXPECT_EQ(taken, 3);
+    EXPECT_TRUE(budget.take(2));
+    EXPECT_EQ(budget.take_dropped().at("call"), 7u);
+    EXPECT_FALSE(budget.has_dropped());
+}
+
+// A reader that stops must not stop the process.
+TEST(Logging, AFullPipeDropsLinesInsteadOfWaiting) {
+    int ends[2];
+    ASSERT_EQ(pipe(ends), 0);
+    const std::string line(1000, 'x');
+    int written = 0;
+    while (written < 1000 && write_line_now(ends[1], line))
+        ++written;
+    EXPECT_GT(written, 10);
+    EXPECT_LT(written, 1000);
+    EXPECT_FALSE(write_line_now(ends[1], line));
+    char buffer[8192];
+    ASSERT_GT(read(ends[0], buffer, sizeof buffer), 0);
+    ASSERT_GT(read(ends[0], buffer, sizeof buffer), 0);
+    EXPECT_TRUE(write_line_now(ends[1], line));
+    close(ends[0]);
+    close(ends[1]);
+}
+
+} // namespace
+} // namespace liftweir
