--- a/tests/faults/proxy.py
+++ b/tests/faults/proxy.py
@@ -91,6 +91,13 @@
             self.known["tcp", name] = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
         return self.known["tcp", name]
 
+    def tcp_at(self, name, listen, target):
+        """The same at a given address, before a process that is dialed by it."""
+        self.modes.setdefault(name, "pass")
+        (near, near_port), (host, port) = listen.split(":"), target.split(":")
+        self._run(asyncio.start_server(
+            lambda r, w: self._serve(name, host, int(port), r, w), near, int(near_port)))
+
     def udp(self, name, target):
         if ("udp", name) not in self.known:
             self.modes.setdefault(name, "pass")
