--- a/src/process/groupplanner.cpp
+++ b/src/process/groupplanner.cpp
@@ -733,6 +733,9 @@
             score += 2.0 * model.size;
         else if (wanted)
             score += static_cast<double>(spares + 1) / model.size;
+        // A model that lacks groups everywhere goes before a local spare of one that has enough.
+        const double live = std::max(0.5, static_cast<double>(live_groups(model.name)));
+        score *= static_cast<double>(target(model, now)) / live;
         if (best.empty() || score > best_score) {
             best = model.name;
             best_score = score;
