First layout by shares alone: no model is split off to a second domain

Cause: giving the small model a second domain took two hosts and a group from the large one, whose groups are lost more often. Change: the split is gone. Risk: the domain that alone holds a model goes dark (its requests are refused for some 9 s).

--- a/src/process/firstlayout.cpp
+++ b/src/process/firstlayout.cpp
@@ -55,33 +55,6 @@
     }
 }
 
-// Moves one group of a model that stands in one domain only into another domain, at the cost of a
-// model that stands elsewhere too.
-void spread(std::vector<DomainPlan>& domains, const ModelShape& model) {
-    std::size_t present = 0;
-    for (const DomainPlan& domain : domains)
-        present += domain.quota.contains(model.name) ? 1 : 0;
-    if (present != 1)
-        return;
-    DomainPlan* best = nullptr;
-    std::string donor;
-    std::size_t most = 0;
-    for (DomainPlan& domain : domains) {
-        if (domain.quota.contains(model.name))
-            continue;
-        for (const auto& [name, hosts] : domain.quota)
-            if (hosts > most && hosts > model.size) {
-                best = &domain;
-                donor = name;
-                most = hosts;
-            }
-    }
-    if (best == nullptr)
-        return;
-    best->quota[donor] -= model.size;
-    best->quota[model.name] += model.size;
-}
-
 } // namespace
 
 std::map<EndpointId, std::string> assign_models(const std::vector<ColdHost>& hosts,
@@ -95,8 +68,6 @@
     std::vector<DomainPlan> domains = by_domain(hosts);
     for (DomainPlan& domain : domains)
         fill(domain, models, wanted);
-    for (const ModelShape& model : models)
-        spread(domains, model);
     for (const DomainPlan& domain : domains) {
         auto host = domain.hosts.begin();
         for (const auto& [model, count] : domain.quota)
