--- a/tests/site/sitefleet.py
+++ b/tests/site/sitefleet.py
@@ -58,6 +58,7 @@
         self.fleet.controls = ["127.%d.1.%d:%d" % (net, n + 1, CONTROL) for n in range(controls)]
         self.controls, self.entries, self.workers = [], [], []
         self.version, self.acked, self.revoked = 0, 0, {}
+        self.once = set()  # requests that may run at most once
         self.tenant_keys = {"big": ["key-1", "key-2"], "small": ["key-3"]}
         for n in range(controls):
             ip = "127.%d.1.%d" % (net, n + 1)
@@ -187,6 +188,8 @@
         headers = {"Host": "site.example", "Request-Id": request, "Model": "m",
                    "Token-Usage": "500,80", "Deadline-Ms": str(int(timeout * 1000)),
                    "Authorization": "Bearer " + key}
+        if route == "save":
+            self.once.add(request)
         sent = time.monotonic()
         address = "127.%d.2.%d:%d" % (self.net, entry + 1, CALLERS)
         try:
@@ -229,8 +232,6 @@
                 self.fleet.break_rule("drain", "%s got work %.1f s later" % (worker, when - left))
         return self.fleet.broken
 
-    once = frozenset()
-
     async def until(self, condition, patience=15):
         end = time.monotonic() + patience
         while time.monotonic() < end:
--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -226,6 +226,7 @@
 def plant(site, what):
     """Breaks something on purpose, to show that the checks see it."""
     if what == "twice":
+        site.once.add("planted")
         site.fleet.runs["planted"] = [(0, "a"), (0, "b")]
     elif what == "two groups":
         site.fleet.break_rule("two groups", "planted")
