--- a/src/connection/httpchannel.cpp
+++ b/src/connection/httpchannel.cpp
@@ -253,18 +253,18 @@
     if (reading_ || closed_ || paused_)
         return;
     reading_ = true;
-    socket_.async_read_some(asio::buffer(in_), [self = shared_from_this()](asio::error_code error,
-                                                                           std::size_t bytes) {
-        self->reading_ = false;
-        if (self->closed_)
-            return;
-        if (error) {
-            self->on_read_error(error);
-            return;
-        }
-        self->take({self->in_.data(), bytes});
-        self->read_more();
-    });
+    socket_.async_read_some(asio::buffer(in_),
+                            [self = shared_from_this()](asio::error_code error, std::size_t bytes) {
+                                self->reading_ = false;
+                                if (self->closed_)
+                                    return;
+                                if (error) {
+                                    self->on_read_error(error);
+                                    return;
+                                }
+                                self->take({self->in_.data(), bytes});
+                                self->read_more();
+                            });
 }
 
 void Channel::resume() {
@@ -380,7 +380,7 @@
         return nullptr;
     const Time now = BootClock::now();
     while (!found->second.empty()) {
-        const ChannelPtr channel = found->second.back();
+        ChannelPtr channel = found->second.back();
         found->second.pop_back();
         if (channel->usable(now))
             return channel;
@@ -389,9 +389,9 @@
     return nullptr;
 }
 
-std::unique_ptr<HttpCallHandle> Pool::start(const std::string& address,
-                                            const HttpRequestHead& head, const std::string& body,
-                                            ChannelOptions options, CallEvents events) {
+std::unique_ptr<HttpCallHandle> Pool::start(const std::string& address, const HttpRequestHead& head,
+                                            const std::string& body, ChannelOptions options,
+                                            CallEvents events) {
     ChannelPtr channel = options.fresh ? nullptr : take_kept(address);
     const bool kept = channel != nullptr;
     if (!kept) {
--- a/src/connection/httpchannel.h
+++ b/src/connection/httpchannel.h
@@ -28,10 +28,10 @@
 
 // How one call over a channel ended.
 enum class CallEnd : unsigned char {
-    Complete,       // the whole answer arrived
-    ConnectFailed,  // no byte of the request left
-    Broken,         // closed or reset before the answer was whole
-    Malformed       // the bytes are not an HTTP answer
+    Complete,      // the whole answer arrived
+    ConnectFailed, // no byte of the request left
+    Broken,        // closed or reset before the answer was whole
+    Malformed      // the bytes are not an HTTP answer
 };
 
 struct CallEvents {
--- a/src/connection/httpmessage.cpp
+++ b/src/connection/httpmessage.cpp
@@ -10,10 +10,9 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 8> HopByHop = {"connection", "keep-alive",
-                                                      "transfer-encoding", "te",
-                                                      "trailer", "upgrade",
-                                                      "proxy-connection", "content-length"};
+constexpr std::array<std::string_view, 8> HopByHop = {
+    "connection", "keep-alive", "transfer-encoding", "te",
+    "trailer",    "upgrade",    "proxy-connection",  "content-length"};
 
 char lower(char c) {
     return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
@@ -31,9 +30,8 @@
 } // namespace
 
 bool same_name(std::string_view a, std::string_view b) {
-    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
-               return lower(x) == lower(y);
-           });
+    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(),
+                                              [](char x, char y) { return lower(x) == lower(y); });
 }
 
 std::string_view find_header(const HttpHeaders& headers, std::string_view name) {
--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -95,7 +95,6 @@
     std::string held_; // of later requests
     bool reading_ = false;
     RequestMessage message_;
-    std::size_t head_size_ = 0;
     bool in_value_ = false;
     int refused_ = 0;
     bool complete_ = false;
@@ -126,8 +125,9 @@
 class Exchange final : public HttpExchange {
   public:
     Exchange(ConnectionPtr connection, RequestMessage message)
-        : connection_(std::move(connection)), message_(std::move(message)), received_(BootClock::now()) {
-    }
+        : connection_(std::move(connection)),
+          message_(std::move(message)),
+          received_(BootClock::now()) {}
     ~Exchange() override {
         // Dropped without an answer: the caller must not wait for one.
         if (!done_)
@@ -289,18 +289,18 @@
     if (reading_ || phase_ == Phase::Closed || held_.size() > MaxHeldBytes)
         return;
     reading_ = true;
-    socket_.async_read_some(asio::buffer(in_), [self = shared_from_this()](asio::error_code error,
-                                                                           std::size_t bytes) {
-        self->reading_ = false;
-        if (self->phase_ == Phase::Closed)
-            return;
-        if (error) {
-            self->close();
-            return;
-        }
-        self->take({self->in_.data(), bytes});
-        self->read_more();
-    });
+    socket_.async_read_some(asio::buffer(in_),
+                            [self = shared_from_this()](asio::error_code error, std::size_t bytes) {
+                                self->reading_ = false;
+                                if (self->phase_ == Phase::Closed)
+                                    return;
+                                if (error) {
+                                    self->close();
+                                    return;
+                                }
+                                self->take({self->in_.data(), bytes});
+                                self->read_more();
+                            });
 }
 
 void ServerConnection::take(std::string_view bytes) {
@@ -349,8 +349,8 @@
     complete_ = false;
     close_after_ = !message_.keep_alive;
     set_phase(Phase::Working, Time::max());
-    core_.handler(std::make_shared<Exchange>(shared_from_this(),
-                                             std::exchange(message_, RequestMessage{})));
+    core_.handler(
+        std::make_shared<Exchange>(shared_from_this(), std::exchange(message_, RequestMessage{})));
 }
 
 void ServerConnection::refuse(int status) {
--- a/src/connection/link.cpp
+++ b/src/connection/link.cpp
@@ -25,7 +25,9 @@
 // Several retransmissions between zones, and well below the time in which a cut must be noticed.
 constexpr Duration SilenceLimit = std::chrono::milliseconds(2500);
 constexpr Duration FirstPause = std::chrono::milliseconds(50);
-constexpr Duration LongestPause = std::chrono::milliseconds(1000);
+// After a loss of power the control hosts come back within half a second of each other; a longer
+// pause would be most of the time until they have a leader.
+constexpr Duration LongestPause = std::chrono::milliseconds(400);
 
 struct HelloFrame {
     std::string magic;
@@ -371,10 +373,21 @@
 void Dialer::dial_later() {
     timer_.expires_after(jittered(pause_));
     pause_ = std::min(pause_ * 2, LongestPause);
+    resting_ = true;
     timer_.async_wait([this, alive = alive_](asio::error_code error) {
-        if (!error && *alive)
-            dial();
+        if (error || !*alive)
+            return;
+        resting_ = false;
+        dial();
     });
 }
 
+void Dialer::hurry() {
+    if (!std::exchange(resting_, false))
+        return;
+    pause_ = FirstPause;
+    timer_.cancel();
+    dial();
+}
+
 } // namespace liftweir
--- a/src/connection/link.h
+++ b/src/connection/link.h
@@ -128,6 +128,8 @@
     // False where no link is up: the message was not sent and never will be.
     bool send(const Wire& message);
     const std::string& address() const { return address_; }
+    // The other side is known to be there: dials at once if it is waiting to.
+    void hurry();
 
   private:
     void dial();
@@ -142,6 +144,7 @@
     Link::Ptr link_;
     std::shared_ptr<bool> alive_;
     std::shared_ptr<asio::ip::tcp::socket> connecting_;
+    bool resting_ = false; // between two attempts
     Link::OnUp on_up_;
     Link::OnMessage on_message_;
     Link::OnDown on_down_;
--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -101,10 +101,10 @@
     bool registered = false; // this incarnation of the entry host
     bool has_delta = false;
     TableDelta delta;
-    Index voters_index = 0; // of the log entry that set the voters
-    std::vector<NodeId> nodes;          // all control hosts, voters or not
-    std::uint32_t entries = 0;          // entry hosts in touch
-    std::uint32_t in_flight_total = 0;  // calls under way at all of them
+    Index voters_index = 0;            // of the log entry that set the voters
+    std::vector<NodeId> nodes;         // all control hosts, voters or not
+    std::uint32_t entries = 0;         // entry hosts in touch
+    std::uint32_t in_flight_total = 0; // calls under way at all of them
     MSGPACK_DEFINE(node, sequence, logged, table, voters, leader, registered, has_delta, delta,
                    voters_index, nodes, entries, in_flight_total)
 };
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -306,9 +306,7 @@
              return show_timeline(s, filter);
          }},
         {"why", "REQUEST FILE...", "what led to a request's end, from the logs of all processes", 2,
-         [](Session&, O, A a) {
-             return explain_request(a[0], Arguments(a.begin() + 1, a.end()));
-         }},
+         [](Session&, O, A a) { return explain_request(a[0], Arguments(a.begin() + 1, a.end())); }},
         {"ticket", "[--days N]", "a ticket for /metrics and /events of every process", 0,
          [](Session& s, O o, A) {
              constexpr std::int64_t MsPerDay = 24LL * 3600 * 1000;
--- a/src/ctl/why.cpp
+++ b/src/ctl/why.cpp
@@ -23,9 +23,16 @@
 
 // What concerns every request of an entry host.
 constexpr std::array<std::string_view, 10> General = {
-    "leads",         "leads no more",          "document in force", "settings lease held",
-    "settings lease lost", "storage failed; the log is closed until it can be read again",
-    "voters change", "started",                "leaving",           "stopped"};
+    "leads",
+    "leads no more",
+    "document in force",
+    "settings lease held",
+    "settings lease lost",
+    "storage failed; the log is closed until it can be read again",
+    "voters change",
+    "started",
+    "leaving",
+    "stopped"};
 
 std::string field(const LogLine& line, const char* name) {
     const auto found = line.fields.find(name);
@@ -86,9 +93,9 @@
     if (line.message == "layout")
         return traces.endpoints.empty();
     const bool general = std::find(General.begin(), General.end(), line.message) != General.end();
-    const bool of_other_entry =
-        line.process != *traces.processes.begin() && line.message != "leads" &&
-        line.message != "leads no more" && line.message != "voters change";
+    const bool of_other_entry = line.process != *traces.processes.begin() &&
+                                line.message != "leads" && line.message != "leads no more" &&
+                                line.message != "voters change";
     return general && !of_other_entry;
 }
 
--- a/src/ctl/why.h
+++ b/src/ctl/why.h
@@ -18,7 +18,8 @@
     auto operator<=>(const LogLine&) const = default;
 };
 
-// Reads log lines; what stands before the JSON object of a line, and lines without one, are skipped.
+// Reads log lines; what stands before the JSON object of a line, and lines without one, are
+// skipped.
 std::vector<LogLine> parse_log(const std::string& text);
 
 // The lines that bear on one request, in order of time: its own, those of the endpoints that had it
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -67,6 +67,9 @@
     Coordinator(asio::io_context& io, FleetConfig config, EndpointOrders& orders,
                 DocumentDecoder decode);
 
+    // An entry host that has not renewed for so long is out of touch and not counted.
+    static constexpr Duration EntrySessionKept = std::chrono::seconds(4);
+
     struct EntrySession {
         Link::Ptr link;
         Renew renew;
@@ -138,10 +141,10 @@
     std::set<NodeId> nodes_;            // control hosts heard of, without this one
     std::map<std::string, EntrySession> entries_;
     Registry registry_;
-    std::vector<EndpointReport> changes_;        // to peers and entry hosts
-    std::vector<EndpointReport> entry_changes_;  // to entry hosts only
-    std::set<Epoch> dissolved_; // told to entry hosts
-    std::set<EndpointId> alive_;                 // heard since the last flush
+    std::vector<EndpointReport> changes_;       // to peers and entry hosts
+    std::vector<EndpointReport> entry_changes_; // to entry hosts only
+    std::set<Epoch> dissolved_;                 // told to entry hosts
+    std::set<EndpointId> alive_;                // heard since the last flush
     std::map<std::string, GroupPlanner> planners_;
     std::vector<Waiting> waiting_;
     Version applied_document_ = 0;
--- /dev/null
+++ b/src/process/coordinatorfleet.cpp
@@ -0,0 +1,329 @@
+// The side of Coordinator that meets others: links, registrations, and the orders of its planners.
+
+#include "connection/codec.h"
+#include "process/coordinator.h"
+#include "process/logging.h"
+#include "process/metrics.h"
+#include "process/node.h"
+
+#include <algorithm>
+
+namespace liftweir {
+
+namespace {
+
+constexpr Duration PlanEvery = std::chrono::milliseconds(150);
+// Changes may be under way: only a difference seen twice in a row is mended by a full copy.
+constexpr int DigestMissesAllowed = 1;
+
+} // namespace
+
+// ---- links
+
+void Coordinator::connect_to(const std::string& address) {
+    if (peers_.contains(address))
+        return;
+    Peer& peer = peers_[address];
+    peer.dialer = std::make_unique<Dialer>(io_, address, identity_, keys_);
+    peer.dialer->start([this, &peer](const Link::Ptr&) { greet(peer); },
+                       [this](const Link::Ptr& link, Wire&& m) { on_message(link, std::move(m)); },
+                       [](const Link::Ptr&) {});
+}
+
+void Coordinator::learn(NodeId node) {
+    if (node == NoNode || same_host(node, node_))
+        return;
+    nodes_.insert(node);
+    connect_to(address_of(node, config_.link_port));
+}
+
+std::vector<NodeId> Coordinator::known_nodes() const {
+    std::vector<NodeId> nodes;
+    if (node_ != NoNode)
+        nodes.push_back(node_);
+    for (const auto& [address, peer] : peers_)
+        if (peer.node != NoNode)
+            nodes.push_back(peer.node);
+    return nodes;
+}
+
+void Coordinator::greet(Peer& peer) {
+    if (node_ != NoNode)
+        peer.dialer->send(PeerHello{node_, known_nodes(), registry_.digest()});
+}
+
+// A host has one data folder at a time: the number that it says now is the one that counts.
+void Coordinator::on_hello(const Link::Ptr&, const PeerHello& hello) {
+    if (same_host(hello.node, node_))
+        return;
+    std::erase_if(nodes_,
+                  [&](NodeId node) { return node != hello.node && same_host(node, hello.node); });
+    learn(hello.node);
+    Peer& peer = peers_[address_of(hello.node, config_.link_port)];
+    if (peer.node != hello.node)
+        log(LogLevel::Info, "control host known", {{"node", text_of(hello.node)}});
+    peer.node = hello.node;
+    peer.dialer->hurry();
+    for (const NodeId node : hello.nodes) {
+        const bool host_known =
+            std::any_of(nodes_.begin(), nodes_.end(), [&](NodeId n) { return same_host(n, node); });
+        if (!host_known)
+            learn(node);
+    }
+    if (hello.registry == registry_.digest()) {
+        peer.digest_misses = 0;
+        return;
+    }
+    if (++peer.digest_misses <= DigestMissesAllowed)
+        return;
+    peer.digest_misses = 0;
+    send_registry([&peer](const Wire& message) { peer.dialer->send(message); });
+}
+
+void Coordinator::on_message(const Link::Ptr& link, Wire&& message) {
+    const Time now = BootClock::now();
+    if (const auto* packet = std::get_if<RaftPacket>(&message)) {
+        const auto body = decode<RaftMessage>(packet->body);
+        if (!body || link->peer().role != ProcessRole::Control || packet->to != node_ || !replica_)
+            return;
+        replica_->step(packet->from, *body, now);
+        pump_soon();
+    } else if (const auto* hello = std::get_if<PeerHello>(&message)) {
+        on_hello(link, *hello);
+    } else if (const auto* renew = std::get_if<Renew>(&message)) {
+        on_renew(link, *renew);
+    } else if (const auto* changes = std::get_if<EndpointChanges>(&message)) {
+        for (const EndpointReport& report : changes->reports)
+            merge(report, false);
+    } else if (const auto* alive = std::get_if<EndpointsAlive>(&message)) {
+        for (const EndpointId& id : alive->ids)
+            registry_.heard(id, now);
+    } else if (const auto* suspected = std::get_if<GroupSuspected>(&message)) {
+        for (auto& [service, planner] : planners_)
+            planner.suspect(suspected->epoch, now);
+        if (leads())
+            plan_soon();
+    }
+}
+
+void Coordinator::on_down(const Link::Ptr& link) {
+    for (auto& [name, session] : entries_)
+        if (session.link == link)
+            session.link.reset();
+}
+
+Vouch Coordinator::make_vouch(std::uint64_t sequence) const {
+    Vouch vouch;
+    vouch.node = node_;
+    vouch.sequence = sequence;
+    vouch.registered = true;
+    vouch.nodes = known_nodes();
+    if (replica_) {
+        vouch.logged = replica_->logged_lease_version();
+        vouch.table = replica_->state().document().index;
+        vouch.voters = replica_->raft().voters();
+        vouch.voters_index = replica_->raft().voters_index();
+        vouch.leader = replica_->raft().leader();
+    }
+    const Time now = BootClock::now();
+    for (const auto& [name, session] : entries_) {
+        if (now - session.heard > EntrySessionKept)
+            continue;
+        ++vouch.entries;
+        vouch.in_flight_total += session.renew.in_flight;
+    }
+    return vouch;
+}
+
+void Coordinator::on_renew(const Link::Ptr& link, const Renew& renew) {
+    if (link->peer().role != ProcessRole::Entry)
+        return;
+    EntrySession& session = entries_[renew.entry];
+    const bool new_link = session.link != link;
+    session.link = link;
+    session.renew = renew;
+    session.heard = BootClock::now();
+    if (renew.calls > 0)
+        for (auto& [service, planner] : planners_)
+            planner.traffic_began();
+    // A closed log can vouch for nothing.
+    if (replica_)
+        link->send(make_vouch(renew.sequence));
+    if (new_link && leads())
+        tell_dissolved(link);
+    if (replica_ && renew.want_delta && renew.lease < replica_->state().document().index)
+        link->send(DocumentPush{replica_->state().document()});
+    session.digest_misses = renew.registry == registry_.digest() ? 0 : session.digest_misses + 1;
+    if (session.digest_misses > DigestMissesAllowed || (new_link && session.digest_misses > 0)) {
+        session.digest_misses = 0;
+        send_registry([&link](const Wire& message) { link->send(message); });
+    }
+}
+
+// ---- registrations
+
+void Coordinator::send_registry(const std::function<void(const Wire&)>& send) const {
+    EndpointChanges all;
+    for (const auto& [id, item] : registry_.items())
+        all.reports.push_back(item.report);
+    send(all);
+}
+
+void Coordinator::report(const EndpointReport& report) {
+    merge(report, true);
+}
+
+void Coordinator::heard(const EndpointId& id) {
+    registry_.heard(id, BootClock::now());
+    alive_.insert(id);
+}
+
+void Coordinator::gone(const EndpointId& id) {
+    if (!registry_.mark_gone(id, BootClock::now()))
+        return;
+    changed(registry_.find(id)->report, true);
+    flush_changes();
+}
+
+void Coordinator::merge(const EndpointReport& report, bool first_hand) {
+    const Time now = BootClock::now();
+    const Registry::Item* before = registry_.find(report.id);
+    const EndpointPhase phase = before == nullptr ? EndpointPhase::Serving : before->report.phase;
+    const bool is_change = registry_.merge(report, now);
+    if (first_hand)
+        alive_.insert(report.id);
+    if (!is_change)
+        return;
+    const EndpointReport& current = registry_.find(report.id)->report;
+    if (first_hand)
+        changed(current, true);
+    else if (current.phase != phase)
+        changed(current, false);
+    else if (GroupPlanner* planner = planner_of(current.service))
+        planner->observe(current, now);
+    // The one who registers is answered after this: nobody may still send it work then.
+    if (first_hand && current.phase != EndpointPhase::Serving)
+        flush_changes();
+    plan_soon();
+}
+
+void Coordinator::changed(const EndpointReport& report, bool to_peers) {
+    if (GroupPlanner* planner = planner_of(report.service))
+        planner->observe(report, BootClock::now());
+    const Membership& membership = report.membership;
+    log(LogLevel::Info, "endpoint",
+        {{"id", report.id},
+         {"address", report.address},
+         {"phase", std::to_string(static_cast<int>(report.phase))},
+         {"group", membership.group},
+         {"state", report.grouped() ? std::string(name_of(membership.state)) : "none"},
+         {"rank", std::to_string(membership.rank)},
+         {"sequence", std::to_string(report.sequence)}});
+    (to_peers ? changes_ : entry_changes_).push_back(report);
+    if (std::exchange(flush_posted_, true))
+        return;
+    asio::post(io_, [this] { flush_changes(); });
+}
+
+void Coordinator::flush_changes() {
+    flush_posted_ = false;
+    if (changes_.empty() && entry_changes_.empty())
+        return;
+    const EndpointChanges to_peers{std::exchange(changes_, {})};
+    EndpointChanges to_entries = to_peers;
+    for (EndpointReport& report : std::exchange(entry_changes_, {}))
+        to_entries.reports.push_back(std::move(report));
+    for (auto& [name, session] : entries_)
+        if (session.link)
+            session.link->send(to_entries);
+    if (to_peers.reports.empty())
+        return;
+    for (auto& [address, peer] : peers_)
+        peer.dialer->send(to_peers);
+}
+
+// ---- groups
+
+GroupPlanner* Coordinator::planner_of(const std::string& service) {
+    const auto found = planners_.find(service);
+    return found == planners_.end() ? nullptr : &found->second;
+}
+
+void Coordinator::plan_soon() {
+    if (!leads() || std::exchange(plan_posted_, true))
+        return;
+    asio::post(io_, [this] {
+        plan_posted_ = false;
+        plan();
+    });
+}
+
+void Coordinator::plan() {
+    const Time now = BootClock::now();
+    plan_due_ = now + PlanEvery;
+    if (!replica_ || !replica_->ready())
+        return;
+    for (auto& [service, service_planner] : planners_) {
+        GroupPlanner& planner = service_planner;
+        for (const EndpointOrder& order : planner.plan(registry_, now))
+            give(planner, order);
+        for (const EndpointId& id : planner.take_probes()) {
+            const Registry::Item* item = registry_.find(id);
+            if (item == nullptr) {
+                planner.probed(id, false, now);
+                continue;
+            }
+            orders_.probe(item->report, [this, &planner, id](bool alive) {
+                planner.probed(id, alive, BootClock::now());
+                plan_soon();
+            });
+        }
+        for (const PlanEvent& event : planner.take_events())
+            log(LogLevel::Info, "group " + event.what,
+                {{"group", event.group},
+                 {"endpoint", event.endpoint},
+                 {"why", event.why},
+                 {"term", std::to_string(replica_->raft().term())}});
+    }
+    tell_dissolved(nullptr);
+}
+
+// Entry hosts believe a lead's own report. A lost lead can not take back its last one.
+void Coordinator::tell_dissolved(const Link::Ptr& only) {
+    GroupsDissolved message;
+    std::set<Epoch> all;
+    for (const auto& [service, planner] : planners_)
+        for (const Epoch epoch : planner.dissolved(registry_))
+            all.insert(epoch);
+    const bool news = !std::includes(dissolved_.begin(), dissolved_.end(), all.begin(), all.end());
+    dissolved_ = all;
+    message.epochs.assign(all.begin(), all.end());
+    if (message.epochs.empty())
+        return;
+    if (only)
+        only->send(message);
+    else if (news)
+        for (auto& [name, session] : entries_)
+            if (session.link)
+                session.link->send(message);
+}
+
+void Coordinator::give(GroupPlanner& planner, const EndpointOrder& order) {
+    Metrics::instance()
+        .counter("liftweir_orders", "kind=\"" + std::string(name_of(order.kind)) + "\"")
+        .add();
+    const Time sent = BootClock::now();
+    orders_.send(order, [this, &planner, order, sent](OrderAnswer answer) {
+        const Time now = BootClock::now();
+        log(LogLevel::Info, "order",
+            {{"kind", std::string(name_of(order.kind))},
+             {"endpoint", order.endpoint},
+             {"group", order.group},
+             {"answer", std::string(name_of(answer))},
+             {"took_ms", std::to_string(to_millis(now - sent))}});
+        planner.answered(order, answer, now);
+        plan_soon();
+    });
+}
+
+} // namespace liftweir
--- a/src/process/firstlayout.cpp
+++ b/src/process/firstlayout.cpp
@@ -23,6 +23,7 @@
         plan.hosts.push_back(host.id);
     }
     std::vector<DomainPlan> out;
+    out.reserve(domains.size());
     for (auto& [name, plan] : domains)
         out.push_back(std::move(plan));
     std::stable_sort(out.begin(), out.end(), [](const DomainPlan& a, const DomainPlan& b) {
--- a/src/process/firstlayout.h
+++ b/src/process/firstlayout.h
@@ -20,8 +20,8 @@
 
 // Which model each host begins with. Hosts of one domain get the same model as far as shares
 // allow, since the survivors of a lost member are spares only for groups of their own model and
-// domain. A model may so stand in one domain alone, which may go dark as a whole; to give it a group
-// elsewhere too costs the other models more on most days (docs/MEASUREMENTS.md).
+// domain. A model may so stand in one domain alone, which may go dark as a whole; to give it a
+// group elsewhere too costs the other models more on most days (docs/MEASUREMENTS.md).
 std::map<EndpointId, std::string> assign_models(const std::vector<ColdHost>& hosts,
                                                 const std::vector<ModelShape>& models);
 
--- a/src/process/fleetconfig.cpp
+++ b/src/process/fleetconfig.cpp
@@ -50,8 +50,8 @@
     void millis(const char* key, Duration& out) {
         double value = static_cast<double>(to_millis(out));
         number(key, value);
-        out = std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double, std::milli>(value));
+        out =
+            std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(value));
     }
     void seconds(const char* key, Duration& out) {
         double value = static_cast<double>(to_millis(out)) / MillisPerSecond;
--- a/src/process/fleetconfig.h
+++ b/src/process/fleetconfig.h
@@ -13,9 +13,9 @@
 
 // What the platform's operators promise their users; liftweir keeps its own limits inside these.
 struct FleetBounds {
-    Duration beat = std::chrono::milliseconds(1200);  // between two registrations of an endpoint
-    Duration drain = std::chrono::milliseconds(2000); // a leaving endpoint gets nothing after this
-    Duration grace = std::chrono::seconds(8);         // from SIGTERM to SIGKILL
+    Duration beat = std::chrono::milliseconds(1200);   // between two registrations of an endpoint
+    Duration drain = std::chrono::milliseconds(2000);  // a leaving endpoint gets nothing after this
+    Duration grace = std::chrono::seconds(8);          // from SIGTERM to SIGKILL
     Duration revoke = std::chrono::milliseconds(5000); // a removed key works no longer than this
     bool fail_closed = true; // without touch to control, keys are not believed after `revoke`
     Duration load_window = std::chrono::seconds(5);
@@ -32,15 +32,15 @@
     std::string name;
     std::string zone;
     std::string ip;
-    std::uint16_t link_port = 0;    // for links of the system's own processes, on every host
-    std::string link_listen;        // ip:port that is bound for links, where it is another one
-    std::vector<std::string> seeds; // ip:port of some control hosts, for operators
-    bool first_start = false;       // of the whole system, with empty disks
-    std::string data;               // folder of a control host
-    std::string control;            // ip:port for operators and endpoints
-    std::string callers;            // ip:port for callers
-    std::string ready;              // ip:port for the balancer's question
-    std::string metrics;            // ip:port
+    std::uint16_t link_port = 0;       // for links of the system's own processes, on every host
+    std::string link_listen;           // ip:port that is bound for links, where it is another one
+    std::vector<std::string> seeds;    // ip:port of some control hosts, for operators
+    bool first_start = false;          // of the whole system, with empty disks
+    std::string data;                  // folder of a control host
+    std::string control;               // ip:port for operators and endpoints
+    std::string callers;               // ip:port for callers
+    std::string ready;                 // ip:port for the balancer's question
+    std::string metrics;               // ip:port
     std::uint32_t tolerated_hosts = 1; // control hosts that may be lost at once
     FleetBounds bounds;
 
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -49,8 +49,7 @@
       protocol_(protocol),
       decode_(std::move(decode)),
       identity_{ProcessRole::Entry, config_.name, new_incarnation()},
-      lease_({}, identity_.incarnation,
-             std::max(LeastLease, config_.bounds.revoke - LeaseMargin)),
+      lease_({}, identity_.incarnation, std::max(LeastLease, config_.bounds.revoke - LeaseMargin)),
       directory_(identity_.incarnation),
       pool_(make_channel_pool(io)),
       random_(static_cast<std::minstd_rand::result_type>(identity_.incarnation)),
@@ -66,11 +65,10 @@
         e->respond(ready() ? 200 : 503, {}, ready() ? "ready\n" : "not ready\n");
     });
     if (!config_.metrics.empty())
-        metrics_ = serve_http(io_, config_.metrics, {},
-                              [](const std::shared_ptr<HttpExchange>& e) {
-                                  e->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
-                                             Metrics::instance().text());
-                              });
+        metrics_ = serve_http(io_, config_.metrics, {}, [](const std::shared_ptr<HttpExchange>& e) {
+            e->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                       Metrics::instance().text());
+        });
     Metrics& metrics = Metrics::instance();
     metrics.gauge("liftweir_calls_in_flight",
                   [this] { return static_cast<double>(calls_.size()); });
@@ -211,8 +209,8 @@
     callers_->set_limits(limits_of(table_->deployment().limits));
     for (const Service& service : table_->deployment().services) {
         const FleetBounds& bounds = config_.bounds;
-        const auto [budget, added] = budgets_.try_emplace(
-            service.name, bounds.retry_window, bounds.retry_ratio, bounds.retry_slack);
+        const auto [budget, added] = budgets_.try_emplace(service.name, bounds.retry_window,
+                                                          bounds.retry_ratio, bounds.retry_slack);
         if (added)
             budget->second.set_share(share_);
     }
@@ -241,9 +239,7 @@
 
 void Gateway::answer_self(HttpExchange& exchange, const CallerRequest& request, int status,
                           const char* kind, Duration retry_after) {
-    Metrics::instance()
-        .counter("liftweir_refused", std::string("kind=\"") + kind + "\"")
-        .add();
+    Metrics::instance().counter("liftweir_refused", std::string("kind=\"") + kind + "\"").add();
     log(LogLevel::Info, "refused",
         {{"request", request.id},
          {"kind", kind},
@@ -344,9 +340,8 @@
         for (const auto& call : std::set<std::shared_ptr<RelayedCall>>(calls_))
             call->stalled(id, now);
     }
-    std::erase_if(suspected_, [&](const auto& item) {
-        return now - item.second > 10 * SuspectEvery;
-    });
+    std::erase_if(suspected_,
+                  [&](const auto& item) { return now - item.second > 10 * SuspectEvery; });
 }
 
 void Gateway::tell_suspicion(const EndpointId& id, Time now) {
@@ -362,8 +357,8 @@
          {"group", item->report.membership.group},
          {"streams", std::to_string(watch.waiting())},
          {"silent_ms", std::to_string(silent)}});
-    send_to_control(GroupSuspected{item->report.membership.epoch, id,
-                                   static_cast<std::uint32_t>(silent)});
+    send_to_control(
+        GroupSuspected{item->report.membership.epoch, id, static_cast<std::uint32_t>(silent)});
 }
 
 // ---- leaving
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -75,7 +75,7 @@
     std::unique_ptr<HttpServer> ready_;
     std::unique_ptr<HttpServer> metrics_;
     std::map<std::string, std::unique_ptr<Dialer>> control_; // by link address
-    std::map<std::string, NodeId> nodes_; // by link address, from their answers
+    std::map<std::string, NodeId> nodes_;                    // by link address, from their answers
     std::string source_; // control host that pushes the document
     StoredDocument document_;
     std::shared_ptr<const RouteTable> table_;
--- a/src/process/groupplanner.cpp
+++ b/src/process/groupplanner.cpp
@@ -1,8 +1,9 @@
 #include "process/groupplanner.h"
 
+#include "process/groupname.h"
+
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace liftweir {
 
@@ -14,38 +15,15 @@
 // The deposed leader stops giving orders within an election timeout; what it sent just before
 // has arrived by then, or meets a higher fence.
 constexpr Duration TakeoverWait = std::chrono::milliseconds(400);
-// Hosts register within one beat of each other; the layout waits until no new one has come for so
-// long.
-constexpr Duration SettleTime = std::chrono::milliseconds(1000);
 constexpr Duration SilentFor = std::chrono::milliseconds(3000);
 constexpr Duration ProbeEvery = std::chrono::milliseconds(400);
 // Suspicion that is not renewed for so long is over.
 constexpr Duration SuspicionKept = std::chrono::milliseconds(900);
 // All members answer control, and yet nothing moves: they may be cut off from each other.
 constexpr int SoundRoundsBelieved = 6;
-constexpr Duration FormingSlack = std::chrono::milliseconds(1500);
 // Endpoints let a leaving member's group finish for 10 s at most.
 constexpr Duration MostClosing = std::chrono::seconds(10);
 constexpr Duration DeadKept = std::chrono::seconds(60);
-constexpr char NameSeparator = '.';
-constexpr char WarmUpMark = 'w';
-
-// A group's name carries its model, so that a new leader can read it back from any member.
-std::string group_name(const std::string& model, Epoch epoch, bool warm_up) {
-    std::string name = model + NameSeparator;
-    if (warm_up)
-        name += WarmUpMark;
-    return name + std::to_string(epoch);
-}
-
-bool names_warm_up(const std::string& group) {
-    const auto at = group.rfind(NameSeparator);
-    return at != std::string::npos && at + 1 < group.size() && group[at + 1] == WarmUpMark;
-}
-
-std::string model_of(const std::string& group) {
-    return group.substr(0, group.rfind(NameSeparator));
-}
 
 } // namespace
 
@@ -109,7 +87,7 @@
     if (group.epoch == NoEpoch) {
         group.epoch = membership.epoch;
         group.name = membership.group;
-        group.model = model_of(membership.group);
+        group.model = model_of_group(membership.group);
         group.warm_up = names_warm_up(membership.group);
         group.may_have_opened = !group.warm_up;
         group.since = now;
@@ -216,8 +194,7 @@
     const EndpointReport* lead = report_of(group.members.front());
     if (lead == nullptr)
         return false;
-    return lead->membership.epoch != group.epoch ||
-           lead->membership.state == MemberState::Broken;
+    return lead->membership.epoch != group.epoch || lead->membership.state == MemberState::Broken;
 }
 
 // Whether a member may be in no other group yet. It is set free by its own word that it left, or
@@ -319,8 +296,8 @@
 std::size_t GroupPlanner::target(const ModelShape& model, Time now) const {
     std::size_t hosts = 0;
     for (const auto& [id, item] : registry_->items())
-        hosts += item.report.service == service_ &&
-                         item.report.phase == EndpointPhase::Serving && alive(id, now)
+        hosts += item.report.service == service_ && item.report.phase == EndpointPhase::Serving &&
+                         alive(id, now)
                      ? 1
                      : 0;
     const double groups = model.share * static_cast<double>(hosts) / model.size;
@@ -429,9 +406,10 @@
         order(OrderKind::Open, *lead, &group);
         note("opening", group.name, lead->id, "all members are ready");
     }
-    const Time overdue = group.expected == Time{} ? group.since + engine_.open_delay + FormingSlack +
-                                                        (model->load + model->warm_join)
-                                                  : group.expected + FormingSlack;
+    const Time overdue =
+        group.expected == Time{}
+            ? group.since + engine_.open_delay + FormingSlack + (model->load + model->warm_join)
+            : group.expected + FormingSlack;
     if (now > overdue)
         bury(group, "not ready in time", now);
 }
@@ -569,221 +547,4 @@
     }
 }
 
-// ---- formation
-
-void GroupPlanner::form_groups(Time now) {
-    std::size_t known = 0;
-    for (const auto& [id, item] : registry_->items())
-        known += item.report.service == service_ ? 1 : 0;
-    if (known != hosts_known_) {
-        hosts_known_ = known;
-        hosts_changed_ = now;
-    }
-    if (ever_open_.empty() && now - hosts_changed_ < SettleTime)
-        return;
-    if (ever_open_.empty() && !traffic_ && assignment_.empty())
-        assignment_ = assign_models(cold_hosts(now), engine_.models);
-    std::set<std::string> hopeless;
-    while (hopeless.size() < engine_.models.size()) {
-        const ModelShape* neediest = nullptr;
-        double lowest = std::numeric_limits<double>::max();
-        for (const ModelShape& model : engine_.models) {
-            if (hopeless.contains(model.name))
-                continue;
-            const double have = static_cast<double>(live_groups(model.name)) /
-                                static_cast<double>(target(model, now));
-            if (have < lowest || (neediest != nullptr && have == lowest &&
-                                  model.size > neediest->size)) {
-                lowest = have;
-                neediest = &model;
-            }
-        }
-        if (neediest == nullptr)
-            return;
-        if (!form_one(neediest->name, now))
-            hopeless.insert(neediest->name);
-    }
-}
-
-std::vector<ColdHost> GroupPlanner::cold_hosts(Time now) const {
-    std::vector<ColdHost> hosts;
-    for (const auto& [domain, item] : free_by_domain(now))
-        for (const EndpointReport* report : item.free)
-            if (report->staged.empty())
-                hosts.push_back({report->id, domain});
-    return hosts;
-}
-
-bool GroupPlanner::assigned(const EndpointReport& report, const std::string& model) const {
-    const auto found = assignment_.find(report.id);
-    return report.staged.empty() && found != assignment_.end() && found->second == model;
-}
-
-// Every group that can be formed within a domain is formed: a host that waits as a spare serves
-// nobody, and the first loss in a domain leaves spares enough for the next ones.
-bool GroupPlanner::form_one(const std::string& name, Time now) {
-    const ModelShape& model = *shape(name);
-    const bool from_nothing = !ever_open_.contains(name);
-    const auto domains = free_by_domain(now);
-    std::vector<const EndpointReport*> best;
-    std::size_t best_free = 0;
-    std::size_t best_groups = 0;
-    for (const auto& [domain, hosts] : domains) {
-        std::vector<const EndpointReport*> fit;
-        for (const EndpointReport* report : hosts.free)
-            if (staged(*report, name) || (from_nothing && !traffic_ && assigned(*report, name)))
-                fit.push_back(report);
-        if (fit.size() < model.size)
-            continue;
-        const std::size_t groups = live_groups(name, domain);
-        const bool better = best.empty() || groups < best_groups ||
-                            (groups == best_groups && fit.size() > best_free);
-        if (!better)
-            continue;
-        best_free = fit.size();
-        best_groups = groups;
-        best = std::move(fit);
-    }
-    if (best.empty())
-        best = across_domains(model, now);
-    if (best.empty())
-        return false;
-    std::stable_sort(best.begin(), best.end(), [&](const auto* a, const auto* b) {
-        const auto rank = [&](const EndpointReport* r) {
-            return staged(*r, name) ? (hosts_.at(r->id).warm == name ? 0 : 1) : 2;
-        };
-        return rank(a) < rank(b);
-    });
-    best.resize(std::min<std::size_t>(best.size(), model.size));
-    form(model, best, from_nothing ? "first group" : "below its share", now);
-    return true;
-}
-
-// Across domains a group is several times slower, which is still better than none. Beside groups
-// that stand it does harm: it takes the spares that would mend them. It takes hosts first that are
-// of no use as spares, in domains without a group of the model.
-std::vector<const EndpointReport*> GroupPlanner::across_domains(const ModelShape& model,
-                                                                Time now) const {
-    std::vector<const EndpointReport*> hosts;
-    if (live_groups(model.name) > 0)
-        return hosts;
-    for (const auto& [domain, item] : free_by_domain(now))
-        for (const EndpointReport* report : item.free)
-            if (staged(*report, model.name))
-                hosts.push_back(report);
-    if (hosts.size() < model.size)
-        return {};
-    std::stable_sort(hosts.begin(), hosts.end(), [&](const auto* a, const auto* b) {
-        return live_groups(model.name, a->domain) < live_groups(model.name, b->domain);
-    });
-    hosts.resize(model.size);
-    return hosts;
-}
-
-void GroupPlanner::form(const ModelShape& model, const std::vector<const EndpointReport*>& hosts,
-                        const std::string& why, Time now) {
-    const Epoch epoch = next_number();
-    Group& group = groups_[epoch];
-    group.epoch = epoch;
-    group.warm_up = hosts.size() == 1 && model.size != 1;
-    group.name = group_name(model.name, epoch, group.warm_up);
-    group.model = model.name;
-    group.since = now;
-    group.ours = true;
-    group.may_have_opened = false;
-    Duration longest{};
-    for (const EndpointReport* report : hosts) {
-        group.members.push_back(report->id);
-        const Host& host = hosts_[report->id];
-        const Duration joins = host.warm == model.name ? std::chrono::milliseconds(200)
-                               : staged(*report, model.name) ? model.warm_join
-                                                             : model.load;
-        longest = std::max(longest, joins);
-    }
-    const auto slower = static_cast<int>(hosts_known_ / std::max(1u, engine_.loads_at_once) + 1);
-    group.expected = now + (longest == model.load ? longest * slower : longest) + bounds_.beat;
-    for (const EndpointReport* report : hosts) {
-        if (!staged(*report, model.name))
-            loads_.begun(now);
-        order(OrderKind::Join, *report, &group);
-    }
-    note(group.warm_up ? "warming" : "formed", group.name, group.members.front(), why);
-}
-
-// ---- spares
-
-std::string GroupPlanner::model_to_stage(const EndpointReport& report, Time now) const {
-    std::string best;
-    double best_score = 0;
-    for (const ModelShape& model : engine_.models) {
-        std::size_t spares = 0;
-        for (const auto& [id, item] : registry_->items()) {
-            if (item.report.domain != report.domain || id == report.id)
-                continue;
-            const auto host = hosts_.find(id);
-            const bool staging = host != hosts_.end() && now < host->second.staging_until &&
-                                 host->second.staging == model.name;
-            spares += staging || (is_free(item.report, now) && staged(item.report, model.name)) ? 1
-                                                                                                : 0;
-        }
-        const std::size_t here = live_groups(model.name, report.domain) * model.size;
-        const bool wanted = live_groups(model.name) < target(model, now);
-        double score = static_cast<double>(here) / static_cast<double>(1 + 2 * spares);
-        if (wanted && (spares + 1) % model.size == 0)
-            score += 2.0 * model.size;
-        else if (wanted)
-            score += static_cast<double>(spares + 1) / model.size;
-        // A model that lacks groups everywhere goes before a local spare of one that has enough.
-        const double live = std::max(0.5, static_cast<double>(live_groups(model.name)));
-        score *= static_cast<double>(target(model, now)) / live;
-        if (best.empty() || score > best_score) {
-            best = model.name;
-            best_score = score;
-        }
-    }
-    return best;
-}
-
-void GroupPlanner::stage_spares(Time now) {
-    if (ever_open_.empty() && now - hosts_changed_ < SettleTime)
-        return;
-    for (const auto& [id, item] : registry_->items()) {
-        const EndpointReport& report = item.report;
-        if (!is_free(report, now) || !report.staged.empty())
-            continue;
-        if (traffic_ && !loads_.allows(now))
-            return;
-        const auto given = assignment_.find(id);
-        const std::string model =
-            given != assignment_.end() ? given->second : model_to_stage(report, now);
-        if (model.empty())
-            return;
-        Host& host = hosts_[id];
-        host.staging = model;
-        host.staging_until = now + 2 * shape(model)->load + FormingSlack;
-        loads_.begun(now);
-        order(OrderKind::Stage, report, nullptr).model = model;
-        note("staging", "", id, model);
-    }
-}
-
-// Joining takes a fifth of a second for a host that was in a group of the model since its start,
-// and over a second for one that has the weights on its disk only.
-void GroupPlanner::warm_spares(Time now) {
-    for (const auto& [id, item] : registry_->items()) {
-        const EndpointReport& report = item.report;
-        if (report.staged.empty() || !is_free(report, now))
-            continue;
-        const ModelShape* model = shape(report.staged.back());
-        const bool forming = std::any_of(groups_.begin(), groups_.end(), [&](const auto& pair) {
-            const Group& group = pair.second;
-            return group.warm_up && group.phase == Phase::Forming &&
-                   group.members.front() == id;
-        });
-        if (model == nullptr || model->size == 1 || forming || hosts_[id].warm == model->name)
-            continue;
-        form(*model, {&report}, "spare", now);
-    }
-}
-
 } // namespace liftweir
--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -104,23 +104,23 @@
         std::string model;
         std::vector<EndpointId> members; // by rank; empty where not yet known
         Phase phase = Phase::Forming;
-        Time since{};              // begin of the phase
-        bool ours = false;         // formed by this host in this term
-        bool warm_up = false;      // one host alone, only to have the weights in its memory
+        Time since{};         // begin of the phase
+        bool ours = false;    // formed by this host in this term
+        bool warm_up = false; // one host alone, only to have the weights in its memory
         bool may_have_opened = true;
         bool closed = false;       // in service before, and the lead says that it is no more
         std::set<EndpointId> left; // members that have confirmed that they left
         Time open_due{};           // the lead is told again to open if it has not by then
         Time expected{};           // when a forming group should be ready
         Time suspected{};
-        Time probed{};             // begin of the last round of probes
+        Time probed{};                // begin of the last round of probes
         std::set<EndpointId> awaited; // probes without an answer
-        int sound_rounds = 0;      // rounds in which all answered though nothing moved
+        int sound_rounds = 0;         // rounds in which all answered though nothing moved
     };
 
     struct Host {
-        std::string warm;     // model that it could join at once
-        Time silent_until{};  // did not answer an order or a probe
+        std::string warm;    // model that it could join at once
+        Time silent_until{}; // did not answer an order or a probe
         Time staging_until{};
         std::string staging;
         bool ordered = false; // an order is under way
@@ -170,6 +170,10 @@
     void note(std::string what, const std::string& group, const EndpointId& endpoint,
               std::string why);
 
+    // Hosts register within one beat of each other; the layout waits until no new one has come for
+    // so long.
+    static constexpr Duration SettleTime = std::chrono::milliseconds(1000);
+    static constexpr Duration FormingSlack = std::chrono::milliseconds(1500);
     // Orders and groups of one term; a term with more is ended by an overflow into the next.
     static constexpr unsigned CounterBits = 20;
 
@@ -187,7 +191,7 @@
     const Registry* registry_ = nullptr; // only within plan()
     std::map<Epoch, Group> groups_;
     std::map<EndpointId, Host> hosts_;
-    std::set<std::string> ever_open_; // models
+    std::set<std::string> ever_open_;              // models
     std::map<EndpointId, std::string> assignment_; // models of hosts that began empty
     LoadBudget loads_;
     std::vector<EndpointOrder> orders_;
--- a/src/process/loadbudget.cpp
+++ b/src/process/loadbudget.cpp
@@ -15,7 +15,8 @@
 void LoadBudget::configure(double loads_per_second, Duration window) {
     window_ = window;
     const double seconds = std::chrono::duration<double>(window).count();
-    most_ = std::max<std::size_t>(1, static_cast<std::size_t>(loads_per_second * seconds * UsedShare));
+    most_ =
+        std::max<std::size_t>(1, static_cast<std::size_t>(loads_per_second * seconds * UsedShare));
 }
 
 void LoadBudget::assume_full(Time now) {
--- a/src/process/logging.cpp
+++ b/src/process/logging.cpp
@@ -93,15 +93,15 @@
     pollfd wait{descriptor, POLLOUT, 0};
     if (::poll(&wait, 1, 0) != 1 || (wait.revents & POLLOUT) == 0)
         return false;
-    return ::write(descriptor, bytes.data(), bytes.size()) ==
-           static_cast<ssize_t>(bytes.size());
+    return ::write(descriptor, bytes.data(), bytes.size()) == static_cast<ssize_t>(bytes.size());
 }
 
 void start_logging(const std::string& process) {
     process_name = process;
     on_terminal = ::isatty(STDOUT_FILENO) != 0;
-    blog::core::get()->add_sink(boost::make_shared<blog::sinks::synchronous_sink<NonBlockingBackend>>(
-        boost::make_shared<NonBlockingBackend>()));
+    blog::core::get()->add_sink(
+        boost::make_shared<blog::sinks::synchronous_sink<NonBlockingBackend>>(
+            boost::make_shared<NonBlockingBackend>()));
     set_log_level("info");
 }
 
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -34,6 +34,10 @@
     return ip_of(node) + ":" + std::to_string(port);
 }
 
+std::string text_of(NodeId node) {
+    return std::to_string(node >> AddressBits) + "@" + ip_of(node);
+}
+
 bool same_host(NodeId a, NodeId b) {
     return (a & AddressMask) == (b & AddressMask);
 }
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -19,6 +19,8 @@
 std::string address_of(NodeId node, std::uint16_t port);
 std::string ip_of(NodeId node);
 bool same_host(NodeId a, NodeId b);
+// "folder@ip", for logs.
+std::string text_of(NodeId node);
 
 // Reads the number of a data folder, or draws one and keeps it. `founder` only at the very first
 // start of the whole system. Fails with Storage.
--- a/src/process/program.cpp
+++ b/src/process/program.cpp
@@ -88,14 +88,14 @@
     watch->seen = changed_at();
     Watch* w = watch.get();
     watch->on_signal = [w, watch_ref = std::weak_ptr<Watch>(watch), changed_at, reload] {
-        w->signals.async_wait([watch = watch_ref.lock(), changed_at, reload](asio::error_code error,
-                                                                             int) {
-            if (error)
-                return;
-            watch->seen = changed_at();
-            reload();
-            watch->on_signal();
-        });
+        w->signals.async_wait(
+            [watch = watch_ref.lock(), changed_at, reload](asio::error_code error, int) {
+                if (error)
+                    return;
+                watch->seen = changed_at();
+                reload();
+                watch->on_signal();
+            });
     };
     watch->on_timer = [w, watch_ref = std::weak_ptr<Watch>(watch), changed_at, reload] {
         w->timer.expires_after(SettingsFilePoll);
--- a/src/process/registry.h
+++ b/src/process/registry.h
@@ -46,7 +46,7 @@
     std::string service;
     std::string address; // ip:port
     std::string zone;
-    std::string domain;  // fabric domain; empty for plain services
+    std::string domain; // fabric domain; empty for plain services
     EndpointPhase phase = EndpointPhase::Serving;
     std::uint32_t slots = 0;
     std::vector<std::string> staged; // models whose weights lie on its host
--- a/src/request/callerprotocol.h
+++ b/src/request/callerprotocol.h
@@ -16,7 +16,7 @@
     std::string id; // the caller's own, one for each attempt; empty where it gave none
     std::string host;
     std::string path;
-    std::optional<std::string> key; // of a customer
+    std::optional<std::string> key;   // of a customer
     std::optional<Duration> patience; // how long the caller will wait from now
     std::string model;                // empty for plain services
     std::uint32_t prompt_tokens = 0;
@@ -50,7 +50,8 @@
   public:
     virtual ~CallerProtocol() = default;
     virtual CallerRequest read(const HttpExchange& exchange) const = 0;
-    virtual HttpRequestHead forward(const HttpExchange& exchange, const ForwardNote& note) const = 0;
+    virtual HttpRequestHead forward(const HttpExchange& exchange,
+                                    const ForwardNote& note) const = 0;
     virtual AnswerNote judge(const HttpResponseHead& head, const CallerRequest& request) const = 0;
     // Headers of an answer that liftweir gives itself; `retry_after` zero where it names none.
     virtual HttpHeaders own_answer(const CallerRequest& request, Duration retry_after) const = 0;
--- a/src/request/directory.cpp
+++ b/src/request/directory.cpp
@@ -1,5 +1,7 @@
 #include "request/directory.h"
 
+#include "process/groupname.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -20,10 +22,6 @@
 
 } // namespace
 
-std::string model_of_group(const std::string& group) {
-    return group.substr(0, group.rfind('.'));
-}
-
 void Directory::expire(Time now) {
     registry_.expire(now);
     std::erase_if(uses_, [&](const auto& item) {
@@ -51,8 +49,7 @@
 }
 
 tl::expected<Pick, PickFailure> Directory::pick_group(const Demand& demand,
-                                                      const std::set<EndpointId>& tried,
-                                                      Time now) {
+                                                      const std::set<EndpointId>& tried, Time now) {
     const EngineCost& engine = *demand.service->engine;
     const auto shape = std::find_if(engine.models.begin(), engine.models.end(),
                                     [&](const ModelShape& m) { return m.name == demand.model; });
@@ -69,8 +66,7 @@
             model_of_group(report.membership.group) != demand.model)
             continue;
         const EndpointUse& use = uses_[id];
-        if (use.avoided(now) || tried.contains(id) ||
-            dissolved_.contains(report.membership.epoch))
+        if (use.avoided(now) || tried.contains(id) || dissolved_.contains(report.membership.epoch))
             continue;
         any_open = true;
         GroupLoad load = use.load;
@@ -99,8 +95,7 @@
 }
 
 tl::expected<Pick, PickFailure> Directory::pick_plain(const Demand& demand,
-                                                      const std::set<EndpointId>& tried,
-                                                      Time now) {
+                                                      const std::set<EndpointId>& tried, Time now) {
     std::optional<Pick> best;
     std::pair<int, double> best_score;
     for (const auto& [id, item] : registry_.items()) {
--- a/src/request/directory.h
+++ b/src/request/directory.h
@@ -87,9 +87,6 @@
     std::set<Epoch> dissolved_;
 };
 
-// The model that a group holds, read from its name.
-std::string model_of_group(const std::string& group);
-
 } // namespace liftweir
 
 #endif // DIRECTORY_H_INCLUDED
--- a/src/request/groupload.cpp
+++ b/src/request/groupload.cpp
@@ -33,9 +33,8 @@
         load.seen_pass_ms > 0 && planned > 0
             ? std::clamp(load.seen_pass_ms / planned, LeastSlowdown, MostSlowdown)
             : 1.0;
-    const double full_pass =
-        model.pace * (steps +
-                      std::min(most_read, unread + prompt_tokens) / engine.read_tokens_per_ms);
+    const double full_pass = model.pace * (steps + std::min(most_read, unread + prompt_tokens) /
+                                                       engine.read_tokens_per_ms);
     const double passes = std::ceil((unread + prompt_tokens) / std::max(1.0, most_read));
     LoadForecast out;
     out.in_flight = sequences;
--- a/src/request/groupload.h
+++ b/src/request/groupload.h
@@ -10,10 +10,10 @@
 
 // What an entry host has under way at one group, and what it has seen of the group's speed.
 struct GroupLoad {
-    std::uint32_t writing = 0;       // streams past their first event
-    std::uint32_t reading = 0;       // requests before their first event
+    std::uint32_t writing = 0;        // streams past their first event
+    std::uint32_t reading = 0;        // requests before their first event
     std::uint64_t reading_tokens = 0; // prompt tokens of those
-    double seen_pass_ms = 0;         // smoothed time between events; zero where none was seen
+    double seen_pass_ms = 0;          // smoothed time between events; zero where none was seen
 
     std::uint32_t in_flight() const { return writing + reading; }
     auto operator<=>(const GroupLoad&) const = default;
@@ -31,8 +31,8 @@
 Duration longest_pass(const EngineCost& engine, const ModelShape& model);
 
 // Predicts what one more request meets at a group. The engine makes passes: in each it reads at
-// most a chunk of prompts at each of its steps and writes a few tokens of every stream. `others` is how many times
-// this host's own work all entry hosts have there together.
+// most a chunk of prompts at each of its steps and writes a few tokens of every stream. `others` is
+// how many times this host's own work all entry hosts have there together.
 LoadForecast forecast(const EngineCost& engine, const ModelShape& model, const GroupLoad& load,
                       std::uint32_t prompt_tokens, double others);
 
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -60,8 +60,8 @@
       request_(std::move(request)),
       plan_(std::move(plan)),
       received_(exchange_->received()),
-      deadline_(received_ + std::min(plan_.route->timeout,
-                                     request_.patience.value_or(plan_.route->timeout))),
+      deadline_(received_ +
+                std::min(plan_.route->timeout, request_.patience.value_or(plan_.route->timeout))),
       last_event_(request_.last_event) {}
 
 void RelayedCall::start() {
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -88,13 +88,13 @@
     bool done_ = false;
 
     std::unique_ptr<HttpCallHandle> call_;
-    EndpointId endpoint_; // empty while no endpoint has the request
+    EndpointId endpoint_;   // empty while no endpoint has the request
     std::string endpoints_; // all that had it, for the log
     std::set<EndpointId> tried_;
-    std::uint32_t sends_ = 0;  // that reached an endpoint, or may have
-    std::uint32_t runs_ = 0;   // that may have been run
+    std::uint32_t sends_ = 0; // that reached an endpoint, or may have
+    std::uint32_t runs_ = 0;  // that may have been run
     Time sent_{};
-    LoadForecast forecast_; // of the last pick
+    LoadForecast forecast_;   // of the last pick
     bool first_seen_ = false; // an event came from the present endpoint
     bool waiting_ = false;    // no endpoint takes it at the moment
 
--- a/src/version/deployment.cpp
+++ b/src/version/deployment.cpp
@@ -49,16 +49,15 @@
         if (auto good = check_route(deployment, route); !good)
             return good;
         if (!places.emplace(route.host, route.prefix).second)
-            return fail(FailureKind::BadSettings,
-                        "two routes at " + route.host + route.prefix);
+            return fail(FailureKind::BadSettings, "two routes at " + route.host + route.prefix);
     }
     for (const Service& service : deployment.services)
         if (auto good = check_engine(service); !good)
             return good;
     std::set<std::string> keys;
     for (const CustomerKeys& customer : deployment.customers)
-        for (const std::string& key : std::set<std::string>(customer.keys.begin(),
-                                                            customer.keys.end()))
+        for (const std::string& key :
+             std::set<std::string>(customer.keys.begin(), customer.keys.end()))
             if (!keys.insert(key).second)
                 return fail(FailureKind::BadSettings,
                             "customer " + customer.name + " shares a key with another");
--- a/src/version/deployment.h
+++ b/src/version/deployment.h
@@ -35,9 +35,9 @@
     std::string host;   // compared without regard to case
     std::string prefix; // begins and ends with a slash
     CallKind kind = CallKind::Unsafe;
-    Duration timeout{};      // longest time that a call may be held
-    Duration latency_goal{}; // to the answer, or to the first event of a stream
-    Duration pause_goal{};   // longest pause between two events; zero where none is set
+    Duration timeout{};         // longest time that a call may be held
+    Duration latency_goal{};    // to the answer, or to the first event of a stream
+    Duration pause_goal{};      // longest pause between two events; zero where none is set
     std::uint32_t priority = 0; // 0 is most urgent
     std::vector<WeightedService> split;
     std::uint32_t max_attempts = 1; // endpoints that one call may be sent to
@@ -53,28 +53,28 @@
 // A model and the shape of its groups.
 struct ModelShape {
     std::string name;
-    std::uint32_t size = 1;  // hosts of one group
-    double share = 1;        // part of the hosts that it is worth at the start
-    double pace = 1;         // factor on all engine times
-    Duration load{};         // from the weight store
-    Duration warm_join{};    // joining with the weights already on the host
+    std::uint32_t size = 1; // hosts of one group
+    double share = 1;       // part of the hosts that it is worth at the start
+    double pace = 1;        // factor on all engine times
+    Duration load{};        // from the weight store
+    Duration warm_join{};   // joining with the weights already on the host
 
     auto operator<=>(const ModelShape&) const = default;
 };
 
 // What an engine's work costs. Times are for pace 1.
 struct EngineCost {
-    std::uint32_t slots = 1;          // requests that a group works on at once
-    double step_ms = 0;               // one token step
-    double step_ms_per_sequence = 0;  // more for each request that writes
-    double read_tokens_per_ms = 1;    // prompt tokens
-    std::uint32_t chunk = 1;          // prompt tokens read in one pass at most
-    std::uint32_t stride = 1;         // token steps in one pass, each pass an event
-    double loads_per_second = 1;      // loads that may begin, over all hosts
-    std::uint32_t loads_at_once = 1;  // more slow each other down
-    Duration open_delay{};            // from the order to open until a group serves
-    double far_factor = 1;            // on all times of a group whose hosts are in two domains
-    std::uint32_t staged_kept = 1;    // models that a host keeps on its disk
+    std::uint32_t slots = 1;         // requests that a group works on at once
+    double step_ms = 0;              // one token step
+    double step_ms_per_sequence = 0; // more for each request that writes
+    double read_tokens_per_ms = 1;   // prompt tokens
+    std::uint32_t chunk = 1;         // prompt tokens read in one pass at most
+    std::uint32_t stride = 1;        // token steps in one pass, each pass an event
+    double loads_per_second = 1;     // loads that may begin, over all hosts
+    std::uint32_t loads_at_once = 1; // more slow each other down
+    Duration open_delay{};           // from the order to open until a group serves
+    double far_factor = 1;           // on all times of a group whose hosts are in two domains
+    std::uint32_t staged_kept = 1;   // models that a host keeps on its disk
     std::vector<ModelShape> models;
 
     auto operator<=>(const EngineCost&) const = default;
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -107,7 +107,8 @@
     const auto count = *rc::gen::inRange(1, 8);
     std::string stream;
     for (int i = 0; i < count; ++i)
-        stream += "id: " + std::to_string(i) + (i % 2 == 0 ? "\ndata: x\n\n" : "\r\ndata: y\r\n\r\n");
+        stream +=
+            "id: " + std::to_string(i) + (i % 2 == 0 ? "\ndata: x\n\n" : "\r\ndata: y\r\n\r\n");
     EventSplitter splitter;
     std::vector<std::string> events;
     std::size_t at = 0;
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -89,8 +89,11 @@
 TEST_F(KeeperTest, AWipedVoterIsReplacedByItsSuccessorAtOnce) {
     const Voters five{node(1), node(2), node(3), node(4), node(5)};
     const NodeId wiped = node(5, 77);
-    const std::vector<NodeView> views{live(node(2)), live(node(3)), live(node(4)),
-                                      {node(5), false, milliseconds(100)}, live(wiped)};
+    const std::vector<NodeView> views{live(node(2)),
+                                      live(node(3)),
+                                      live(node(4)),
+                                      {node(5), false, milliseconds(100)},
+                                      live(wiped)};
     const auto added = keeper_.next(node(1), five, views);
     ASSERT_TRUE(added);
     EXPECT_TRUE(added->contains(wiped));
@@ -149,8 +152,8 @@
     std::vector<EndpointReport> reports;
     const auto count = *rc::gen::inRange(1, 12);
     for (int i = 0; i < count; ++i) {
-        EndpointReport r = report(std::to_string(*rc::gen::inRange(1, 4)),
-                                  static_cast<std::uint64_t>(i + 1));
+        EndpointReport r =
+            report(std::to_string(*rc::gen::inRange(1, 4)), static_cast<std::uint64_t>(i + 1));
         r.membership = {"g", static_cast<Epoch>(*rc::gen::inRange(0, 3)), 0, MemberState::Ready};
         if (*rc::gen::inRange(0, 6) == 0)
             r.phase = EndpointPhase::Gone;
@@ -182,9 +185,8 @@
             begun.push_back(now);
         }
     for (const Time from : begun) {
-        const auto in_window = std::count_if(begun.begin(), begun.end(), [&](Time t) {
-            return t >= from && t < from + seconds(5);
-        });
+        const auto in_window = std::count_if(
+            begun.begin(), begun.end(), [&](Time t) { return t >= from && t < from + seconds(5); });
         EXPECT_LE(in_window, 15);
     }
     EXPECT_GT(begun.size(), 40u);
--- a/tests/unit/httpchannel_test.cpp
+++ b/tests/unit/httpchannel_test.cpp
@@ -38,23 +38,23 @@
 
     void serve(const std::shared_ptr<asio::ip::tcp::socket>& socket) {
         const auto buffer = std::make_shared<std::array<char, 4096>>();
-        socket->async_read_some(asio::buffer(*buffer), [this, socket, buffer](
-                                                           asio::error_code error, std::size_t n) {
-            if (error)
-                return;
-            requests_.append(buffer->data(), n);
-            if (scripts_.empty())
-                return;
-            const Script script = scripts_.front();
-            scripts_.pop_front();
-            asio::write(*socket, asio::buffer(script.bytes));
-            if (script.reset)
-                socket->set_option(asio::socket_base::linger(true, 0));
-            if (script.close || script.reset)
-                socket->close();
-            else
-                serve(socket);
-        });
+        socket->async_read_some(asio::buffer(*buffer),
+                                [this, socket, buffer](asio::error_code error, std::size_t n) {
+                                    if (error)
+                                        return;
+                                    requests_.append(buffer->data(), n);
+                                    if (scripts_.empty())
+                                        return;
+                                    const Script script = scripts_.front();
+                                    scripts_.pop_front();
+                                    asio::write(*socket, asio::buffer(script.bytes));
+                                    if (script.reset)
+                                        socket->set_option(asio::socket_base::linger(true, 0));
+                                    if (script.close || script.reset)
+                                        socket->close();
+                                    else
+                                        serve(socket);
+                                });
     }
 
     struct Result {
@@ -69,8 +69,8 @@
         events.on_head = [&](const HttpResponseHead& head) { result.status = head.status; };
         events.on_body = [&](std::string_view bytes) { result.body.append(bytes); };
         events.on_end = [&](CallEnd how, bool) { result.end = how; };
-        const auto handle = pool_->start(address_, {"GET", "/", {{"Host", "x"}}}, "", options,
-                                         std::move(events));
+        const auto handle =
+            pool_->start(address_, {"GET", "/", {{"Host", "x"}}}, "", options, std::move(events));
         for (int i = 0; i < 200 && !result.end; ++i)
             io_.run_for(std::chrono::milliseconds(5));
         return result;
--- a/tests/unit/httpserver_test.cpp
+++ b/tests/unit/httpserver_test.cpp
@@ -34,14 +34,14 @@
         std::array<char, 4096> buffer{};
         bool ended = false;
         std::function<void()> read = [&] {
-            socket.async_read_some(asio::buffer(buffer), [&](asio::error_code error,
-                                                             std::size_t size) {
-                got.append(buffer.data(), size);
-                if (error)
-                    ended = true;
-                else
-                    read();
-            });
+            socket.async_read_some(asio::buffer(buffer),
+                                   [&](asio::error_code error, std::size_t size) {
+                                       got.append(buffer.data(), size);
+                                       if (error)
+                                           ended = true;
+                                       else
+                                           read();
+                                   });
         };
         read();
         const auto until = std::chrono::steady_clock::now() + patience;
@@ -94,9 +94,10 @@
     EXPECT_TRUE(talk(large_head, Patience).starts_with("HTTP/1.1 431 "));
     const std::string large_body = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n";
     EXPECT_TRUE(talk(large_body, Patience).starts_with("HTTP/1.1 413 "));
-    const std::string large_chunk = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
-                                    "c8\r\n" +
-                                    std::string(200, 'b') + "\r\n0\r\n\r\n";
+    const std::string large_chunk =
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "c8\r\n" +
+        std::string(200, 'b') + "\r\n0\r\n\r\n";
     EXPECT_TRUE(talk(large_chunk, Patience).starts_with("HTTP/1.1 413 "));
     EXPECT_EQ(handled_, 0);
 }
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -57,7 +57,8 @@
     EXPECT_FALSE(read_document(""));
     EXPECT_FALSE(read_document("[]"));
     EXPECT_FALSE(read_document(spoiled("\"version\":7", "\"version\":\"7\"")));
-    EXPECT_FALSE(read_document(spoiled("\"service\":\"app\",\"public", "\"service\":\"no\",\"public")));
+    EXPECT_FALSE(
+        read_document(spoiled("\"service\":\"app\",\"public", "\"service\":\"no\",\"public")));
     EXPECT_FALSE(read_document(spoiled("\"path-prefix\":\"/b/\"", "\"path-prefix\":\"/a/\"")));
     EXPECT_FALSE(read_document(spoiled("\"weight\":90},\n  {\"service\":\"app\",\"weight\":10}",
                                        "\"weight\":0},\n  {\"service\":\"app\",\"weight\":0}")));
@@ -153,11 +154,17 @@
     void on_gone(std::function<void()>) override {}
 
     std::string target_ = "/a/b";
-    HttpHeaders headers_{{"Host", "h.example"},          {"Request-Id", "r1"},
-                         {"Authorization", "Bearer k1"}, {"Tenant-Id", "somebody-else"},
-                         {"Target-Instance", "i-9"},     {"Deadline-Ms", "8000"},
-                         {"Model", "m"},                 {"Token-Usage", "1460,80"},
-                         {"Connection", "keep-alive, X-Hop"}, {"X-Hop", "1"}, {"X-Own", "2"}};
+    HttpHeaders headers_{{"Host", "h.example"},
+                         {"Request-Id", "r1"},
+                         {"Authorization", "Bearer k1"},
+                         {"Tenant-Id", "somebody-else"},
+                         {"Target-Instance", "i-9"},
+                         {"Deadline-Ms", "8000"},
+                         {"Model", "m"},
+                         {"Token-Usage", "1460,80"},
+                         {"Connection", "keep-alive, X-Hop"},
+                         {"X-Hop", "1"},
+                         {"X-Own", "2"}};
 };
 
 // The key stays here, and what liftweir sets can not be set by a client.
@@ -168,8 +175,7 @@
     EXPECT_EQ(request.key, "k1");
     EXPECT_EQ(request.prompt_tokens, 1460u);
     EXPECT_EQ(request.patience, milliseconds(8000));
-    const HttpRequestHead head =
-        protocol.forward(exchange, {"i-1", "t", milliseconds(7500), "12"});
+    const HttpRequestHead head = protocol.forward(exchange, {"i-1", "t", milliseconds(7500), "12"});
     EXPECT_EQ(find_header(head.headers, "Target-Instance"), "i-1");
     EXPECT_EQ(find_header(head.headers, "Tenant-Id"), "t");
     EXPECT_EQ(find_header(head.headers, "Deadline-Ms"), "7500");
@@ -178,9 +184,8 @@
     EXPECT_EQ(find_header(head.headers, "X-Own"), "2");
     EXPECT_TRUE(find_header(head.headers, "Authorization").empty());
     EXPECT_TRUE(find_header(head.headers, "X-Hop").empty());
-    const auto times = std::count_if(head.headers.begin(), head.headers.end(), [](const auto& h) {
-        return same_name(h.first, "Tenant-Id");
-    });
+    const auto times = std::count_if(head.headers.begin(), head.headers.end(),
+                                     [](const auto& h) { return same_name(h.first, "Tenant-Id"); });
     EXPECT_EQ(times, 1);
 }
 
--- a/tests/unit/why_test.cpp
+++ b/tests/unit/why_test.cpp
@@ -22,7 +22,8 @@
     "\"group\":\"m.8\",\"why\":\"another one\"}\n"
     "{\"ms\":5230,\"process\":\"e1\",\"message\":\"attempt ended\",\"request\":\"r1\","
     "\"endpoint\":\"i-1\",\"why\":\"the endpoint broke off\"}\n"
-    "{\"ms\":5300,\"process\":\"e1\",\"message\":\"call\",\"request\":\"r2\",\"endpoints\":\"i-1\"}\n"
+    "{\"ms\":5300,\"process\":\"e1\",\"message\":\"call\",\"request\":\"r2\",\"endpoints\":\"i-1\"}"
+    "\n"
     "{\"ms\":5400,\"process\":\"e1\",\"message\":\"call\",\"request\":\"r1\",\"endpoints\":\"i-1\","
     "\"status\":\"0\",\"took_ms\":\"900\",\"why\":\"no attempt is left\"}\n";
 
--- a/tools/lint.py
+++ b/tools/lint.py
@@ -33,7 +33,7 @@
 
 def main():
     failures = []
-    code_files = sources("src/**/*.cpp", "src/**/*.h")
+    code_files = sources("src/**/*.cpp", "src/**/*.h", "platform/*.cpp", "platform/*.h")
     test_files = sources("tests/**/*.cpp", "tests/**/*.h", "tests/**/*.py")
     code, text = run(["clang-format", "--dry-run", "-Werror"] +
                      [f for f in code_files + test_files if not f.endswith(".py")])
@@ -47,7 +47,7 @@
     code, text = run(["cppcheck", "--quiet", "--std=c++20", "--language=c++", "--inline-suppr",
                       "--enable=warning,performance,portability", "--error-exitcode=1",
                       "--suppress=missingIncludeSystem", "--suppress=unknownMacro",
-                      "--suppress=passedByValue", "-j", str(os.cpu_count()), "-Isrc", "src"])
+                      "--suppress=passedByValue", "-j", str(os.cpu_count()), "-Isrc", "-I.", "src", "platform"])
     if code:
         failures.append("cppcheck:\n" + text[:4000])
     for name in code_files + test_files:
@@ -62,8 +62,13 @@
     src, tests = lines(code_files), lines(test_files)
     share = tests / (src + tests)
     print("lines: src %d, tests %d; tests are %.0f %% of all code" % (src, tests, 100 * share))
-    if share > 1 / 3:
-        failures.append("tests are more than a third of the code")
+    # The users lifted the cap on tests; their soak keeps to a tenth of the code.
+    soak = lines(sources("tests/**/soak*.py"))
+    if soak > src / 10:
+        failures.append("the soak has %d lines, more than a tenth of the code" % soak)
+    adapter = lines(sources("platform/*"))
+    if adapter > src / 4:
+        failures.append("platform/ has %d lines: it is to translate only" % adapter)
     for failure in failures:
         print(failure)
     print("lint: %s" % ("%d failures" % len(failures) if failures else "clean"))
