Leftovers out of the directory, the planner and the channel

A demand carried the route's pause goal, a group's load could be summed, and a peer's greeting brought its link, though nothing read them; a struct with one list stood for the free hosts of a domain; six includes served nothing. They are gone, and public types that had no line of their own say what they are. No behaviour changes.

--- a/src/connection/httpchannel.h
+++ b/src/connection/httpchannel.h
@@ -7,20 +7,20 @@
 #include <asio.hpp>
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace liftweir {
 
+// What a request begins with, as it goes to an endpoint.
 struct HttpRequestHead {
     std::string method = "GET";
     std::string target = "/";
     HttpHeaders headers; // with Host; framing headers are added
 };
 
+// What an endpoint's answer begins with.
 struct HttpResponseHead {
     int status = 0;
     HttpHeaders headers;
@@ -34,6 +34,7 @@
     Malformed      // the bytes are not an HTTP answer
 };
 
+// What a call tells whoever started it, in this order. Each may be left empty.
 struct CallEvents {
     std::function<void(const HttpResponseHead&)> on_head;
     std::function<void(std::string_view)> on_body;
@@ -41,8 +42,6 @@
     std::function<void(CallEnd, bool bytes_seen)> on_end;
 };
 
-class HttpChannelPool;
-
 // One HTTP/1.1 call in progress. Dropping it without an end cancels the call: its connection is
 // closed, which is how an endpoint learns that nobody waits any more.
 class HttpCallHandle {
@@ -55,6 +54,7 @@
     virtual void resume() = 0;
 };
 
+// How one call gets its connection.
 struct ChannelOptions {
     Duration connect_timeout = std::chrono::milliseconds(400);
     // An endpoint may close a resting connection just as the next request leaves. What may not be
@@ -67,6 +67,7 @@
 class HttpChannelPool {
   public:
     virtual ~HttpChannelPool() = default;
+    // Begins a call on a kept connection, or on a new one. No event comes before this returns.
     virtual std::unique_ptr<HttpCallHandle> start(const std::string& address,
                                                   const HttpRequestHead& head,
                                                   const std::string& body, ChannelOptions options,
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -13,7 +13,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -104,7 +103,7 @@
     void greet(Peer& peer);
     void on_message(const Link::Ptr& link, Wire&& message);
     void on_down(const Link::Ptr& link);
-    void on_hello(const Link::Ptr& link, const PeerHello& hello);
+    void on_hello(const PeerHello& hello);
     void on_renew(const Link::Ptr& link, const Renew& renew);
     Vouch make_vouch(std::uint64_t sequence) const;
     std::vector<NodeId> known_nodes() const;
--- a/src/process/coordinatorfleet.cpp
+++ b/src/process/coordinatorfleet.cpp
@@ -53,7 +53,7 @@
 }
 
 // A host has one data folder at a time: the number that it says now is the one that counts.
-void Coordinator::on_hello(const Link::Ptr&, const PeerHello& hello) {
+void Coordinator::on_hello(const PeerHello& hello) {
     if (same_host(hello.node, node_))
         return;
     std::erase_if(nodes_,
@@ -89,7 +89,7 @@
         replica_->step(packet->from, *body, now);
         pump_soon();
     } else if (const auto* hello = std::get_if<PeerHello>(&message)) {
-        on_hello(link, *hello);
+        on_hello(*hello);
     } else if (const auto* renew = std::get_if<Renew>(&message)) {
         on_renew(link, *renew);
     } else if (const auto* changes = std::get_if<EndpointChanges>(&message)) {
--- a/src/process/groupformation.cpp
+++ b/src/process/groupformation.cpp
@@ -46,8 +46,8 @@
 
 std::vector<ColdHost> GroupPlanner::cold_hosts(Time now) const {
     std::vector<ColdHost> hosts;
-    for (const auto& [domain, item] : free_by_domain(now))
-        for (const EndpointReport* report : item.free)
+    for (const auto& [domain, free] : free_by_domain(now))
+        for (const EndpointReport* report : free)
             if (report->staged.empty())
                 hosts.push_back({report->id, domain});
     return hosts;
@@ -64,12 +64,12 @@
     const ModelShape& model = *shape(name);
     const bool from_nothing = !ever_open_.contains(name);
     const auto domains = free_by_domain(now);
-    std::vector<const EndpointReport*> best;
+    Hosts best;
     std::size_t best_free = 0;
     std::size_t best_groups = 0;
     for (const auto& [domain, hosts] : domains) {
-        std::vector<const EndpointReport*> fit;
-        for (const EndpointReport* report : hosts.free)
+        Hosts fit;
+        for (const EndpointReport* report : hosts)
             if (staged(*report, name) || (from_nothing && !traffic_ && assigned(*report, name)))
                 fit.push_back(report);
         if (fit.size() < model.size)
@@ -101,13 +101,12 @@
 // Across domains a group is several times slower, which is still better than none. Beside groups
 // that stand it does harm: it takes the spares that would mend them. It takes hosts first that are
 // of no use as spares, in domains without a group of the model.
-std::vector<const EndpointReport*> GroupPlanner::across_domains(const ModelShape& model,
-                                                                Time now) const {
-    std::vector<const EndpointReport*> hosts;
+GroupPlanner::Hosts GroupPlanner::across_domains(const ModelShape& model, Time now) const {
+    Hosts hosts;
     if (live_groups(model.name) > 0)
         return hosts;
-    for (const auto& [domain, item] : free_by_domain(now))
-        for (const EndpointReport* report : item.free)
+    for (const auto& [domain, free] : free_by_domain(now))
+        for (const EndpointReport* report : free)
             if (staged(*report, model.name))
                 hosts.push_back(report);
     if (hosts.size() < model.size)
@@ -119,8 +118,8 @@
     return hosts;
 }
 
-void GroupPlanner::form(const ModelShape& model, const std::vector<const EndpointReport*>& hosts,
-                        const std::string& why, Time now) {
+void GroupPlanner::form(const ModelShape& model, const Hosts& hosts, const std::string& why,
+                        Time now) {
     const Epoch epoch = next_number();
     Group& group = groups_[epoch];
     group.epoch = epoch;
--- a/src/process/groupplanner.cpp
+++ b/src/process/groupplanner.cpp
@@ -229,11 +229,11 @@
     return std::find(report.staged.begin(), report.staged.end(), model) != report.staged.end();
 }
 
-std::map<std::string, GroupPlanner::Domain> GroupPlanner::free_by_domain(Time now) const {
-    std::map<std::string, Domain> domains;
+std::map<std::string, GroupPlanner::Hosts> GroupPlanner::free_by_domain(Time now) const {
+    std::map<std::string, Hosts> domains;
     for (const auto& [id, item] : registry_->items())
         if (is_free(item.report, now))
-            domains[item.report.domain].free.push_back(&item.report);
+            domains[item.report.domain].push_back(&item.report);
     return domains;
 }
 
@@ -283,7 +283,7 @@
     }
     for (const auto& [domain, hosts] : free_by_domain(now)) {
         std::map<std::string, int> by_model;
-        for (const EndpointReport* report : hosts.free)
+        for (const EndpointReport* report : hosts)
             ++by_model[report->staged.empty() ? "nothing" : report->staged.back()];
         text += domain + " free";
         for (const auto& [model, count] : by_model)
@@ -466,7 +466,7 @@
         if (const EndpointReport* report = report_of(id))
             ++hosts[report->domain];
     for (const auto& [domain, free] : free_by_domain(now))
-        for (const EndpointReport* report : free.free)
+        for (const EndpointReport* report : free)
             hosts[domain] += staged(*report, group.model) ? 1 : 0;
     const bool one_is_enough = std::any_of(
         hosts.begin(), hosts.end(), [&](const auto& item) { return item.second >= model->size; });
@@ -512,7 +512,7 @@
         leaving += report == nullptr || report->phase != EndpointPhase::Serving ? 1 : 0;
     }
     const auto spares = static_cast<std::size_t>(
-        std::count_if(domain->second.free.begin(), domain->second.free.end(),
+        std::count_if(domain->second.begin(), domain->second.end(),
                       [&](const EndpointReport* r) { return staged(*r, group.model); }));
     return spares >= leaving;
 }
--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -7,7 +7,6 @@
 #include "version/deployment.h"
 
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -97,6 +96,7 @@
 
   private:
     enum class Phase : std::uint8_t { Forming, Open, Closing, Dead };
+    using Hosts = std::vector<const EndpointReport*>;
 
     struct Group {
         Epoch epoch = NoEpoch;
@@ -126,10 +126,6 @@
         bool ordered = false; // an order is under way
     };
 
-    struct Domain {
-        std::vector<const EndpointReport*> free;
-    };
-
     // progress of groups
     void advance(Group& group, Time now);
     void advance_forming(Group& group, Time now);
@@ -146,18 +142,17 @@
     // formation
     void form_groups(Time now);
     bool form_one(const std::string& model, Time now);
-    std::vector<const EndpointReport*> across_domains(const ModelShape& model, Time now) const;
+    Hosts across_domains(const ModelShape& model, Time now) const;
     void gather(Group& group, Time now);
     bool spans_domains(const Group& group) const;
-    void form(const ModelShape& shape, const std::vector<const EndpointReport*>& hosts,
-              const std::string& why, Time now);
+    void form(const ModelShape& shape, const Hosts& hosts, const std::string& why, Time now);
     void stage_spares(Time now);
     void warm_spares(Time now);
     std::vector<ColdHost> cold_hosts(Time now) const;
     bool assigned(const EndpointReport& report, const std::string& model) const;
     bool is_free(const EndpointReport& report, Time now) const;
     bool staged(const EndpointReport& report, const std::string& model) const;
-    std::map<std::string, Domain> free_by_domain(Time now) const;
+    std::map<std::string, Hosts> free_by_domain(Time now) const;
     std::size_t target(const ModelShape& shape, Time now) const;
     std::size_t live_groups(const std::string& model) const;
     std::size_t live_groups(const std::string& model, const std::string& domain) const;
--- a/src/request/directory.cpp
+++ b/src/request/directory.cpp
@@ -3,7 +3,7 @@
 #include "process/groupname.h"
 
 #include <algorithm>
-#include <cmath>
+#include <optional>
 
 namespace liftweir {
 
--- a/src/request/directory.h
+++ b/src/request/directory.h
@@ -7,8 +7,6 @@
 #include "version/routetable.h"
 
 #include <map>
-#include <memory>
-#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -27,25 +25,27 @@
     bool avoided(Time now) const { return now < avoid_until; }
 };
 
+// What a request needs of an endpoint.
 struct Demand {
     const Service* service = nullptr;
     std::string model; // empty for plain services
     std::uint32_t prompt_tokens = 0;
     Duration latency_goal{};
-    Duration pause_goal{};
 };
 
+// Why no endpoint was picked.
 enum class PickFailure : std::uint8_t {
     NoneServes, // no group or endpoint takes requests now
     AllFull     // one more would come too late everywhere
 };
 
+// The endpoint chosen for a request, and what the request should meet there.
 struct Pick {
     EndpointId endpoint;
     std::string address;
-    LoadForecast forecast;
-    Duration longest_pass{};
-    Duration first_event{};
+    LoadForecast forecast;   // all zero for plain services
+    Duration longest_pass{}; // of the group's engine
+    Duration first_event{};  // until the first event, by the forecast
 };
 
 // The endpoints as one entry host sees them, and the choice among them.
@@ -63,6 +63,7 @@
     void dissolve(const std::vector<Epoch>& epochs) {
         dissolved_.insert(epochs.begin(), epochs.end());
     }
+    // Forgets endpoints that are gone and have nothing of this host under way.
     void expire(Time now);
 
     // Endpoints in `tried` are left out.
--- a/src/request/groupload.h
+++ b/src/request/groupload.h
@@ -15,10 +15,10 @@
     std::uint64_t reading_tokens = 0; // prompt tokens of those
     double seen_pass_ms = 0;          // smoothed time between events; zero where none was seen
 
-    std::uint32_t in_flight() const { return writing + reading; }
     auto operator<=>(const GroupLoad&) const = default;
 };
 
+// What one more request should meet at a group.
 struct LoadForecast {
     double first_event_ms = 0; // until the first event of one more request
     double pause_ms = 0;       // between events of all streams of the group then
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -71,8 +71,7 @@
 }
 
 Demand RelayedCall::demand() const {
-    return {plan_.service, request_.model, request_.prompt_tokens, plan_.route->latency_goal,
-            plan_.route->pause_goal};
+    return {plan_.service, request_.model, request_.prompt_tokens, plan_.route->latency_goal};
 }
 
 // ---- sending
