RelayedCall: one function for each step of a call

It was unclear which lines of send() reset the last attempt, which take up the new endpoint and which make the connection; tick() mixed the deadline, the wait for an endpoint and the overdue answer; and 'refuse or cut' and 'fail or cut' stood in four places each way. Each is a function with a name now, and the number of runs allowed is worked out in one place. No behaviour changes.

--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace liftweir {
 
@@ -93,30 +94,50 @@
     tick(now);
 }
 
+std::uint32_t RelayedCall::runs_allowed() const {
+    return std::max(1u, plan_.route->max_attempts);
+}
+
+bool RelayedCall::takes_another(Time now) {
+    return host_.directory().pick(demand(), tried_, now).has_value();
+}
+
 bool RelayedCall::may_send_again(Time now) {
     if (sends_ == 0)
         return true;
-    const std::uint32_t runs_allowed = std::max(1u, plan_.route->max_attempts);
-    if (runs_ >= runs_allowed || sends_ >= runs_allowed + ExtraSends)
+    if (runs_ >= runs_allowed() || sends_ >= runs_allowed() + ExtraSends)
         return false;
     return host_.budget(plan_.service->name).take(now);
 }
 
 void RelayedCall::send(const Pick& pick, Time now) {
     if (!may_send_again(now)) {
-        if (begun_)
-            cut("no attempt is left");
-        else
-            refuse("no attempt is left", RetryAfterFull);
+        refuse_or_cut("no attempt is left", RetryAfterFull);
         return;
     }
     if (sends_++ > 0)
-        log(LogLevel::Info, "sent again",
-            {{"request", request_.id},
-             {"endpoint", pick.endpoint},
-             {"last_event", last_event_},
-             {"forecast_ms", std::to_string(std::lround(pick.forecast.first_event_ms))},
-             {"repeats_used", std::to_string(host_.budget(plan_.service->name).used(now))}});
+        note_sent_again(pick, now);
+    begin_attempt(pick, now);
+    occupy_endpoint(pick, now);
+    const ForwardNote note{endpoint_, plan_.customer, deadline_ - now, last_event_};
+    ChannelOptions options;
+    options.fresh = !plan_.route->repeatable();
+    options.connect_timeout = ConnectPatience;
+    call_ = host_.pool().start(pick.address, host_.protocol().forward(*exchange_, note),
+                               std::string(exchange_->body()), options, events_of_attempt());
+}
+
+void RelayedCall::note_sent_again(const Pick& pick, Time now) const {
+    log(LogLevel::Info, "sent again",
+        {{"request", request_.id},
+         {"endpoint", pick.endpoint},
+         {"last_event", last_event_},
+         {"forecast_ms", std::to_string(std::lround(pick.forecast.first_event_ms))},
+         {"repeats_used", std::to_string(host_.budget(plan_.service->name).used(now))}});
+}
+
+// Nothing of an earlier attempt's answer may reach the caller with this one's.
+void RelayedCall::begin_attempt(const Pick& pick, Time now) {
     forecast_ = pick.forecast;
     endpoint_ = pick.endpoint;
     endpoints_ += (endpoints_.empty() ? "" : ",") + pick.endpoint;
@@ -127,6 +148,9 @@
     note_ = {};
     body_.clear();
     splitter_ = {};
+}
+
+void RelayedCall::occupy_endpoint(const Pick& pick, Time now) {
     EndpointUse& use = host_.directory().use(endpoint_);
     ++use.in_flight;
     if (uses_engine()) {
@@ -135,10 +159,9 @@
         use.watch.expect(pick.longest_pass, pick.first_event);
         use.watch.started(now);
     }
-    const ForwardNote note{endpoint_, plan_.customer, deadline_ - now, last_event_};
-    ChannelOptions options;
-    options.fresh = !plan_.route->repeatable();
-    options.connect_timeout = ConnectPatience;
+}
+
+CallEvents RelayedCall::events_of_attempt() {
     const std::weak_ptr<RelayedCall> weak = weak_from_this();
     CallEvents events;
     events.on_head = [weak](const HttpResponseHead& head) {
@@ -153,8 +176,7 @@
         if (const auto self = weak.lock())
             self->on_end(how);
     };
-    call_ = host_.pool().start(pick.address, host_.protocol().forward(*exchange_, note),
-                               std::string(exchange_->body()), options, std::move(events));
+    return events;
 }
 
 void RelayedCall::release_endpoint() {
@@ -251,22 +273,12 @@
 void RelayedCall::on_end(CallEnd how) {
     if (done_ || endpoint_.empty())
         return;
-    const Time now = BootClock::now();
     if (how == CallEnd::ConnectFailed) {
-        host_.directory().failed(endpoint_, now);
-        host_.unreachable(endpoint_);
-        release_endpoint();
-        --sends_;
-        if (tried_.size() < MostConnectFailures)
-            attempt(now);
-        else if (begun_)
-            cut("no endpoint takes connections");
-        else
-            refuse("no endpoint takes connections", RetryAfterNoGroup);
+        on_no_connection();
         return;
     }
     if (how != CallEnd::Complete) {
-        host_.directory().failed(endpoint_, now);
+        host_.directory().failed(endpoint_, BootClock::now());
         on_broken(how == CallEnd::Broken ? "the endpoint broke off" : "not an answer");
         return;
     }
@@ -277,6 +289,19 @@
     on_complete();
 }
 
+// No byte of the request has left, so this attempt counts for nothing.
+void RelayedCall::on_no_connection() {
+    const Time now = BootClock::now();
+    host_.directory().failed(endpoint_, now);
+    host_.unreachable(endpoint_);
+    release_endpoint();
+    --sends_;
+    if (tried_.size() < MostConnectFailures)
+        attempt(now);
+    else
+        refuse_or_cut("no endpoint takes connections", RetryAfterNoGroup);
+}
+
 void RelayedCall::on_not_run() {
     const Time now = BootClock::now();
     const bool leading = host_.directory().registry().find(endpoint_) != nullptr && uses_engine();
@@ -299,40 +324,38 @@
          {"repeatable", plan_.route->repeatable() ? "yes" : "no"}});
     release_endpoint();
     ++runs_;
-    if (!plan_.route->repeatable()) {
-        if (begun_)
-            cut(why);
-        else
-            fail(502, why);
-        return;
-    }
-    if (begun_)
+    const bool repeatable = plan_.route->repeatable();
+    if (repeatable && begun_)
         ++resumed_;
-    const std::uint32_t runs_allowed = std::max(1u, plan_.route->max_attempts);
-    if (runs_ >= runs_allowed) {
-        if (begun_)
-            cut(why);
-        else
-            fail(502, why);
+    if (!repeatable || runs_ >= runs_allowed()) {
+        fail_or_cut(why);
         return;
     }
     attempt(now);
 }
 
 void RelayedCall::on_complete() {
+    if (events_)
+        complete_stream();
+    else
+        complete_whole();
+}
+
+void RelayedCall::complete_stream() {
+    std::string rest = splitter_.rest();
+    if (!rest.empty() && begun_)
+        pass_bytes(std::move(rest));
+    host_.directory().succeeded(endpoint_);
+    release_endpoint();
+    if (!begun_)
+        exchange_->begin(head_.status, end_to_end(head_));
+    exchange_->finish();
+    finish(head_.status, "");
+}
+
+// An endpoint's own failure is passed on only where no other endpoint may be asked.
+void RelayedCall::complete_whole() {
     const Time now = BootClock::now();
-    if (events_) {
-        std::string rest = splitter_.rest();
-        if (!rest.empty() && begun_)
-            pass_bytes(std::move(rest));
-        host_.directory().succeeded(endpoint_);
-        release_endpoint();
-        if (!begun_)
-            exchange_->begin(head_.status, end_to_end(head_));
-        exchange_->finish();
-        finish(head_.status, "");
-        return;
-    }
     const bool failure = status_class(head_.status) == 5;
     if (failure)
         host_.directory().failed(endpoint_, now);
@@ -342,8 +365,7 @@
     std::string body = std::move(body_);
     release_endpoint();
     ++runs_;
-    if (failure && plan_.route->repeatable() && runs_ < plan_.route->max_attempts &&
-        host_.directory().pick(demand(), tried_, now)) {
+    if (failure && plan_.route->repeatable() && runs_ < runs_allowed() && takes_another(now)) {
         attempt(now);
         return;
     }
@@ -356,49 +378,76 @@
 void RelayedCall::tick(Time now) {
     if (done_)
         return;
-    if (now >= deadline_) {
-        if (begun_)
-            cut("out of time");
-        else if (sends_ == 0)
-            refuse("out of time", RetryAfterNoGroup);
-        else
-            fail(504, "out of time");
+    if (now >= deadline_)
+        out_of_time();
+    else if (waiting_)
+        wait_on(now);
+    else if (overdue(now) && takes_another(now))
+        on_broken("no answer in time");
+}
+
+void RelayedCall::out_of_time() {
+    if (begun_)
+        cut("out of time");
+    else if (sends_ == 0)
+        refuse("out of time", RetryAfterNoGroup);
+    else
+        fail(504, "out of time");
+}
+
+void RelayedCall::wait_on(Time now) {
+    if (const auto pick = host_.directory().pick(demand(), tried_, now)) {
+        waiting_ = false;
+        send(*pick, now);
         return;
     }
-    if (waiting_) {
-        const auto pick = host_.directory().pick(demand(), tried_, now);
-        if (pick) {
-            waiting_ = false;
-            send(*pick, now);
-        } else if (begun_) {
-            const Duration gap = std::max({CallerGap, CallerGapGoals * plan_.route->latency_goal,
-                                           CallerGapPauses * plan_.route->pause_goal});
-            if (now - last_passed_ > gap - GapMargin)
-                cut("no group to go on at");
-        } else if (now - received_ >= plan_.route->latency_goal / HoldPartOfGoal) {
-            refuse(sends_ == 0 ? "no endpoint serves" : "no other endpoint serves",
-                   RetryAfterNoGroup);
-        }
+    if (begun_) {
+        if (now - last_passed_ > patience_between_events())
+            cut("no group to go on at");
         return;
     }
+    if (now - received_ >= plan_.route->latency_goal / HoldPartOfGoal)
+        refuse(sends_ == 0 ? "no endpoint serves" : "no other endpoint serves", RetryAfterNoGroup);
+}
+
+Duration RelayedCall::patience_between_events() const {
+    const Duration gap = std::max({CallerGap, CallerGapGoals * plan_.route->latency_goal,
+                                   CallerGapPauses * plan_.route->pause_goal});
+    return gap - GapMargin;
+}
+
+// Whether a safe call has gone without a head for so long that another endpoint should get it.
+bool RelayedCall::overdue(Time now) const {
     const auto repeat_after = std::chrono::duration_cast<Duration>(
         RepeatAfterGoal * std::chrono::duration<double>(plan_.route->latency_goal));
-    const bool overdue = plan_.route->kind == CallKind::Safe && head_.status == 0 &&
-                         now - sent_ > repeat_after && runs_ + 1 < plan_.route->max_attempts;
-    if (overdue && host_.directory().pick(demand(), tried_, now))
-        on_broken("no answer in time");
+    return plan_.route->kind == CallKind::Safe && head_.status == 0 && now - sent_ > repeat_after &&
+           runs_ + 1 < runs_allowed();
 }
 
 void RelayedCall::stalled(const EndpointId& lead, Time now) {
-    if (done_ || endpoint_ != lead || !plan_.route->repeatable() ||
-        runs_ + 1 >= plan_.route->max_attempts)
+    if (done_ || endpoint_ != lead || !plan_.route->repeatable() || runs_ + 1 >= runs_allowed())
         return;
-    if (host_.directory().pick(demand(), tried_, now))
+    if (takes_another(now))
         on_broken("the group stands still");
 }
 
 // ---- ends
 
+// A caller that has the head can be told no status any more: its stream is cut off instead.
+void RelayedCall::refuse_or_cut(const char* why, Duration retry_after) {
+    if (begun_)
+        cut(why);
+    else
+        refuse(why, retry_after);
+}
+
+void RelayedCall::fail_or_cut(const char* why) {
+    if (begun_)
+        cut(why);
+    else
+        fail(502, why);
+}
+
 void RelayedCall::refuse(const char* why, Duration retry_after) {
     if (done_)
         return;
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -44,12 +44,13 @@
     RelayedCall(RelayHost& host, std::shared_ptr<HttpExchange> exchange, CallerRequest request,
                 RelayPlan plan);
 
+    // Sends the request for the first time, and counts it in its service's budget of repeats.
     void start();
-    // Time limits, and another try for a call that waits for an endpoint.
+    // Checks time limits, and tries again for a call that waits for an endpoint.
     void tick(Time now);
-    // All streams of an endpoint stand still.
+    // All streams of the group that `lead` leads stand still.
     void stalled(const EndpointId& lead, Time now);
-    // Cut: the process ends.
+    // Ends the call at once, since the process ends.
     void abandon();
     bool done() const { return done_; }
 
@@ -58,22 +59,39 @@
     void attempt(Time now);
     bool may_send_again(Time now);
     void send(const Pick& pick, Time now);
+    void note_sent_again(const Pick& pick, Time now) const;
+    void begin_attempt(const Pick& pick, Time now);
+    void occupy_endpoint(const Pick& pick, Time now);
     void release_endpoint();
+    CallEvents events_of_attempt();
     Demand demand() const;
+    bool takes_another(Time now);
+    std::uint32_t runs_allowed() const;
     bool uses_engine() const { return plan_.service->engine && !request_.model.empty(); }
 
     // the endpoint's answer
     void on_head(const HttpResponseHead& head);
     void on_body(std::string_view bytes);
     void on_end(CallEnd how);
+    void on_no_connection();
     void on_not_run();
     void on_broken(const char* why);
     void pass_events();
     void pass_event(std::string event);
     void pass_bytes(std::string bytes);
     void on_complete();
+    void complete_stream();
+    void complete_whole();
+
+    // time
+    void out_of_time();
+    void wait_on(Time now);
+    bool overdue(Time now) const;
+    Duration patience_between_events() const;
 
     // ends
+    void refuse_or_cut(const char* why, Duration retry_after);
+    void fail_or_cut(const char* why);
     void refuse(const char* why, Duration retry_after);
     void fail(int status, const char* why);
     void cut(const char* why);
