--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -97,6 +97,9 @@
     void cut(const char* why);
     void finish(int status, const char* why);
 
+    // A group that lost a member serves again after about this long.
+    static constexpr Duration RetryAfterNoGroup = std::chrono::milliseconds(1600);
+
     RelayHost& host_;
     std::shared_ptr<HttpExchange> exchange_;
     CallerRequest request_;
