HTTP server: a connection has files of its own; header pieces are put together in one place

The connection and what connections share are in serverconnection.*, and a read request goes up through a function. The server's and the channel's parsers doubled how header names and values are put together and written: HeaderAssembler and append_headers do it for both. The check of a request's head and the reading of an endpoint's Keep-Alive are functions. No behaviour changes.

--- a/src/connection/httpchannel.cpp
+++ b/src/connection/httpchannel.cpp
@@ -23,8 +23,19 @@
 // A dead peer acknowledges nothing; a healthy one does so within a round trip.
 constexpr Duration SilenceLimit = std::chrono::milliseconds(8000);
 
+// How long the endpoint keeps the connection at rest, by its own word where it gave one.
+Duration kept_by_endpoint(const HttpResponseHead& head) {
+    constexpr std::string_view Timeout = "timeout=";
+    const std::string_view value = find_header(head.headers, "keep-alive");
+    const auto at = value.find(Timeout);
+    if (at == std::string_view::npos)
+        return DefaultKeep;
+    return std::chrono::seconds(std::atoi(std::string(value.substr(at + Timeout.size())).c_str()));
+}
+
 class Pool;
 
+// One connection to an endpoint, and the call that is under way on it, if any.
 class Channel : public std::enable_shared_from_this<Channel> {
   public:
     Channel(asio::io_context& io, std::weak_ptr<Pool> pool, std::string address)
@@ -63,6 +74,7 @@
     std::array<char, ReadBytes> in_{};
     std::string out_;
     HttpResponseHead head_;
+    HeaderAssembler assembler_;
     std::size_t head_bytes_ = 0;
     CallEvents events_;
     Time keep_until_{};
@@ -72,7 +84,6 @@
     bool reading_ = false;
     bool paused_ = false;
     bool closed_ = false;
-    bool in_value_ = false;
     bool message_complete_ = false;
     bool bytes_seen_ = false;
     bool head_request_ = false;
@@ -80,6 +91,7 @@
 
 using ChannelPtr = std::shared_ptr<Channel>;
 
+// The connections that rest between calls, by address; the one used last is taken first.
 class Pool : public std::enable_shared_from_this<Pool> {
   public:
     explicit Pool(asio::io_context& io) : io_(io) {}
@@ -102,6 +114,7 @@
     std::uint64_t opened_ = 0;
 };
 
+// A caller's hold on its call, which may be over or on another connection by now.
 class Handle final : public HttpCallHandle {
   public:
     Handle(const ChannelPtr& channel, std::uint64_t call) : channel_(channel), call_(call) {}
@@ -164,7 +177,8 @@
                              CallEvents events) {
     active_ = true;
     ++call_;
-    written_ = message_complete_ = bytes_seen_ = in_value_ = paused_ = false;
+    written_ = message_complete_ = bytes_seen_ = paused_ = false;
+    assembler_ = {};
     head_ = {};
     head_bytes_ = 0;
     events_ = std::move(events);
@@ -172,8 +186,7 @@
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
     out_ = head.method + " " + head.target + " HTTP/1.1\r\n";
-    for (const auto& [name, value] : head.headers)
-        out_.append(name).append(": ").append(value).append("\r\n");
+    append_headers(out_, head.headers);
     if (!body.empty() || head.method == "POST" || head.method == "PUT" || head.method == "PATCH")
         out_ += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     out_ += "\r\n";
@@ -220,17 +233,13 @@
 }
 
 int Channel::on_field(std::string_view text) {
-    if (in_value_ || head_.headers.empty())
-        head_.headers.emplace_back();
-    in_value_ = false;
-    head_.headers.back().first.append(text);
+    assembler_.add_name(head_.headers, text);
     head_bytes_ += text.size();
     return head_bytes_ > MaxHeadBytes ? -1 : 0;
 }
 
 int Channel::on_value(std::string_view text) {
-    in_value_ = true;
-    head_.headers.back().second.append(text);
+    assembler_.add_value(head_.headers, text);
     head_bytes_ += text.size();
     return head_bytes_ > MaxHeadBytes ? -1 : 0;
 }
@@ -238,7 +247,7 @@
 int Channel::on_headers_complete() {
     if (status_class(static_cast<int>(parser_.status_code)) == 1) {
         head_ = {};
-        in_value_ = false;
+        assembler_ = {};
         return 0;
     }
     head_.status = static_cast<int>(parser_.status_code);
@@ -295,16 +304,8 @@
             continue;
         }
         if (message_complete_) {
-            if (!bytes.empty())
-                keep_until_ = {};
-            else if (const auto value = find_header(head_.headers, "keep-alive");
-                     value.find("timeout=") != std::string_view::npos)
-                keep_until_ = BootClock::now() +
-                              std::chrono::seconds(std::atoi(
-                                  std::string(value.substr(value.find("timeout=") + 8)).c_str())) -
-                              KeepMargin;
-            else
-                keep_until_ = BootClock::now() + DefaultKeep - KeepMargin;
+            keep_until_ =
+                bytes.empty() ? BootClock::now() + kept_by_endpoint(head_) - KeepMargin : Time{};
             end(CallEnd::Complete);
             return;
         }
--- a/src/connection/httpmessage.cpp
+++ b/src/connection/httpmessage.cpp
@@ -57,6 +57,23 @@
                        [&](std::string_view hop) { return same_name(hop, name); });
 }
 
+void append_headers(std::string& head, const HttpHeaders& headers) {
+    for (const auto& [name, value] : headers)
+        head.append(name).append(": ").append(value).append("\r\n");
+}
+
+void HeaderAssembler::add_name(HttpHeaders& headers, std::string_view piece) {
+    if (in_value_ || headers.empty())
+        headers.emplace_back();
+    in_value_ = false;
+    headers.back().first.append(piece);
+}
+
+void HeaderAssembler::add_value(HttpHeaders& headers, std::string_view piece) {
+    in_value_ = true;
+    headers.back().second.append(piece);
+}
+
 std::string_view reason_of(int status) {
     switch (status) {
 #define LIFTWEIR_REASON(number, name, text)                                                        \
--- a/src/connection/httpmessage.h
+++ b/src/connection/httpmessage.h
@@ -23,6 +23,19 @@
 // Headers that concern one connection only and are never passed on (RFC 9110, 7.6.1).
 bool is_hop_by_hop(std::string_view name);
 
+// Appends "name: value" lines, as a message's head has them.
+void append_headers(std::string& head, const HttpHeaders& headers);
+
+// Puts headers together from the pieces in which a parser delivers them.
+class HeaderAssembler {
+  public:
+    void add_name(HttpHeaders& headers, std::string_view piece);
+    void add_value(HttpHeaders& headers, std::string_view piece);
+
+  private:
+    bool in_value_ = false; // the last piece belonged to a value, so the next name is a new header
+};
+
 // The usual reason phrase; "Unknown" for statuses without one.
 std::string_view reason_of(int status);
 
--- /dev/null
+++ b/src/connection/serverconnection.cpp
@@ -0,0 +1,326 @@
+#include "connection/serverconnection.h"
+
+#include <algorithm>
+#include <climits>
+#include <cstdio>
+#include <utility>
+
+namespace liftweir {
+
+namespace {
+
+// A caller that takes no byte of its answer for so long is given up.
+constexpr Duration WriteTimeout = std::chrono::seconds(60);
+// After an error answer the rest of the request is read and dropped for so long: closing with
+// unread bytes would reset the connection, and the answer with it.
+constexpr Duration LingerTime = std::chrono::seconds(1);
+// Bytes of later requests that are kept while one is in work.
+constexpr std::size_t MaxHeldBytes = 64u << 10;
+constexpr std::size_t MaxHeaderCount = 128;
+
+} // namespace
+
+ServerConnection::ServerConnection(asio::ip::tcp::socket socket, ServerCore& core)
+    : socket_(std::move(socket)), core_(core) {
+    http_parser_init(&parser_, HTTP_REQUEST);
+    parser_.data = this;
+    asio::error_code ignored;
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+void ServerConnection::start() {
+    set_phase(Phase::Idle, BootClock::now() + core_.limits.idle_timeout);
+    read_more();
+}
+
+void ServerConnection::set_phase(Phase phase, Time deadline) {
+    phase_ = phase;
+    deadline_ = deadline;
+}
+
+const http_parser_settings& ServerConnection::parser_settings() {
+    static const http_parser_settings settings = [] {
+        http_parser_settings s;
+        http_parser_settings_init(&s);
+        s.on_url = [](http_parser* p, const char* at, std::size_t n) {
+            of(p).message_.target.append(at, n);
+            return 0;
+        };
+        s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
+            of(p).assembler_.add_name(of(p).message_.headers, {at, n});
+            return 0;
+        };
+        s.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
+            of(p).assembler_.add_value(of(p).message_.headers, {at, n});
+            return 0;
+        };
+        s.on_headers_complete = [](http_parser* p) { return of(p).on_headers_complete(); };
+        s.on_body = [](http_parser* p, const char* at, std::size_t n) {
+            return of(p).on_body({at, n});
+        };
+        s.on_message_complete = [](http_parser* p) { return of(p).on_message_complete(); };
+        return s;
+    }();
+    return settings;
+}
+
+// A request that two readers could frame in two ways is refused: one of them may be an endpoint.
+int ServerConnection::refusal_of_head() const {
+    std::size_t hosts = 0;
+    std::size_t lengths = 0;
+    std::size_t encodings = 0;
+    for (const auto& [name, value] : message_.headers) {
+        hosts += same_name(name, "host") ? 1 : 0;
+        lengths += same_name(name, "content-length") ? 1 : 0;
+        encodings += same_name(name, "transfer-encoding") ? 1 : 0;
+    }
+    const bool ambiguous = lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0);
+    const bool host_missing = hosts != 1 && parser_.http_minor >= 1;
+    if (ambiguous || host_missing || parser_.http_major != 1 || parser_.upgrade != 0)
+        return 400;
+    if (message_.headers.size() > MaxHeaderCount)
+        return 431;
+    if (lengths > 0 && parser_.content_length != ULLONG_MAX &&
+        parser_.content_length > core_.limits.body_bytes)
+        return 413;
+    return 0;
+}
+
+int ServerConnection::on_headers_complete() {
+    if (const int refusal = refusal_of_head(); refusal != 0)
+        refused_ = refusal;
+    if (refused_ != 0)
+        return -1;
+    message_.method = http_method_str(static_cast<http_method>(parser_.method));
+    message_.keep_alive = http_should_keep_alive(&parser_) != 0;
+    set_phase(Phase::Body, BootClock::now() + core_.limits.header_timeout);
+    if (has_token(find_header(message_.headers, "expect"), "100-continue") &&
+        !std::exchange(informed_, true))
+        send("HTTP/1.1 100 Continue\r\n\r\n", nullptr);
+    return 0;
+}
+
+int ServerConnection::on_body(std::string_view bytes) {
+    if (message_.body.size() + bytes.size() > core_.limits.body_bytes) {
+        refused_ = 413;
+        return -1;
+    }
+    message_.body.append(bytes);
+    deadline_ = BootClock::now() + core_.limits.header_timeout;
+    return 0;
+}
+
+int ServerConnection::on_message_complete() {
+    complete_ = true;
+    http_parser_pause(&parser_, 1);
+    return 0;
+}
+
+void ServerConnection::read_more() {
+    if (reading_ || phase_ == Phase::Closed || held_.size() > MaxHeldBytes)
+        return;
+    reading_ = true;
+    socket_.async_read_some(asio::buffer(in_),
+                            [self = shared_from_this()](asio::error_code error, std::size_t bytes) {
+                                self->reading_ = false;
+                                if (self->phase_ == Phase::Closed)
+                                    return;
+                                if (error) {
+                                    self->close();
+                                    return;
+                                }
+                                self->take({self->in_.data(), bytes});
+                                self->read_more();
+                            });
+}
+
+void ServerConnection::take(std::string_view bytes) {
+    if (phase_ == Phase::Lingering)
+        return;
+    if (phase_ == Phase::Working) {
+        held_.append(bytes);
+        return;
+    }
+    parse(bytes);
+}
+
+std::size_t ServerConnection::head_bytes() const {
+    std::size_t bytes = message_.target.size();
+    for (const auto& [name, value] : message_.headers)
+        bytes += name.size() + value.size() + 4;
+    return bytes;
+}
+
+void ServerConnection::parse(std::string_view bytes) {
+    if (phase_ == Phase::Idle)
+        set_phase(Phase::Head, BootClock::now() + core_.limits.header_timeout);
+    const auto parsed =
+        http_parser_execute(&parser_, &parser_settings(), bytes.data(), bytes.size());
+    if (phase_ == Phase::Head && head_bytes() > core_.limits.header_bytes)
+        refused_ = 431;
+    if (complete_) {
+        held_.assign(bytes.substr(std::min(parsed, bytes.size())));
+        request_done();
+        return;
+    }
+    const auto error = HTTP_PARSER_ERRNO(&parser_);
+    if (refused_ == 0 && error == HPE_HEADER_OVERFLOW)
+        refused_ = 431;
+    if (refused_ == 0 && error != HPE_OK)
+        refused_ = 400;
+    if (refused_ != 0)
+        refuse(refused_);
+}
+
+void ServerConnection::request_done() {
+    if (head_bytes() > core_.limits.header_bytes) {
+        refuse(431);
+        return;
+    }
+    complete_ = false;
+    close_after_ = !message_.keep_alive;
+    set_phase(Phase::Working, Time::max());
+    core_.on_request(shared_from_this(), std::exchange(message_, RequestMessage{}));
+}
+
+void ServerConnection::refuse(int status) {
+    close_after_ = true;
+    set_phase(Phase::Working, Time::max());
+    const std::string body = "{\"error\":{\"kind\":\"bad_request\",\"outcome\":\"not-run\"}}\n";
+    send_head(status, {{"Content-Type", "application/json"}}, body.size());
+    send(body, nullptr);
+    linger();
+}
+
+void ServerConnection::linger() {
+    set_phase(Phase::Lingering, BootClock::now() + LingerTime);
+    held_.clear();
+    read_more();
+}
+
+void ServerConnection::send_head(int status, const HttpHeaders& headers,
+                                 std::optional<std::size_t> length) {
+    std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
+    head.append(reason_of(status)).append("\r\n");
+    append_headers(head, headers);
+    if (!length)
+        head += "Transfer-Encoding: chunked\r\n";
+    else if (status != 204 && status != 304)
+        head += "Content-Length: " + std::to_string(*length) + "\r\n";
+    close_after_ = close_after_ || core_.closing;
+    if (close_after_)
+        head += "Connection: close\r\n";
+    head += "\r\n";
+    send(std::move(head), nullptr);
+}
+
+void ServerConnection::send_chunk(std::string bytes, std::function<void(bool)> on_written) {
+    char size[20];
+    const int length = std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+    bytes.insert(0, size, static_cast<std::size_t>(length));
+    bytes += "\r\n";
+    send(std::move(bytes), std::move(on_written));
+}
+
+void ServerConnection::send(std::string bytes, std::function<void(bool)> on_written) {
+    if (phase_ == Phase::Closed) {
+        if (on_written)
+            asio::post(core_.io, [on_written = std::move(on_written)] { on_written(false); });
+        return;
+    }
+    queue_.push_back({std::move(bytes), std::move(on_written)});
+    if (std::exchange(write_active_, true))
+        return;
+    // What one turn of the loop produces leaves in one packet.
+    asio::post(core_.io, [self = shared_from_this()] { self->write_next(); });
+}
+
+void ServerConnection::write_next() {
+    if (phase_ == Phase::Closed || queue_.empty()) {
+        write_active_ = false;
+        write_since_ = {};
+        return;
+    }
+    writing_ = std::exchange(queue_, {});
+    wire_.clear();
+    for (const PendingWrite& item : writing_)
+        wire_ += item.bytes;
+    write_since_ = BootClock::now();
+    asio::async_write(socket_, asio::buffer(wire_),
+                      [self = shared_from_this()](asio::error_code error, std::size_t) {
+                          const auto written = std::exchange(self->writing_, {});
+                          if (error)
+                              self->close();
+                          for (const PendingWrite& item : written)
+                              if (item.on_written)
+                                  item.on_written(!error);
+                          self->write_next();
+                      });
+}
+
+// The answer stands in the write queue; the next request may be taken.
+void ServerConnection::answered() {
+    gone_ = nullptr;
+    if (phase_ != Phase::Working)
+        return;
+    if (close_after_) {
+        linger();
+        return;
+    }
+    http_parser_init(&parser_, HTTP_REQUEST);
+    informed_ = false;
+    assembler_ = {};
+    set_phase(Phase::Idle, BootClock::now() + core_.limits.idle_timeout);
+    if (held_.empty()) {
+        read_more();
+        return;
+    }
+    // From the loop: an answer may have been given within the call that delivered the request.
+    asio::post(core_.io, [self = shared_from_this()] {
+        if (self->phase_ != Phase::Idle || self->held_.empty())
+            return;
+        const std::string bytes = std::exchange(self->held_, {});
+        self->parse(bytes);
+        self->read_more();
+    });
+}
+
+void ServerConnection::sweep(Time now) {
+    if (write_active_ && write_since_ != Time{} && now - write_since_ > WriteTimeout) {
+        close();
+        return;
+    }
+    if (phase_ == Phase::Lingering && !write_active_) {
+        asio::error_code ignored;
+        socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+    if (now < deadline_)
+        return;
+    if (phase_ == Phase::Head || phase_ == Phase::Body)
+        refuse(408);
+    else if (phase_ == Phase::Idle || (phase_ == Phase::Lingering && !write_active_))
+        close();
+}
+
+void ServerConnection::tell_gone() {
+    if (const auto gone = std::exchange(gone_, nullptr))
+        gone();
+}
+
+void ServerConnection::close() {
+    if (phase_ == Phase::Closed)
+        return;
+    const auto self = shared_from_this();
+    phase_ = Phase::Closed;
+    asio::error_code ignored;
+    socket_.close(ignored);
+    asio::post(core_.io, [self] {
+        self->core_.connections.erase(self);
+        for (const PendingWrite& item : std::exchange(self->queue_, {}))
+            if (item.on_written)
+                item.on_written(false);
+        self->tell_gone();
+    });
+}
+
+} // namespace liftweir
