GroupPlanner: orders, progress and facts each in their place

Orders are in endpointorder.*, progress in groupprogress.cpp, each choice and weight is a function or a named constant, and the header groups its functions by these parts. No behaviour changes.

--- a/src/process/groupformation.cpp
+++ b/src/process/groupformation.cpp
@@ -8,6 +8,15 @@
 
 namespace liftweir {
 
+namespace {
+
+// A host that was in a group of the model since its start joins another one this fast.
+constexpr Duration WarmJoin = std::chrono::milliseconds(200);
+// Groups that a model without any counts as when it is weighed against the others.
+constexpr double LeastLiveGroups = 0.5;
+
+} // namespace
+
 // ---- formation
 
 void GroupPlanner::form_groups(Time now) {
@@ -23,25 +32,27 @@
     if (ever_open_.empty() && !traffic_ && assignment_.empty())
         assignment_ = assign_models(cold_hosts(now), engine_.models);
     std::set<std::string> hopeless;
-    while (hopeless.size() < engine_.models.size()) {
-        const ModelShape* neediest = nullptr;
-        double lowest = std::numeric_limits<double>::max();
-        for (const ModelShape& model : engine_.models) {
-            if (hopeless.contains(model.name))
-                continue;
-            const double have = static_cast<double>(live_groups(model.name)) /
-                                static_cast<double>(target(model, now));
-            if (have < lowest ||
-                (neediest != nullptr && have == lowest && model.size > neediest->size)) {
-                lowest = have;
-                neediest = &model;
-            }
+    while (const ModelShape* model = neediest(hopeless, now))
+        if (!form_one(*model, now))
+            hopeless.insert(model->name);
+}
+
+// The model that has the smallest part of the groups that it should have; a larger model first
+// where two have equal parts.
+const ModelShape* GroupPlanner::neediest(const std::set<std::string>& hopeless, Time now) const {
+    const ModelShape* found = nullptr;
+    double lowest = std::numeric_limits<double>::max();
+    for (const ModelShape& model : engine_.models) {
+        if (hopeless.contains(model.name))
+            continue;
+        const double have =
+            static_cast<double>(live_groups(model.name)) / static_cast<double>(target(model, now));
+        if (have < lowest || (found != nullptr && have == lowest && model.size > found->size)) {
+            lowest = have;
+            found = &model;
         }
-        if (neediest == nullptr)
-            return;
-        if (!form_one(neediest->name, now))
-            hopeless.insert(neediest->name);
     }
+    return found;
 }
 
 std::vector<ColdHost> GroupPlanner::cold_hosts(Time now) const {
@@ -60,42 +71,48 @@
 
 // Every group that can be formed within a domain is formed: a host that waits as a spare serves
 // nobody, and the first loss in a domain leaves spares enough for the next ones.
-bool GroupPlanner::form_one(const std::string& name, Time now) {
-    const ModelShape& model = *shape(name);
+bool GroupPlanner::form_one(const ModelShape& model, Time now) {
+    const std::string& name = model.name;
     const bool from_nothing = !ever_open_.contains(name);
-    const auto domains = free_by_domain(now);
+    Hosts hosts = best_domain(model, now);
+    if (hosts.empty())
+        hosts = across_domains(model, now);
+    if (hosts.empty())
+        return false;
+    std::stable_sort(hosts.begin(), hosts.end(), [&](const auto* a, const auto* b) {
+        const auto rank = [&](const EndpointReport* r) {
+            return staged(*r, name) ? (hosts_.at(r->id).warm == name ? 0 : 1) : 2;
+        };
+        return rank(a) < rank(b);
+    });
+    hosts.resize(std::min<std::size_t>(hosts.size(), model.size));
+    form(model, hosts, from_nothing ? "first group" : "below its share", now);
+    return true;
+}
+
+// Free hosts for a group of the model in the domain with the fewest groups of it, and of those in
+// the one with the most such hosts. Empty where no domain has enough.
+GroupPlanner::Hosts GroupPlanner::best_domain(const ModelShape& model, Time now) const {
+    const bool from_nothing = !ever_open_.contains(model.name);
     Hosts best;
-    std::size_t best_free = 0;
     std::size_t best_groups = 0;
-    for (const auto& [domain, hosts] : domains) {
+    for (const auto& [domain, hosts] : free_by_domain(now)) {
         Hosts fit;
         for (const EndpointReport* report : hosts)
-            if (staged(*report, name) || (from_nothing && !traffic_ && assigned(*report, name)))
+            if (staged(*report, model.name) ||
+                (from_nothing && !traffic_ && assigned(*report, model.name)))
                 fit.push_back(report);
         if (fit.size() < model.size)
             continue;
-        const std::size_t groups = live_groups(name, domain);
+        const std::size_t groups = live_groups(model.name, domain);
         const bool better = best.empty() || groups < best_groups ||
-                            (groups == best_groups && fit.size() > best_free);
+                            (groups == best_groups && fit.size() > best.size());
         if (!better)
             continue;
-        best_free = fit.size();
         best_groups = groups;
         best = std::move(fit);
     }
-    if (best.empty())
-        best = across_domains(model, now);
-    if (best.empty())
-        return false;
-    std::stable_sort(best.begin(), best.end(), [&](const auto* a, const auto* b) {
-        const auto rank = [&](const EndpointReport* r) {
-            return staged(*r, name) ? (hosts_.at(r->id).warm == name ? 0 : 1) : 2;
-        };
-        return rank(a) < rank(b);
-    });
-    best.resize(std::min<std::size_t>(best.size(), model.size));
-    form(model, best, from_nothing ? "first group" : "below its share", now);
-    return true;
+    return best;
 }
 
 // Across domains a group is several times slower, which is still better than none. Beside groups
@@ -118,6 +135,13 @@
     return hosts;
 }
 
+Duration GroupPlanner::join_time(const EndpointReport& report, const ModelShape& model) const {
+    const auto host = hosts_.find(report.id);
+    if (host != hosts_.end() && host->second.warm == model.name)
+        return WarmJoin;
+    return staged(report, model.name) ? model.warm_join : model.load;
+}
+
 void GroupPlanner::form(const ModelShape& model, const Hosts& hosts, const std::string& why,
                         Time now) {
     const Epoch epoch = next_number();
@@ -132,11 +156,7 @@
     Duration longest{};
     for (const EndpointReport* report : hosts) {
         group.members.push_back(report->id);
-        const Host& host = hosts_[report->id];
-        const Duration joins = host.warm == model.name       ? std::chrono::milliseconds(200)
-                               : staged(*report, model.name) ? model.warm_join
-                                                             : model.load;
-        longest = std::max(longest, joins);
+        longest = std::max(longest, join_time(*report, model));
     }
     const auto slower = static_cast<int>(hosts_known_ / std::max(1u, engine_.loads_at_once) + 1);
     group.expected = now + (longest == model.load ? longest * slower : longest) + bounds_.beat;
@@ -154,26 +174,7 @@
     std::string best;
     double best_score = 0;
     for (const ModelShape& model : engine_.models) {
-        std::size_t spares = 0;
-        for (const auto& [id, item] : registry_->items()) {
-            if (item.report.domain != report.domain || id == report.id)
-                continue;
-            const auto host = hosts_.find(id);
-            const bool staging = host != hosts_.end() && now < host->second.staging_until &&
-                                 host->second.staging == model.name;
-            spares +=
-                staging || (is_free(item.report, now) && staged(item.report, model.name)) ? 1 : 0;
-        }
-        const std::size_t here = live_groups(model.name, report.domain) * model.size;
-        const bool wanted = live_groups(model.name) < target(model, now);
-        double score = static_cast<double>(here) / static_cast<double>(1 + 2 * spares);
-        if (wanted && (spares + 1) % model.size == 0)
-            score += 2.0 * model.size;
-        else if (wanted)
-            score += static_cast<double>(spares + 1) / model.size;
-        // A model that lacks groups everywhere goes before a local spare of one that has enough.
-        const double live = std::max(0.5, static_cast<double>(live_groups(model.name)));
-        score *= static_cast<double>(target(model, now)) / live;
+        const double score = staging_score(report, model, now);
         if (best.empty() || score > best_score) {
             best = model.name;
             best_score = score;
@@ -182,6 +183,36 @@
     return best;
 }
 
+// Hosts of the same domain that are spares of the model, or will be once they have its weights.
+std::size_t GroupPlanner::spares_beside(const EndpointReport& report, const std::string& model,
+                                        Time now) const {
+    std::size_t spares = 0;
+    for (const auto& [id, item] : registry_->items()) {
+        if (item.report.domain != report.domain || id == report.id)
+            continue;
+        const auto host = hosts_.find(id);
+        const bool staging = host != hosts_.end() && now < host->second.staging_until &&
+                             host->second.staging == model;
+        spares += staging || (is_free(item.report, now) && staged(item.report, model)) ? 1 : 0;
+    }
+    return spares;
+}
+
+double GroupPlanner::staging_score(const EndpointReport& report, const ModelShape& model,
+                                   Time now) const {
+    const std::size_t spares = spares_beside(report, model.name, now);
+    const std::size_t here = live_groups(model.name, report.domain) * model.size;
+    const bool wanted = live_groups(model.name) < target(model, now);
+    double score = static_cast<double>(here) / static_cast<double>(1 + 2 * spares);
+    if (wanted && (spares + 1) % model.size == 0)
+        score += 2.0 * model.size;
+    else if (wanted)
+        score += static_cast<double>(spares + 1) / model.size;
+    // A model that lacks groups everywhere goes before a local spare of one that has enough.
+    const double live = std::max(LeastLiveGroups, static_cast<double>(live_groups(model.name)));
+    return score * (static_cast<double>(target(model, now)) / live);
+}
+
 void GroupPlanner::stage_spares(Time now) {
     if (ever_open_.empty() && now - hosts_changed_ < SettleTime)
         return;
--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -1,6 +1,7 @@
 #ifndef GROUPPLANNER_H_INCLUDED
 #define GROUPPLANNER_H_INCLUDED
 
+#include "process/endpointorder.h"
 #include "process/firstlayout.h"
 #include "process/loadbudget.h"
 #include "process/registry.h"
@@ -13,41 +14,6 @@
 
 namespace liftweir {
 
-enum class OrderKind : std::uint8_t {
-    Join,  // hold a part of a group; loads the weights where they are missing
-    Open,  // the lead puts the group into service
-    Close, // the lead finishes what it has and takes nothing new
-    Leave, // give the part up at once
-    Stage  // fetch weights onto the host without joining
-};
-
-std::string_view name_of(OrderKind kind);
-
-// One order to an endpoint. The fence rises from order to order and from leader to leader, so an
-// endpoint refuses what is delivered late.
-struct EndpointOrder {
-    OrderKind kind = OrderKind::Join;
-    EndpointId endpoint;
-    std::string address;
-    std::string group;
-    Epoch epoch = NoEpoch;
-    std::string model;
-    std::vector<EndpointId> members; // the lead first
-    std::uint64_t fence = 0;
-
-    auto operator<=>(const EndpointOrder&) const = default;
-};
-
-enum class OrderAnswer : std::uint8_t {
-    Taken,     // begun, or holds already
-    Unfit,     // does not fit the endpoint's state
-    Stale,     // a higher fence or epoch was seen
-    Elsewhere, // another endpoint has the address
-    Silent     // no answer: it may still be carried out, seconds later
-};
-
-std::string_view name_of(OrderAnswer answer);
-
 // A decision of the planner, for the log.
 struct PlanEvent {
     std::string what; // formed, opened, dissolved, staged, ...
@@ -58,6 +24,7 @@
     auto operator<=>(const PlanEvent&) const = default;
 };
 
+// What the planner needs of the settings.
 struct PlannerBounds {
     Duration beat = std::chrono::milliseconds(1200); // between two reports of an endpoint
     Duration load_window = std::chrono::seconds(5);
@@ -72,6 +39,7 @@
   public:
     GroupPlanner(std::string service, PlannerBounds bounds, bool first_start);
 
+    // The operators' figures for the engine; nothing is planned before the first ones.
     void configure(const EngineCost& engine);
     // Every change of a report, on every control host, whether it leads or not.
     void observe(const EndpointReport& report, Time now);
@@ -82,11 +50,14 @@
     // An entry host sees all streams of a group stand still.
     void suspect(Epoch epoch, Time now);
 
+    // One round: the orders that should go out now. Each is to be followed by answered().
     std::vector<EndpointOrder> plan(const Registry& registry, Time now);
     // Endpoints that should be asked for a report now.
     std::vector<EndpointId> take_probes();
+    // What became of an order, and of a probe.
     void answered(const EndpointOrder& order, OrderAnswer answer, Time now);
     void probed(const EndpointId& id, bool alive, Time now);
+    // Decisions since the last call.
     std::vector<PlanEvent> take_events() { return std::exchange(events_, {}); }
 
     // Groups given up whose leads, by their last reports, still serve.
@@ -126,6 +97,8 @@
         bool ordered = false; // an order is under way
     };
 
+    Group& group_of(const Membership& membership, Time now);
+
     // progress of groups
     void advance(Group& group, Time now);
     void advance_forming(Group& group, Time now);
@@ -133,30 +106,42 @@
     void advance_dead(Group& group, Time now);
     void probe_if_suspected(Group& group, Time now);
     void bury(Group& group, const std::string& why, Time now);
-    bool lead_is_out(const Group& group) const;
-    bool binds(const Group& group, const EndpointReport& member) const;
-    bool alive(const EndpointId& id, Time now) const;
+    Time forming_due(const Group& group, const ModelShape& model) const;
     bool replaceable(const Group& group, Time now) const;
+    void open(Group& group, const EndpointReport& lead, Time now);
+    void close(Group& group, const EndpointReport& lead, const std::string& why, Time now);
     void close_if_leaving(Group& group, const EndpointReport* lead, Time now);
+    void gather(Group& group, Time now);
+    bool spans_domains(const Group& group) const;
 
     // formation
     void form_groups(Time now);
-    bool form_one(const std::string& model, Time now);
+    const ModelShape* neediest(const std::set<std::string>& hopeless, Time now) const;
+    bool form_one(const ModelShape& model, Time now);
+    Hosts best_domain(const ModelShape& model, Time now) const;
+    Duration join_time(const EndpointReport& report, const ModelShape& model) const;
     Hosts across_domains(const ModelShape& model, Time now) const;
-    void gather(Group& group, Time now);
-    bool spans_domains(const Group& group) const;
     void form(const ModelShape& shape, const Hosts& hosts, const std::string& why, Time now);
     void stage_spares(Time now);
     void warm_spares(Time now);
+    std::string model_to_stage(const EndpointReport& report, Time now) const;
+    double staging_score(const EndpointReport& report, const ModelShape& model, Time now) const;
+    std::size_t spares_beside(const EndpointReport& report, const std::string& model,
+                              Time now) const;
     std::vector<ColdHost> cold_hosts(Time now) const;
     bool assigned(const EndpointReport& report, const std::string& model) const;
+
+    // facts
+    bool lead_is_out(const Group& group) const;
+    bool binds(const Group& group, const EndpointReport& member) const;
+    bool alive(const EndpointId& id, Time now) const;
     bool is_free(const EndpointReport& report, Time now) const;
     bool staged(const EndpointReport& report, const std::string& model) const;
     std::map<std::string, Hosts> free_by_domain(Time now) const;
     std::size_t target(const ModelShape& shape, Time now) const;
+    static bool is_live(const Group& group, const std::string& model);
     std::size_t live_groups(const std::string& model) const;
     std::size_t live_groups(const std::string& model, const std::string& domain) const;
-    std::string model_to_stage(const EndpointReport& report, Time now) const;
     const ModelShape* shape(const std::string& model) const;
 
     EndpointOrder& order(OrderKind kind, const EndpointReport& report, const Group* group);
