Coordinator: each message and each duty has a function

open_replica() mixed the decision to start anew with opening and emptying the folder, keep_voters() gathered candidates and views before it asked for a change, and a new document, a new planner and the push to entry hosts ran into each other; the comment on registrations promised more than the code keeps. Each is a function with a name, the structs say what they stand for, and the comment says what is handed on at once.

--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -66,40 +66,49 @@
         config_.first_start && std::find(seeds.begin(), seeds.end(), config_.ip) != seeds.end();
     for (int attempt = 0; attempt < 2; ++attempt) {
         const auto node = node_of_folder(*storage_, config_.ip, founder && attempt == 0);
-        Voters bootstrap;
-        if (node && *node == founder_node(config_.ip))
-            for (const std::string& ip : seeds)
-                bootstrap.insert(founder_node(ip));
-        std::random_device device;
-        Expected<std::unique_ptr<Replica>> replica =
-            node ? Replica::open(*storage_, *node, bootstrap, Tuning, device(), BootClock::now())
-                 : tl::make_unexpected(node.error());
-        if (replica) {
-            node_ = *node;
-            replica_ = std::move(*replica);
-            applied_document_ = 0;
-            log(LogLevel::Info, "log opened",
-                {{"node", text_of(node_)},
-                 {"last_index", std::to_string(replica_->raft().last_index())},
-                 {"voters", std::to_string(replica_->raft().voters().size())}});
-            for (const NodeId voter : replica_->raft().voters())
-                learn(voter);
-            return {};
-        }
-        if (replica.error().kind != FailureKind::Damaged)
-            return tl::make_unexpected(replica.error());
+        const Expected<void> opened =
+            node ? open_replica_as(*node) : tl::make_unexpected(node.error());
+        if (opened || opened.error().kind != FailureKind::Damaged)
+            return opened;
         log(LogLevel::Error, "data folder is damaged; starting as a new node",
-            {{"detail", replica.error().detail}});
-        const auto names = storage_->list();
-        if (!names)
-            return tl::make_unexpected(names.error());
-        for (const std::string& name : *names)
-            if (auto removed = storage_->remove(name); !removed)
-                return removed;
+            {{"detail", opened.error().detail}});
+        if (auto emptied = empty_folder(); !emptied)
+            return emptied;
     }
     return fail(FailureKind::Damaged, "an emptied data folder is damaged again");
 }
 
+Expected<void> Coordinator::open_replica_as(NodeId node) {
+    Voters bootstrap;
+    if (node == founder_node(config_.ip))
+        for (const std::string& ip : config_.seed_ips())
+            bootstrap.insert(founder_node(ip));
+    std::random_device device;
+    auto replica = Replica::open(*storage_, node, bootstrap, Tuning, device(), BootClock::now());
+    if (!replica)
+        return tl::make_unexpected(replica.error());
+    node_ = node;
+    replica_ = std::move(*replica);
+    applied_document_ = 0;
+    log(LogLevel::Info, "log opened",
+        {{"node", text_of(node_)},
+         {"last_index", std::to_string(replica_->raft().last_index())},
+         {"voters", std::to_string(replica_->raft().voters().size())}});
+    for (const NodeId voter : replica_->raft().voters())
+        learn(voter);
+    return {};
+}
+
+Expected<void> Coordinator::empty_folder() {
+    const auto names = storage_->list();
+    if (!names)
+        return tl::make_unexpected(names.error());
+    for (const std::string& name : *names)
+        if (auto removed = storage_->remove(name); !removed)
+            return removed;
+    return {};
+}
+
 // Nothing was promised on the strength of what could not be written: raft's state after a failed
 // write is thrown away, and read back from the disk once it works again.
 void Coordinator::storage_failed(const Failure& failure) {
@@ -149,12 +158,7 @@
     pump();
     if (now >= alive_due_) {
         alive_due_ = now + AliveEvery;
-        if (!alive_.empty()) {
-            const EndpointsAlive message{{alive_.begin(), alive_.end()}};
-            alive_.clear();
-            for (auto& [address, peer] : peers_)
-                peer.dialer->send(message);
-        }
+        flush_alive();
     }
     if (now >= second_due_) {
         second_due_ = now + SecondlyEvery;
@@ -231,27 +235,38 @@
         planner.take_over(replica_->raft().term(), now);
 }
 
-// Voters change one at a time, each change in the log before the next begins.
-void Coordinator::keep_voters() {
-    if (!leads())
-        return;
-    Raft& raft = replica_->mutable_raft();
+// Control hosts that are no voters but could become some: heard of, and known by their own word.
+Voters Coordinator::learners() const {
+    const Voters& voters = replica_->raft().voters();
     Voters learners;
     for (const NodeId node : nodes_) {
         const auto peer = peers_.find(address_of(node, config_.link_port));
-        if (!raft.voters().contains(node) && peer != peers_.end() && peer->second.node == node)
+        if (!voters.contains(node) && peer != peers_.end() && peer->second.node == node)
             learners.insert(node);
     }
-    raft.set_learners(learners);
+    return learners;
+}
+
+std::vector<NodeView> Coordinator::views_of(Voters nodes) const {
+    const Raft& raft = replica_->raft();
     const Time now = BootClock::now();
+    nodes.erase(node_);
     std::vector<NodeView> views;
-    Voters others = raft.voters();
-    others.insert(learners.begin(), learners.end());
-    others.erase(node_);
-    for (const NodeId node : others)
+    for (const NodeId node : nodes)
         if (const auto peer = raft.peer(node))
             views.push_back({node, peer->match >= raft.commit(), now - peer->heard});
-    const auto next = keeper_.next(node_, raft.voters(), views);
+    return views;
+}
+
+// Voters change one at a time, each change in the log before the next begins.
+void Coordinator::keep_voters() {
+    if (!leads())
+        return;
+    Raft& raft = replica_->mutable_raft();
+    Voters known = learners();
+    raft.set_learners(known);
+    known.insert(raft.voters().begin(), raft.voters().end());
+    const auto next = keeper_.next(node_, raft.voters(), views_of(std::move(known)));
     if (!next)
         return;
     const auto proposed = raft.propose_voters(*next);
@@ -342,26 +357,33 @@
             {{"detail", deployment.error().detail}});
         return;
     }
-    for (const Service& service : deployment->services) {
-        if (!service.engine)
-            continue;
-        auto found = planners_.find(service.name);
-        if (found == planners_.end()) {
-            const PlannerBounds bounds{config_.bounds.beat, config_.bounds.load_window};
-            found =
-                planners_
-                    .emplace(service.name, GroupPlanner(service.name, bounds, config_.first_start))
-                    .first;
-            for (const auto& [id, item] : registry_.items())
-                if (item.report.service == service.name)
-                    found->second.observe(item.report, BootClock::now());
-            if (leads())
-                found->second.take_over(replica_->raft().term(), BootClock::now());
-        }
-        found->second.configure(*service.engine);
-    }
+    for (const Service& service : deployment->services)
+        if (service.engine)
+            planner_for(service).configure(*service.engine);
+    push_document();
+    plan_soon();
+}
+
+// A planner that begins later than the endpoints is told of them, and of the leadership.
+GroupPlanner& Coordinator::planner_for(const Service& service) {
+    const auto found = planners_.find(service.name);
+    if (found != planners_.end())
+        return found->second;
+    const PlannerBounds bounds{config_.bounds.beat, config_.bounds.load_window};
+    GroupPlanner& planner =
+        planners_.emplace(service.name, GroupPlanner(service.name, bounds, config_.first_start))
+            .first->second;
+    for (const auto& [id, item] : registry_.items())
+        if (item.report.service == service.name)
+            planner.observe(item.report, BootClock::now());
+    if (leads())
+        planner.take_over(replica_->raft().term(), BootClock::now());
+    return planner;
+}
+
+void Coordinator::push_document() {
     const Vouch notice = make_vouch(0);
-    const DocumentPush push{document};
+    const DocumentPush push{replica_->state().document()};
     for (auto& [name, session] : entries_) {
         if (!session.link)
             continue;
@@ -369,7 +391,6 @@
             session.link->send(push);
         session.link->send(notice);
     }
-    plan_soon();
 }
 
 } // namespace liftweir
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -28,6 +28,7 @@
     virtual void probe(const EndpointReport& endpoint, std::function<void(bool)> answered) = 0;
 };
 
+// Reads the operators' document. Fails with BadSettings, never with a part of it.
 using DocumentDecoder = std::function<Expected<Deployment>(const std::string& body)>;
 
 // A control host where endpoints register themselves: keeps the operators' document in the
@@ -53,11 +54,13 @@
     // see leader_ip.
     void replace_document(Version version, const std::string& body, Done done);
     void read_document(Read read);
-    // Where the leader is; empty where none is known.
+    // Where the leader is; empty where none is known, or this host leads.
     std::string leader_ip() const;
+    // This host leads, and knows what was committed before.
     bool leads() const { return replica_ && replica_->raft().leads_with_commit(); }
 
-    // Registrations. They are handed on before these return.
+    // An endpoint registered itself, showed a sign of life, or deregistered. Leaving is handed on
+    // before these return.
     void report(const EndpointReport& report);
     void heard(const EndpointId& id);
     void gone(const EndpointId& id);
@@ -69,17 +72,20 @@
     // An entry host that has not renewed for so long is out of touch and not counted.
     static constexpr Duration EntrySessionKept = std::chrono::seconds(4);
 
+    // An entry host that renews here.
     struct EntrySession {
         Link::Ptr link;
         Renew renew;
         Time heard{};
-        int digest_misses = 0;
+        int digest_misses = 0; // renewals in a row with another registry than this host's
     };
+    // Another control host.
     struct Peer {
         std::unique_ptr<Dialer> dialer;
         NodeId node = NoNode;
         int digest_misses = 0;
     };
+    // An operator's call that waits for its document to be on enough disks.
     struct Waiting {
         Version version = 0;
         Done done;
@@ -87,21 +93,29 @@
 
     // storage and log
     Expected<void> open_replica();
+    Expected<void> open_replica_as(NodeId node);
+    Expected<void> empty_folder();
     void storage_failed(const Failure& failure);
     void pump();
     void pump_soon();
     void send_raft(const std::vector<RaftEnvelope>& messages);
     void note_leadership();
     void keep_voters();
+    Voters learners() const;
+    std::vector<NodeView> views_of(Voters nodes) const;
     void settle_waiting();
     bool durable(const StoredDocument& document) const;
     void document_applied();
+    GroupPlanner& planner_for(const Service& service);
+    void push_document();
 
     // links
     void connect_to(const std::string& address);
     void learn(NodeId node);
     void greet(Peer& peer);
     void on_message(const Link::Ptr& link, Wire&& message);
+    void on_raft(const Link::Ptr& link, const RaftPacket& packet, Time now);
+    void on_suspected(const GroupSuspected& suspected, Time now);
     void on_down(const Link::Ptr& link);
     void on_hello(const PeerHello& hello);
     void on_renew(const Link::Ptr& link, const Renew& renew);
@@ -112,11 +126,13 @@
     void merge(const EndpointReport& report, bool first_hand);
     void changed(const EndpointReport& report, bool to_peers);
     void flush_changes();
+    void flush_alive();
     void send_registry(const std::function<void(const Wire&)>& send) const;
 
     // groups
     void plan();
     void plan_soon();
+    void probe(GroupPlanner& planner, const EndpointId& id, Time now);
     void tell_dissolved(const Link::Ptr& only);
     GroupPlanner* planner_of(const std::string& service);
     void give(GroupPlanner& planner, const EndpointOrder& order);
--- a/src/process/coordinatorfleet.cpp
+++ b/src/process/coordinatorfleet.cpp
@@ -83,11 +83,7 @@
 void Coordinator::on_message(const Link::Ptr& link, Wire&& message) {
     const Time now = BootClock::now();
     if (const auto* packet = std::get_if<RaftPacket>(&message)) {
-        const auto body = decode<RaftMessage>(packet->body);
-        if (!body || link->peer().role != ProcessRole::Control || packet->to != node_ || !replica_)
-            return;
-        replica_->step(packet->from, *body, now);
-        pump_soon();
+        on_raft(link, *packet, now);
     } else if (const auto* hello = std::get_if<PeerHello>(&message)) {
         on_hello(*hello);
     } else if (const auto* renew = std::get_if<Renew>(&message)) {
@@ -99,13 +95,24 @@
         for (const EndpointId& id : alive->ids)
             registry_.heard(id, now);
     } else if (const auto* suspected = std::get_if<GroupSuspected>(&message)) {
-        for (auto& [service, planner] : planners_)
-            planner.suspect(suspected->epoch, now);
-        if (leads())
-            plan_soon();
+        on_suspected(*suspected, now);
     }
 }
 
+void Coordinator::on_raft(const Link::Ptr& link, const RaftPacket& packet, Time now) {
+    const auto body = decode<RaftMessage>(packet.body);
+    if (!body || link->peer().role != ProcessRole::Control || packet.to != node_ || !replica_)
+        return;
+    replica_->step(packet.from, *body, now);
+    pump_soon();
+}
+
+void Coordinator::on_suspected(const GroupSuspected& suspected, Time now) {
+    for (auto& [service, planner] : planners_)
+        planner.suspect(suspected.epoch, now);
+    plan_soon();
+}
+
 void Coordinator::on_down(const Link::Ptr& link) {
     for (auto& [name, session] : entries_)
         if (session.link == link)
@@ -242,6 +249,15 @@
         peer.dialer->send(to_peers);
 }
 
+void Coordinator::flush_alive() {
+    if (alive_.empty())
+        return;
+    const EndpointsAlive message{{alive_.begin(), alive_.end()}};
+    alive_.clear();
+    for (auto& [address, peer] : peers_)
+        peer.dialer->send(message);
+}
+
 // ---- groups
 
 GroupPlanner* Coordinator::planner_of(const std::string& service) {
@@ -263,21 +279,11 @@
     plan_due_ = now + PlanEvery;
     if (!replica_ || !replica_->ready())
         return;
-    for (auto& [service, service_planner] : planners_) {
-        GroupPlanner& planner = service_planner;
+    for (auto& [service, planner] : planners_) {
         for (const EndpointOrder& order : planner.plan(registry_, now))
             give(planner, order);
-        for (const EndpointId& id : planner.take_probes()) {
-            const Registry::Item* item = registry_.find(id);
-            if (item == nullptr) {
-                planner.probed(id, false, now);
-                continue;
-            }
-            orders_.probe(item->report, [this, &planner, id](bool alive) {
-                planner.probed(id, alive, BootClock::now());
-                plan_soon();
-            });
-        }
+        for (const EndpointId& id : planner.take_probes())
+            probe(planner, id, now);
         for (const PlanEvent& event : planner.take_events())
             log(LogLevel::Info, "group " + event.what,
                 {{"group", event.group},
@@ -288,18 +294,29 @@
     tell_dissolved(nullptr);
 }
 
+void Coordinator::probe(GroupPlanner& planner, const EndpointId& id, Time now) {
+    const Registry::Item* item = registry_.find(id);
+    if (item == nullptr) {
+        planner.probed(id, false, now);
+        return;
+    }
+    orders_.probe(item->report, [this, &planner, id](bool alive) {
+        planner.probed(id, alive, BootClock::now());
+        plan_soon();
+    });
+}
+
 // Entry hosts believe a lead's own report. A lost lead can not take back its last one.
 void Coordinator::tell_dissolved(const Link::Ptr& only) {
-    GroupsDissolved message;
     std::set<Epoch> all;
     for (const auto& [service, planner] : planners_)
         for (const Epoch epoch : planner.dissolved(registry_))
             all.insert(epoch);
     const bool news = !std::includes(dissolved_.begin(), dissolved_.end(), all.begin(), all.end());
     dissolved_ = all;
-    message.epochs.assign(all.begin(), all.end());
-    if (message.epochs.empty())
+    if (all.empty())
         return;
+    const GroupsDissolved message{{all.begin(), all.end()}};
     if (only)
         only->send(message);
     else if (news)
