Gateway: one function for each step, names for its bare figures

renew() chose the pushing control host and filled in each question, on_vouch() learned this host's share and the lease besides, on_request() checked the customer among its other refusals, budgets were made in two places, and 0.02, 10, 20 ms, 200 ms and an hour stood bare. Each step is a function and each figure a constant with a line on what it is for. No behaviour changes.

--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -29,7 +29,16 @@
 constexpr Duration LeavingNotice = std::chrono::milliseconds(2600);
 // Time left for the last answers to leave before the process is killed.
 constexpr Duration LeavingReserve = std::chrono::milliseconds(900);
+// For the last answers to leave once nothing is under way, and where calls had to be abandoned.
+constexpr Duration LastAnswers = std::chrono::milliseconds(20);
+constexpr Duration LastAnswersWhenLate = std::chrono::milliseconds(200);
+// Puts the begin of leaving out of reach, so that the loop is stopped only once.
+constexpr Duration AfterStop = std::chrono::hours(1);
 constexpr double ShareSmoothing = 0.3;
+// This host never takes itself for a smaller part of all entry hosts.
+constexpr double LeastShare = 0.02;
+// An endpoint that was not suspected for so many rounds of telling is forgotten here.
+constexpr int SuspicionRoundsKept = 10;
 
 HttpServerLimits limits_of(const CallerLimits& limits) {
     HttpServerLimits out;
@@ -108,29 +117,36 @@
 
 void Gateway::renew(Time now) {
     renew_due_ = now + (lease_.behind() ? RenewBehindEvery : RenewEvery);
+    choose_source();
+    for (const auto& [address, dialer] : control_)
+        if (dialer->up())
+            dialer->send(make_renew(address, now));
+}
+
+// Any control host that is up, and the same one for as long as it is.
+void Gateway::choose_source() {
     const auto source = control_.find(source_);
-    if (source == control_.end() || !source->second->up()) {
-        std::vector<std::string> up;
-        for (const auto& [address, dialer] : control_)
-            if (dialer->up())
-                up.push_back(address);
-        source_ = up.empty() ? "" : up[random_() % up.size()];
-    }
-    for (const auto& [address, dialer] : control_) {
-        if (!dialer->up())
-            continue;
-        Renew renew;
-        renew.entry = config_.name;
-        renew.incarnation = identity_.incarnation;
-        renew.lease = document_.index;
-        renew.want_delta = address == source_;
-        renew.registry = directory_.registry().digest();
-        renew.calls = calls_taken_;
-        renew.in_flight = static_cast<std::uint32_t>(calls_.size());
-        const auto node = nodes_.find(address);
-        renew.sequence = node == nodes_.end() ? 0 : lease_.asked(node->second, now);
-        dialer->send(renew);
-    }
+    if (source != control_.end() && source->second->up())
+        return;
+    std::vector<std::string> up;
+    for (const auto& [address, dialer] : control_)
+        if (dialer->up())
+            up.push_back(address);
+    source_ = up.empty() ? "" : up[random_() % up.size()];
+}
+
+Renew Gateway::make_renew(const std::string& address, Time now) {
+    Renew renew;
+    renew.entry = config_.name;
+    renew.incarnation = identity_.incarnation;
+    renew.lease = document_.index;
+    renew.want_delta = address == source_;
+    renew.registry = directory_.registry().digest();
+    renew.calls = calls_taken_;
+    renew.in_flight = static_cast<std::uint32_t>(calls_.size());
+    const auto node = nodes_.find(address);
+    renew.sequence = node == nodes_.end() ? 0 : lease_.asked(node->second, now);
+    return renew;
 }
 
 void Gateway::on_message(const std::string& address, Wire&& message) {
@@ -141,23 +157,28 @@
     } else if (const auto* dissolved = std::get_if<GroupsDissolved>(&message)) {
         directory_.dissolve(dissolved->epochs);
     } else if (const auto* changes = std::get_if<EndpointChanges>(&message)) {
-        const Time now = BootClock::now();
-        bool changed = false;
-        for (const EndpointReport& report : changes->reports) {
-            if (!directory_.registry().merge(report, now))
-                continue;
-            changed = true;
-            if (report.phase == EndpointPhase::Gone)
-                if (const auto* item = directory_.registry().find(report.id))
-                    pool_->forget(item->report.address);
-        }
-        if (!changed)
-            return;
-        for (const auto& call : std::set<std::shared_ptr<RelayedCall>>(calls_))
-            call->tick(now);
+        on_changes(*changes);
     }
 }
 
+// A call that waits for an endpoint may find one among the changes.
+void Gateway::on_changes(const EndpointChanges& changes) {
+    const Time now = BootClock::now();
+    bool changed = false;
+    for (const EndpointReport& report : changes.reports) {
+        if (!directory_.registry().merge(report, now))
+            continue;
+        changed = true;
+        if (report.phase == EndpointPhase::Gone)
+            if (const auto* item = directory_.registry().find(report.id))
+                pool_->forget(item->report.address);
+    }
+    if (!changed)
+        return;
+    for (const auto& call : calls())
+        call->tick(now);
+}
+
 void Gateway::on_vouch(const std::string& address, const Vouch& vouch) {
     const Time now = BootClock::now();
     for (const NodeId node : vouch.nodes)
@@ -176,6 +197,12 @@
     } else if (lease_.behind() && !was_behind) {
         renew_due_ = std::min(renew_due_, now + RenewBehindEvery);
     }
+    learn_share(vouch);
+    note_lease(now);
+}
+
+// This host's part of all calls under way; an equal part where it has none.
+void Gateway::learn_share(const Vouch& vouch) {
     if (vouch.sequence != 0 && vouch.in_flight_total > 0 && !calls_.empty()) {
         const double seen = static_cast<double>(calls_.size()) /
                             std::max<double>(vouch.in_flight_total, calls_.size());
@@ -183,9 +210,12 @@
     } else if (vouch.sequence != 0 && vouch.entries > 0 && calls_.empty()) {
         share_ += ShareSmoothing * (1.0 / vouch.entries - share_);
     }
-    directory_.set_others(1 / std::max(share_, 0.02));
+    directory_.set_others(1 / std::max(share_, LeastShare));
     for (auto& [service, budget] : budgets_)
         budget.set_share(share_);
+}
+
+void Gateway::note_lease(Time now) {
     const bool holds = lease_holds(now);
     if (holds != std::exchange(had_lease_, holds))
         log(LogLevel::Info, holds ? "settings lease held" : "settings lease lost",
@@ -207,13 +237,9 @@
     document_.body.clear();
     table_ = std::make_shared<const RouteTable>(std::move(*deployment));
     callers_->set_limits(limits_of(table_->deployment().limits));
-    for (const Service& service : table_->deployment().services) {
-        const FleetBounds& bounds = config_.bounds;
-        const auto [budget, added] = budgets_.try_emplace(service.name, bounds.retry_window,
-                                                          bounds.retry_ratio, bounds.retry_slack);
-        if (added)
-            budget->second.set_share(share_);
-    }
+    for (const Service& service : table_->deployment().services)
+        if (!budgets_.contains(service.name))
+            budget(service.name).set_share(share_);
     log(LogLevel::Info, "document in force",
         {{"version", std::to_string(document_.version)},
          {"routes", std::to_string(table_->deployment().routes.size())}});
@@ -263,6 +289,24 @@
     return nullptr;
 }
 
+// Names the customer in the plan, or answers the request itself.
+bool Gateway::authorise(HttpExchange& exchange, const CallerRequest& request, Time now,
+                        RelayPlan& plan) {
+    if (!plan.route->needs_key || plan.table->deployment().customers.empty())
+        return true;
+    if (!lease_holds(now)) {
+        answer_self(exchange, request, 503, "no_lease", RetryAfterUnready);
+        return false;
+    }
+    const CustomerKeys* customer = request.key ? plan.table->customer(*request.key) : nullptr;
+    if (customer == nullptr) {
+        answer_self(exchange, request, 401, "unauthorized", Duration::zero());
+        return false;
+    }
+    plan.customer = customer->name;
+    return true;
+}
+
 void Gateway::on_request(const std::shared_ptr<HttpExchange>& exchange) {
     const CallerRequest request = protocol_.read(*exchange);
     const Time now = BootClock::now();
@@ -284,18 +328,8 @@
                     sure ? Duration::zero() : RetryAfterUnready);
         return;
     }
-    if (plan.route->needs_key && !table_->deployment().customers.empty()) {
-        if (!lease_holds(now)) {
-            answer_self(*exchange, request, 503, "no_lease", RetryAfterUnready);
-            return;
-        }
-        const CustomerKeys* customer = request.key ? table_->customer(*request.key) : nullptr;
-        if (customer == nullptr) {
-            answer_self(*exchange, request, 401, "unauthorized", Duration::zero());
-            return;
-        }
-        plan.customer = customer->name;
-    }
+    if (!authorise(*exchange, request, now, plan))
+        return;
     plan.service = choose_service(*table_, *plan.route);
     ++calls_taken_;
     const auto call = std::make_shared<RelayedCall>(*this, exchange, request, plan);
@@ -322,7 +356,7 @@
         directory_.expire(now);
     }
     watch_stalls(now);
-    for (const auto& call : std::set<std::shared_ptr<RelayedCall>>(calls_))
+    for (const auto& call : calls())
         call->tick(now);
     std::erase_if(calls_, [](const auto& call) { return call->done(); });
     maybe_stop(now);
@@ -337,11 +371,12 @@
         EndpointUse& use = directory_.use(id);
         use.avoid_until = now + AvoidStalled;
         tell_suspicion(id, now);
-        for (const auto& call : std::set<std::shared_ptr<RelayedCall>>(calls_))
+        for (const auto& call : calls())
             call->stalled(id, now);
     }
-    std::erase_if(suspected_,
-                  [&](const auto& item) { return now - item.second > 10 * SuspectEvery; });
+    std::erase_if(suspected_, [&](const auto& item) {
+        return now - item.second > SuspicionRoundsKept * SuspectEvery;
+    });
 }
 
 void Gateway::tell_suspicion(const EndpointId& id, Time now) {
@@ -379,18 +414,20 @@
         callers_->close_idle();
     const bool late = since > config_.bounds.grace - LeavingReserve;
     if (late)
-        for (const auto& call : std::set<std::shared_ptr<RelayedCall>>(calls_))
+        for (const auto& call : calls())
             call->abandon();
     const bool idle = calls_.empty() && callers_->connections() == 0 && since > LeavingNotice;
     if (!idle && !late)
         return;
     log(LogLevel::Info, "stopped", {{"calls", std::to_string(calls_.size())}});
+    stop(late ? LastAnswersWhenLate : LastAnswers);
+    leaving_since_ = now + AfterStop;
+}
+
+void Gateway::stop(Duration last_answers) {
     callers_->stop_accepting();
-    // The last answers still have to leave.
-    const auto timer =
-        std::make_shared<asio::steady_timer>(io_, std::chrono::milliseconds(late ? 200 : 20));
+    const auto timer = std::make_shared<asio::steady_timer>(io_, last_answers);
     timer->async_wait([this, timer](asio::error_code) { io_.stop(); });
-    leaving_since_ = now + std::chrono::hours(1);
 }
 
 } // namespace liftweir
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 
@@ -29,6 +30,7 @@
     Gateway& operator=(const Gateway&) = delete;
 
     void start();
+    // The settings file has changed.
     void reconfigure(const FleetConfig& config);
     // Stops taking work, finishes what there is, then stops the loop.
     void leave();
@@ -45,19 +47,27 @@
     void connect_to(const std::string& address);
     void renew(Time now);
     void on_message(const std::string& address, Wire&& message);
+    void choose_source();
+    Renew make_renew(const std::string& address, Time now);
     void on_vouch(const std::string& address, const Vouch& vouch);
+    void learn_share(const Vouch& vouch);
+    void note_lease(Time now);
     void on_document(const DocumentPush& push);
+    void on_changes(const EndpointChanges& changes);
     void send_to_control(const Wire& message);
 
     // calls
     void on_request(const std::shared_ptr<HttpExchange>& exchange);
     void answer_self(HttpExchange& exchange, const CallerRequest& request, int status,
                      const char* kind, Duration retry_after);
+    bool authorise(HttpExchange& exchange, const CallerRequest& request, Time now, RelayPlan& plan);
     const Service* choose_service(const RouteTable& table, const Route& route);
+    std::set<std::shared_ptr<RelayedCall>> calls() const { return calls_; }
     void tick();
     void watch_stalls(Time now);
     void tell_suspicion(const EndpointId& id, Time now);
     void maybe_stop(Time now);
+    void stop(Duration last_answers);
     bool ready() const;
     bool lease_holds(Time now) const;
 
