The programs of a fleet start by one road

The two programs doubled reading the command line and the settings, following the settings file and the line that says that they have started, and the metrics address was served by the same lines in two places. fleetprogram.* holds each once.

--- /dev/null
+++ b/src/process/fleetprogram.cpp
@@ -0,0 +1,53 @@
+#include "process/fleetprogram.h"
+
+#include "process/logging.h"
+#include "process/metrics.h"
+#include "process/program.h"
+
+#include <iostream>
+#include <utility>
+
+namespace liftweir {
+
+std::optional<FleetProgram> read_fleet_program(const std::string& name, const char* fallback,
+                                               int argc, const char** argv, int& exit_code) {
+    const auto line = read_command_line(name, fallback, argc, argv, exit_code);
+    if (!line)
+        return std::nullopt;
+    auto config = read_fleet_config(line->settings_file);
+    if (!config) {
+        std::cerr << config.error().detail << "\n";
+        exit_code = ExitBadSettings;
+        return std::nullopt;
+    }
+    if (line->check_only)
+        return std::nullopt;
+    return FleetProgram{std::move(*config), line->settings_file};
+}
+
+void follow_fleet_config(asio::io_context& io, const std::string& file,
+                         std::function<void(const FleetConfig&)> changed) {
+    watch_settings_file(io, file, [file, changed = std::move(changed)] {
+        const auto config = read_fleet_config(file);
+        log(LogLevel::Info, "settings read again",
+            {{"outcome", config ? "good" : config.error().detail}});
+        if (config)
+            changed(*config);
+    });
+}
+
+void note_started(const FleetConfig& config) {
+    log(LogLevel::Info, "started",
+        {{"ip", config.ip}, {"authentication", "none: the network is trusted"}});
+}
+
+std::unique_ptr<HttpServer> serve_metrics(asio::io_context& io, const std::string& address) {
+    if (address.empty())
+        return nullptr;
+    return serve_http(io, address, {}, [](const std::shared_ptr<HttpExchange>& exchange) {
+        exchange->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                          Metrics::instance().text());
+    });
+}
+
+} // namespace liftweir
--- /dev/null
+++ b/src/process/fleetprogram.h
@@ -0,0 +1,40 @@
+#ifndef FLEETPROGRAM_H_INCLUDED
+#define FLEETPROGRAM_H_INCLUDED
+
+#include "connection/httpserver.h"
+#include "process/fleetconfig.h"
+
+#include <asio.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace liftweir {
+
+// What a program needs to start where endpoints register themselves.
+struct FleetProgram {
+    FleetConfig config;
+    std::string settings_file;
+};
+
+// Reads the command line and the settings file. Prints what is wrong and leaves the exit code in
+// `exit_code` where the program must not go on. `fallback` is the settings file where the command
+// line names none; it may be null.
+std::optional<FleetProgram> read_fleet_program(const std::string& name, const char* fallback,
+                                               int argc, const char** argv, int& exit_code);
+
+// Hands on the settings each time that their file changes, unless they are wrong.
+void follow_fleet_config(asio::io_context& io, const std::string& file,
+                         std::function<void(const FleetConfig&)> changed);
+
+// Says in the log that the program has started.
+void note_started(const FleetConfig& config);
+
+// Serves this process's metrics; null where the address is empty.
+std::unique_ptr<HttpServer> serve_metrics(asio::io_context& io, const std::string& address);
+
+} // namespace liftweir
+
+#endif // FLEETPROGRAM_H_INCLUDED
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -1,5 +1,6 @@
 #include "process/gateway.h"
 
+#include "process/fleetprogram.h"
 #include "process/logging.h"
 #include "process/metrics.h"
 #include "process/node.h"
@@ -73,11 +74,7 @@
     ready_ = serve_http(io_, config_.ready, {}, [this](const std::shared_ptr<HttpExchange>& e) {
         e->respond(ready() ? 200 : 503, {}, ready() ? "ready\n" : "not ready\n");
     });
-    if (!config_.metrics.empty())
-        metrics_ = serve_http(io_, config_.metrics, {}, [](const std::shared_ptr<HttpExchange>& e) {
-            e->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
-                       Metrics::instance().text());
-        });
+    metrics_ = serve_metrics(io_, config_.metrics);
     Metrics& metrics = Metrics::instance();
     metrics.gauge("liftweir_calls_in_flight",
                   [this] { return static_cast<double>(calls_.size()); });
