--- a/src/process/groupformation.cpp
+++ b/src/process/groupformation.cpp
@@ -33,7 +33,7 @@
         assignment_ = assign_models(cold_hosts(now), engine_.models);
     std::set<std::string> hopeless;
     while (const ModelShape* model = neediest(hopeless, now))
-        if (!form_one(*model, now))
+        if (!form_one(*shape(model->name), now))
             hopeless.insert(model->name);
 }
 
--- a/src/process/registry.h
+++ b/src/process/registry.h
@@ -8,8 +8,8 @@
 #include <cstdint>
 #include <map>
 #include <msgpack.hpp>
-#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace liftweir {
@@ -17,6 +17,7 @@
 // A number drawn anew at each start of an endpoint: one incarnation, never reused.
 using EndpointId = std::string;
 
+// How far a member is in its group, by its own word.
 enum class MemberState : std::uint8_t {
     Joining, // loads or warms up
     Ready,   // holds its part; the group is not in service
@@ -25,6 +26,7 @@
     Broken   // stood still too long; the lead refuses everything
 };
 
+// The state's word in the log.
 std::string_view name_of(MemberState state);
 
 // An endpoint's own word about the group that it belongs to.
@@ -38,6 +40,7 @@
     MSGPACK_DEFINE(group, epoch, rank, state)
 };
 
+// Whether an endpoint takes requests, finishes what it has, or has ended.
 enum class EndpointPhase : std::uint8_t { Serving, Draining, Gone };
 
 // What an endpoint says of itself when it registers. Later reports have higher sequences.
@@ -79,11 +82,13 @@
     bool merge(EndpointReport report, Time now);
     // The endpoint has ended, or will without another word. Final.
     bool mark_gone(const EndpointId& id, Time now);
+    // A sign of life, without a report.
     void heard(const EndpointId& id, Time now);
     // Forgets endpoints that are gone or have been silent for long.
     void expire(Time now);
 
     const std::map<EndpointId, Item>& items() const { return items_; }
+    // Null where the endpoint is not known.
     const Item* find(const EndpointId& id) const;
     // Two registries of equal digest hold the same content.
     std::uint64_t digest() const;
--- a/src/request/relayedanswer.cpp
+++ b/src/request/relayedanswer.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr std::uint32_t MostConnectFailures = 4;
+// Once so many endpoints were tried, the next one that takes no connection ends the call.
+constexpr std::size_t MostTriedWithoutConnection = 4;
 // Answers that are held back until they are whole; larger ones are cut off as failures.
 constexpr std::size_t MaxWholeBody = 8u << 20;
 // A slow caller holds its endpoint back beyond this many bytes.
@@ -129,7 +130,7 @@
     host_.unreachable(endpoint_);
     release_endpoint();
     --sends_;
-    if (tried_.size() < MostConnectFailures)
+    if (tried_.size() < MostTriedWithoutConnection)
         attempt(now);
     else
         refuse_or_cut("no endpoint takes connections", RetryAfterNoGroup);
--- a/src/version/deployment.h
+++ b/src/version/deployment.h
@@ -80,6 +80,7 @@
     auto operator<=>(const EngineCost&) const = default;
 };
 
+// Endpoints that do the same work.
 struct Service {
     std::string name;
     std::uint32_t max_connections = 1; // one endpoint accepts so many from all entry hosts
@@ -88,6 +89,7 @@
     auto operator<=>(const Service&) const = default;
 };
 
+// A customer, and the keys that show that a request comes from it.
 struct CustomerKeys {
     std::string name;
     std::vector<std::string> keys;
@@ -96,6 +98,7 @@
     auto operator<=>(const CustomerKeys&) const = default;
 };
 
+// Bounds on what a caller may send and how long it may take.
 struct CallerLimits {
     std::size_t header_bytes = 16384;
     std::size_t body_bytes = 4u << 20;
@@ -105,6 +108,7 @@
     auto operator<=>(const CallerLimits&) const = default;
 };
 
+// All settings that the operators change while the system runs: their document, decoded.
 struct Deployment {
     Version version = 0;
     std::vector<Route> routes;
@@ -113,6 +117,7 @@
     CallerLimits limits;
 
     bool operator==(const Deployment&) const = default;
+    // Null where there is none of the name.
     const Service* service(std::string_view name) const;
 };
 
