Plain services' streams are no engine's; nothing is given up without a repeat to spend

Cause (found by reading): a stream of a plain service was counted in the load and stall watch of an engine, which it never entered: counters wrapped and the endpoint was watched as standing still for ever after. And a call was taken from a slow endpoint before the budget was asked, so an empty budget cut it. Change: only an engine's streams are counted; the budget is asked first. Test: a plain service that streams (failed before, passes now); has_left against take.

--- a/src/request/relayedanswer.cpp
+++ b/src/request/relayedanswer.cpp
@@ -63,17 +63,23 @@
 void RelayedCall::pass_events() {
     const Time now = BootClock::now();
     for (std::string event = splitter_.next(); !event.empty(); event = splitter_.next()) {
-        EndpointUse& use = host_.directory().use(endpoint_);
-        use.watch.progress(now, !first_seen_);
-        if (!std::exchange(first_seen_, true)) {
-            --use.load.reading;
-            use.load.reading_tokens -= request_.prompt_tokens;
-            ++use.load.writing;
-        }
+        if (uses_engine())
+            note_progress(now);
         pass_event(std::move(event));
     }
 }
 
+// Plain services may stream too, but no engine's passes move their streams.
+void RelayedCall::note_progress(Time now) {
+    EndpointUse& use = host_.directory().use(endpoint_);
+    use.watch.progress(now, !first_seen_);
+    if (std::exchange(first_seen_, true))
+        return;
+    --use.load.reading;
+    use.load.reading_tokens -= request_.prompt_tokens;
+    ++use.load.writing;
+}
+
 void RelayedCall::pass_event(std::string event) {
     const Time now = BootClock::now();
     if (const std::string_view id = id_of_event(event); !id.empty())
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -78,7 +78,8 @@
 }
 
 bool RelayedCall::takes_another(Time now) {
-    return host_.directory().pick(demand(), tried_, now).has_value();
+    return host_.budget(plan_.service->name).has_left(now) &&
+           host_.directory().pick(demand(), tried_, now).has_value();
 }
 
 bool RelayedCall::may_send_again(Time now) {
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -77,6 +77,7 @@
     void on_not_run();
     void on_broken(const char* why);
     void pass_events();
+    void note_progress(Time now);
     void pass_event(std::string event);
     void pass_bytes(std::string bytes);
     void on_complete();
--- a/src/request/repeatbudget.cpp
+++ b/src/request/repeatbudget.cpp
@@ -37,11 +37,15 @@
     ++slot(now).requests;
 }
 
-bool RepeatBudget::take(Time now) {
+bool RepeatBudget::has_left(Time now) const {
     const Slot total = sum(now);
     const double allowed =
         UsedPart * (ratio_ * total.requests + share_ * static_cast<double>(slack_));
-    if (total.repeats + 1 > allowed)
+    return total.repeats + 1 <= allowed;
+}
+
+bool RepeatBudget::take(Time now) {
+    if (!has_left(now))
         return false;
     ++slot(now).repeats;
     return true;
--- a/src/request/repeatbudget.h
+++ b/src/request/repeatbudget.h
@@ -16,6 +16,8 @@
     RepeatBudget(Duration window, double ratio, std::uint32_t slack);
 
     void request(Time now);
+    // Whether take() would succeed now.
+    bool has_left(Time now) const;
     // False where nothing is left.
     bool take(Time now);
     // This entry host's part of all requests, 0 to 1.
--- a/tests/site/sitefleet.py
+++ b/tests/site/sitefleet.py
@@ -125,7 +125,8 @@
         return {"version": self.version,
                 "routes": [route("chat", "streaming", "llm", **{"stream-resume": True,
                                                                 "gap_aim_ms": 300}),
-                           route("save", "unsafe", "app"), route("look", "safe", "app")],
+                           route("save", "unsafe", "app"), route("look", "safe", "app"),
+                           route("feed", "streaming", "app", **{"stream-resume": True})],
                 "services": [{"name": "llm", "max-connections": 300, "engine": engine},
                              {"name": "app", "max-connections": 100}],
                 "limits": {"header-timeout-ms": 1000, "idle-timeout-ms": 15000},
@@ -213,7 +214,7 @@
     def check_success(self, route, request, headers, body):
         if headers.get("request-id") != request:
             self.fleet.break_rule("mixed", "an answer to another request")
-        if route != "chat":
+        if route not in ("chat", "feed"):
             if self.fleet.signatures.get(headers.get("response-signature")) != body:
                 self.fleet.break_rule("mixed", "another body than the worker's")
             return
--- a/tests/site/standin.py
+++ b/tests/site/standin.py
@@ -197,6 +197,8 @@
         self.fleet.keys[request] = headers.get("tenant-id")
         signature = "%s.%s.%d" % (self.id, request, len(self.fleet.runs[request]))
         own = {"Request-Id": request, "Response-Signature": signature}
+        if path.startswith("/feed/"):
+            return await self.stream(int(headers.get("last-event-id", "0")), own, writer)
         if not self.domain:
             answer = b"done:" + request.encode()
             await asyncio.sleep(0.01)
@@ -215,7 +217,7 @@
                 await asyncio.sleep(3600)
             if group is not self.group:
                 raise EOFError
-            if not self.whole():
+            if group and not self.whole():
                 still_since = still_since or time.monotonic()
                 if time.monotonic() - still_since > STALL_S:
                     self.change(group, "broken")
--- a/tests/site/test_site.py
+++ b/tests/site/test_site.py
@@ -37,6 +37,18 @@
     play(scenario)
 
 
+# Found by reading: a plain service's stream was counted as an engine's, and watched for ever.
+def test_streams_of_a_plain_service_are_not_watched_like_an_engines():
+    async def scenario(site):
+        for _ in range(4):
+            assert await site.ask("feed") == 200
+        await asyncio.sleep(1.5)
+        assert await site.ask("feed") == 200
+        assert "stands still" not in open(site.entries[0].log).read()
+
+    play(scenario)
+
+
 def test_a_stream_goes_on_at_another_group_when_a_member_is_lost():
     async def scenario(site):
         assert await site.until(lambda: asyncio.sleep(0, site.open_groups() >= 3))
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -245,8 +245,10 @@
     for (int i = 0; i < 100; ++i)
         budget.request(now);
     int taken = 0;
-    while (budget.take(now))
+    while (budget.has_left(now)) {
+        EXPECT_TRUE(budget.take(now));
         ++taken;
+    }
     EXPECT_LE(taken, 40);
     EXPECT_GE(taken, 25);
     EXPECT_FALSE(budget.take(now + seconds(5)));
