--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -68,8 +68,7 @@
         config_.first_start && std::find(seeds.begin(), seeds.end(), config_.ip) != seeds.end();
     for (int attempt = 0; attempt < 2; ++attempt) {
         const auto node = node_of_folder(*storage_, config_.ip, founder && attempt == 0);
-        const Expected<void> opened =
-            node ? open_replica_as(*node) : tl::make_unexpected(node.error());
+        Expected<void> opened = node ? open_replica_as(*node) : tl::make_unexpected(node.error());
         if (opened || opened.error().kind != FailureKind::Damaged)
             return opened;
         log(LogLevel::Error, "data folder is damaged; starting as a new node",
