Links: a connect that began before the other host was up is dialed anew

Cause: after a loss of power all hosts come back within half a second of each other. A connect that left while the other host was dark is answered by nobody, and the kernel sends it again only after a second; greetings hurried only dialers that rested between attempts. Change: an attempt older than 100 ms is given up when its peer is heard, and any attempt after 300 ms (was 1 s). Tests: LinkToDarkHost, three cases against a full queue of connections, failed before.

--- a/src/connection/link.cpp
+++ b/src/connection/link.cpp
@@ -20,8 +20,12 @@
 constexpr std::size_t MaxQueuedBytes = 96u << 20;
 constexpr std::size_t LargestRead = 64 * 1024;
 constexpr Duration HandshakeTimeout = std::chrono::seconds(3);
-// A dark host answers no connect; a queue of new connections that is full answers after seconds.
-constexpr Duration ConnectTimeout = std::chrono::milliseconds(1000);
+// The kernel sends a lost first packet again after a second: dialing anew is sooner. Three times the
+// longest round trip between two regions.
+constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
+// A host that is there answers a connect within one round trip. An attempt that is older began
+// before the host was up.
+constexpr Duration AnsweredConnect = std::chrono::milliseconds(100);
 // Several retransmissions between zones, and well below the time in which a cut must be noticed.
 constexpr Duration SilenceLimit = std::chrono::milliseconds(2500);
 constexpr Duration FirstPause = std::chrono::milliseconds(50);
@@ -333,6 +337,7 @@
         return;
     auto socket = std::make_shared<asio::ip::tcp::socket>(io_);
     connecting_ = socket;
+    connecting_since_ = BootClock::now();
     timer_.expires_after(ConnectTimeout);
     timer_.async_wait([alive = alive_, socket](asio::error_code error) {
         if (!error && *alive)
@@ -344,9 +349,13 @@
         connecting_.reset();
         timer_.cancel();
         if (error) {
-            dial_later();
+            if (std::exchange(hurried_, false))
+                dial();
+            else
+                dial_later();
             return;
         }
+        hurried_ = false;
         link_ = std::make_shared<Link>(std::move(*socket), self_, keys_, true);
         link_->start(
             [this, alive](const Link::Ptr& link) {
@@ -383,6 +392,11 @@
 }
 
 void Dialer::hurry() {
+    if (connecting_ && BootClock::now() - connecting_since_ > AnsweredConnect) {
+        hurried_ = true;
+        connecting_->close();
+        return;
+    }
     if (!std::exchange(resting_, false))
         return;
     pause_ = FirstPause;
--- a/src/connection/link.h
+++ b/src/connection/link.h
@@ -128,7 +128,8 @@
     // False where no link is up: the message was not sent and never will be.
     bool send(const Wire& message);
     const std::string& address() const { return address_; }
-    // The other side is known to be there: dials at once if it is waiting to.
+    // The other side is known to be there: dials at once if it is waiting to, or if an attempt has
+    // gone unanswered for longer than a sound one takes.
     void hurry();
 
   private:
@@ -144,6 +145,8 @@
     Link::Ptr link_;
     std::shared_ptr<bool> alive_;
     std::shared_ptr<asio::ip::tcp::socket> connecting_;
+    Time connecting_since_{};
+    bool hurried_ = false; // the attempt under way was given up for a new one
     bool resting_ = false; // between two attempts
     Link::OnUp on_up_;
     Link::OnMessage on_message_;
