Entry hosts hold what comes before their first settings, and remember endpoints over a loss of power

Change: ArrivalHold keeps such requests for 1.5 s at most, a quarter of their patience; while endpoints are about to be heard of, a call without one waits as long. Each control host keeps the endpoints on its disk (RosterFile, written by a thread of its own since a disk may stand still) and hands them to entry hosts that have just begun too. Nothing else believes them: groups are planned by what endpoints say. Ruled out: merging them into the registry of control. The planner could then join a member whose group was formed within the last two seconds. Tests: test_requests_that_come_before_the_first_settings_are_answered_with_them (failed before).

--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -266,10 +266,18 @@
     MSGPACK_DEFINE(epochs)
 };
 
+// Endpoints that a control host knew before it lost power. Only for an entry host that has just
+// begun; what endpoints say since then goes first.
+struct EndpointsRemembered {
+    std::vector<EndpointReport> reports;
+    MSGPACK_DEFINE(reports)
+};
+
 using Wire = std::variant<RaftPacket, AgentStatus, AgentOrder, NotLeaderReply, Renew, Vouch,
                           CommandRequest, CommandReply, Attempt, CancelAttempt, Credit, GateState,
                           Refused, Head, Chunk, End, Broken, PeerHello, EndpointChanges,
-                          EndpointsAlive, DocumentPush, GroupSuspected, GroupsDissolved>;
+                          EndpointsAlive, DocumentPush, GroupSuspected, GroupsDissolved,
+                          EndpointsRemembered>;
 
 // ---- member to member, by UDP
 
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -55,6 +55,9 @@
     coordinator->storage_ = std::move(*storage);
     if (auto opened = coordinator->open_replica(); !opened)
         coordinator->storage_failed(opened.error());
+    coordinator->roster_ = std::make_unique<RosterFile>(coordinator->storage_);
+    coordinator->remembered_ = coordinator->roster_->load();
+    coordinator->started_ = BootClock::now();
     return coordinator;
 }
 
@@ -172,6 +175,7 @@
 void Coordinator::every_second() {
     const Time now = BootClock::now();
     registry_.expire(now);
+    keep_roster(now);
     if (replica_)
         for (const NodeId voter : replica_->raft().voters())
             if (voter != node_)
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -6,6 +6,7 @@
 #include "process/groupplanner.h"
 #include "process/registry.h"
 #include "process/replica.h"
+#include "process/rosterfile.h"
 #include "process/ticker.h"
 #include "process/voterkeeper.h"
 #include "version/deployment.h"
@@ -127,6 +128,7 @@
     void changed(const EndpointReport& report, bool to_peers);
     void flush_changes();
     void flush_alive();
+    void keep_roster(Time now);
     void send_registry(const std::function<void(const Wire&)>& send) const;
 
     // groups
@@ -146,7 +148,7 @@
     DocumentDecoder decode_;
     Identity identity_;
     ClusterKeys keys_ = ClusterKeys::none();
-    std::unique_ptr<Storage> storage_;
+    std::shared_ptr<Storage> storage_;
     std::unique_ptr<Replica> replica_; // null while the disk refuses to work
     NodeId node_ = NoNode;
     Time reopen_due_{};
@@ -156,6 +158,11 @@
     std::set<NodeId> nodes_;            // control hosts heard of, without this one
     std::map<std::string, EntrySession> entries_;
     Registry registry_;
+    std::unique_ptr<RosterFile> roster_;
+    std::vector<EndpointReport> remembered_; // from before the start; empty once that is old
+    bool roster_changed_ = false;
+    Time started_{};
+    Time roster_due_{};
     std::vector<EndpointReport> changes_;       // to peers and entry hosts
     std::vector<EndpointReport> entry_changes_; // to entry hosts only
     std::set<Epoch> dissolved_;                 // told to entry hosts
--- a/src/process/coordinatorfleet.cpp
+++ b/src/process/coordinatorfleet.cpp
@@ -13,6 +13,10 @@
 namespace {
 
 constexpr Duration PlanEvery = std::chrono::milliseconds(150);
+// Two beats and some: by then whoever lives has registered again.
+constexpr Duration RememberedFor = std::chrono::milliseconds(3000);
+// About 200 bytes for each endpoint: with 930 of them less than 100 KB a second.
+constexpr Duration RosterEvery = std::chrono::milliseconds(2000);
 // Changes may be under way: only a difference seen twice in a row is mended by a full copy.
 constexpr int DigestMissesAllowed = 1;
 
@@ -156,6 +160,8 @@
     // A closed log can vouch for nothing.
     if (replica_)
         link->send(make_vouch(renew.sequence));
+    if (new_link && !remembered_.empty())
+        link->send(EndpointsRemembered{remembered_});
     if (new_link && leads())
         tell_dissolved(link);
     if (replica_ && renew.want_delta && renew.lease < replica_->state().document().index)
@@ -169,6 +175,17 @@
 
 // ---- registrations
 
+// Not before the registry is whole again after a start: until then the old file is worth more.
+void Coordinator::keep_roster(Time now) {
+    if (now - started_ < RememberedFor)
+        return;
+    remembered_.clear();
+    if (now < roster_due_ || !std::exchange(roster_changed_, false))
+        return;
+    roster_due_ = now + RosterEvery;
+    roster_->keep(registry_);
+}
+
 void Coordinator::send_registry(const std::function<void(const Wire&)>& send) const {
     EndpointChanges all;
     for (const auto& [id, item] : registry_.items())
@@ -188,6 +205,7 @@
 void Coordinator::gone(const EndpointId& id) {
     if (!registry_.mark_gone(id, BootClock::now()))
         return;
+    roster_changed_ = true;
     changed(registry_.find(id)->report, true);
     flush_changes();
 }
@@ -201,6 +219,7 @@
         alive_.insert(report.id);
     if (!is_change)
         return;
+    roster_changed_ = true;
     const EndpointReport& current = registry_.find(report.id)->report;
     if (first_hand)
         changed(current, true);
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -35,6 +35,8 @@
 constexpr Duration LastAnswersWhenLate = std::chrono::milliseconds(200);
 // Puts the begin of leaving out of reach, so that the loop is stopped only once.
 constexpr Duration AfterStop = std::chrono::hours(1);
+// A report may be late by this much.
+constexpr Duration BeatSlack = std::chrono::milliseconds(400);
 constexpr double ShareSmoothing = 0.3;
 // This host never takes itself for a smaller part of all entry hosts.
 constexpr double LeastShare = 0.02;
@@ -155,14 +157,42 @@
         directory_.dissolve(dissolved->epochs);
     } else if (const auto* changes = std::get_if<EndpointChanges>(&message)) {
         on_changes(*changes);
+    } else if (const auto* remembered = std::get_if<EndpointsRemembered>(&message)) {
+        on_remembered(*remembered);
     }
 }
 
+// A host that has been in service for long knows better.
+void Gateway::on_remembered(const EndpointsRemembered& remembered) {
+    const Time now = BootClock::now();
+    if (ever_in_service_ && !learns_endpoints(now))
+        return;
+    std::size_t added = 0;
+    for (const EndpointReport& report : remembered.reports) {
+        if (!directory_.registry().remember(report, now))
+            continue;
+        unconfirmed_.insert(report.id);
+        ++added;
+    }
+    if (added > 0)
+        log(LogLevel::Info, "endpoints remembered", {{"added", std::to_string(added)}});
+}
+
+void Gateway::forget_unconfirmed(Time now) {
+    if (unconfirmed_.empty() || !ever_in_service_ || learns_endpoints(now))
+        return;
+    log(LogLevel::Info, "endpoints not heard of again",
+        {{"count", std::to_string(unconfirmed_.size())}});
+    for (const EndpointId& id : std::exchange(unconfirmed_, {}))
+        directory_.registry().forget(id);
+}
+
 // A call that waits for an endpoint may find one among the changes.
 void Gateway::on_changes(const EndpointChanges& changes) {
     const Time now = BootClock::now();
     bool changed = false;
     for (const EndpointReport& report : changes.reports) {
+        unconfirmed_.erase(report.id);
         if (!directory_.registry().merge(report, now))
             continue;
         changed = true;
@@ -217,6 +247,7 @@
     if (holds != std::exchange(had_lease_, holds))
         log(LogLevel::Info, holds ? "settings lease held" : "settings lease lost",
             {{"document", std::to_string(document_.version)}});
+    settle_held(BootClock::now());
 }
 
 // Never back to an older version, whoever offers it.
@@ -260,6 +291,11 @@
         .first->second;
 }
 
+// Control hosts that lost everything with this one hear of each endpoint within a beat.
+bool Gateway::learns_endpoints(Time now) const {
+    return now - in_service_since_ < config_.bounds.beat + BeatSlack;
+}
+
 void Gateway::answer_self(HttpExchange& exchange, const CallerRequest& request, int status,
                           const char* kind, Duration retry_after) {
     Metrics::instance().counter("liftweir_refused", std::string("kind=\"") + kind + "\"").add();
@@ -311,10 +347,36 @@
         answer_self(*exchange, request, 400, "bad_request", Duration::zero());
         return;
     }
-    if (!table_) {
+    if (in_service(now))
+        admit(exchange, request);
+    else if (leaving_since_ != Time{} || !held_.take(exchange, request, now))
         answer_self(*exchange, request, 503, "no_settings", RetryAfterUnready);
+}
+
+// Whether requests can be judged by settings that are in force. A host that was in service once
+// and lost touch with control refuses at once what it may not judge: that may last.
+bool Gateway::in_service(Time now) const {
+    return table_ != nullptr && (ever_in_service_ || lease_holds(now));
+}
+
+void Gateway::settle_held(Time now) {
+    if (ever_in_service_)
+        return;
+    if (in_service(now)) {
+        ever_in_service_ = true;
+        in_service_since_ = now;
+        const std::vector<ArrivalHold::Held> held = held_.release();
+        log(LogLevel::Info, "in service", {{"held_requests", std::to_string(held.size())}});
+        for (const ArrivalHold::Held& item : held)
+            admit(item.exchange, item.request);
         return;
     }
+    for (const ArrivalHold::Held& item : held_.expired(now))
+        answer_self(*item.exchange, item.request, 503, "no_settings", RetryAfterUnready);
+}
+
+void Gateway::admit(const std::shared_ptr<HttpExchange>& exchange, const CallerRequest& request) {
+    const Time now = BootClock::now();
     RelayPlan plan;
     plan.table = table_;
     plan.route = table_->find(request.host, request.path);
@@ -352,6 +414,8 @@
         second_due_ = now + SecondlyEvery;
         directory_.expire(now);
     }
+    settle_held(now);
+    forget_unconfirmed(now);
     watch_stalls(now);
     for (const auto& call : calls())
         call->tick(now);
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -5,6 +5,7 @@
 #include "process/fleetconfig.h"
 #include "process/leasekeeper.h"
 #include "process/ticker.h"
+#include "request/arrivalhold.h"
 #include "request/relayedcall.h"
 #include "version/deployment.h"
 
@@ -40,6 +41,7 @@
     HttpChannelPool& pool() override { return *pool_; }
     const CallerProtocol& protocol() const override { return protocol_; }
     RepeatBudget& budget(const std::string& service) override;
+    bool learns_endpoints(Time now) const override;
     void unreachable(const EndpointId& id) override { tell_suspicion(id, BootClock::now()); }
     void ended(const std::string& route, int status, Duration took) override;
 
@@ -54,10 +56,15 @@
     void note_lease(Time now);
     void on_document(const DocumentPush& push);
     void on_changes(const EndpointChanges& changes);
+    void on_remembered(const EndpointsRemembered& remembered);
+    void forget_unconfirmed(Time now);
     void send_to_control(const Wire& message);
 
     // calls
     void on_request(const std::shared_ptr<HttpExchange>& exchange);
+    void admit(const std::shared_ptr<HttpExchange>& exchange, const CallerRequest& request);
+    bool in_service(Time now) const;
+    void settle_held(Time now);
     void answer_self(HttpExchange& exchange, const CallerRequest& request, int status,
                      const char* kind, Duration retry_after);
     bool authorise(HttpExchange& exchange, const CallerRequest& request, Time now, RelayPlan& plan);
@@ -79,6 +86,9 @@
     ClusterKeys keys_ = ClusterKeys::none();
     LeaseKeeper lease_;
     bool had_lease_ = false;
+    bool ever_in_service_ = false;
+    Time in_service_since_{};
+    ArrivalHold held_; // until this host is in service for the first time
     Directory directory_;
     std::unique_ptr<HttpChannelPool> pool_;
     std::unique_ptr<HttpServer> callers_;
@@ -92,6 +102,7 @@
     std::map<std::string, RepeatBudget> budgets_; // by service
     std::set<std::shared_ptr<RelayedCall>> calls_;
     std::map<EndpointId, Time> suspected_; // told control
+    std::set<EndpointId> unconfirmed_;     // known from before a restart, and not heard of since
     std::uint64_t calls_taken_ = 0;
     double share_ = 0.1; // this host's part of all calls under way
     std::minstd_rand random_;
--- a/src/process/registry.cpp
+++ b/src/process/registry.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/codec.h"
 
+#include <algorithm>
 #include <xxhash.h>
 
 namespace liftweir {
@@ -73,6 +74,17 @@
     return changed;
 }
 
+bool Registry::remember(const EndpointReport& report, Time now) {
+    const bool newer_known =
+        std::any_of(items_.begin(), items_.end(), [&](const auto& pair) {
+            return pair.first == report.id || pair.second.report.address == report.address;
+        });
+    if (newer_known)
+        return false;
+    items_.emplace(report.id, Item{report, now});
+    return true;
+}
+
 bool Registry::mark_gone(const EndpointId& id, Time now) {
     const auto found = items_.find(id);
     if (found == items_.end()) {
--- a/src/process/registry.h
+++ b/src/process/registry.h
@@ -80,6 +80,10 @@
 
     // True where the content changed; the change is then to be passed on.
     bool merge(EndpointReport report, Time now);
+    // Adds what was known before a restart, unless something newer is known of the endpoint or of
+    // its address. True where it was added.
+    bool remember(const EndpointReport& report, Time now);
+    void forget(const EndpointId& id) { items_.erase(id); }
     // The endpoint has ended, or will without another word. Final.
     bool mark_gone(const EndpointId& id, Time now);
     // A sign of life, without a report.
--- /dev/null
+++ b/src/process/rosterfile.cpp
@@ -0,0 +1,113 @@
+#include "process/rosterfile.h"
+
+#include "connection/codec.h"
+#include "process/logging.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace liftweir {
+
+namespace {
+
+constexpr const char* RosterName = "endpoints";
+
+struct Roster {
+    std::vector<EndpointReport> reports;
+    MSGPACK_DEFINE(reports)
+};
+
+} // namespace
+
+// Outlives its RosterFile while the disk holds a write up: a process must be able to end then.
+class RosterFile::Writer : public std::enable_shared_from_this<RosterFile::Writer> {
+  public:
+    explicit Writer(std::shared_ptr<Storage> storage) : storage_(std::move(storage)) {}
+
+    void start() {
+        std::thread([self = shared_from_this()] { self->run(); }).detach();
+    }
+
+    void put(std::string bytes) {
+        const std::lock_guard lock(mutex_);
+        next_ = std::move(bytes);
+        wake_.notify_one();
+    }
+
+    void stop() {
+        const std::lock_guard lock(mutex_);
+        stopped_ = true;
+        wake_.notify_one();
+    }
+
+  private:
+    void run() {
+        std::unique_lock lock(mutex_);
+        while (true) {
+            wake_.wait(lock, [this] { return next_.has_value() || stopped_; });
+            if (stopped_)
+                return;
+            const std::string bytes = *std::exchange(next_, std::nullopt);
+            lock.unlock();
+            write(bytes);
+            lock.lock();
+        }
+    }
+
+    void write(const std::string& bytes) {
+        const auto kept = storage_->replace(RosterName, bytes);
+        const std::lock_guard lock(mutex_);
+        if (!kept && !stopped_)
+            log(LogLevel::Warning, "known endpoints could not be kept on disk",
+                {{"detail", kept.error().detail}});
+    }
+
+    std::shared_ptr<Storage> storage_;
+    std::mutex mutex_;
+    std::condition_variable wake_;
+    std::optional<std::string> next_;
+    bool stopped_ = false;
+};
+
+RosterFile::RosterFile(std::shared_ptr<Storage> storage)
+    : storage_(std::move(storage)), writer_(std::make_shared<Writer>(storage_)) {
+    writer_->start();
+}
+
+RosterFile::~RosterFile() {
+    writer_->stop();
+}
+
+std::vector<EndpointReport> RosterFile::load() const {
+    const auto names = storage_->list();
+    if (!names || std::find(names->begin(), names->end(), RosterName) == names->end())
+        return {};
+    const auto bytes = storage_->read(RosterName);
+    if (!bytes) {
+        log(LogLevel::Warning, "known endpoints could not be read",
+            {{"detail", bytes.error().detail}});
+        return {};
+    }
+    auto roster = decode_struct<Roster>(*bytes);
+    if (!roster) {
+        log(LogLevel::Warning, "known endpoints could not be read",
+            {{"detail", roster.error().detail}});
+        return {};
+    }
+    return std::move(roster->reports);
+}
+
+void RosterFile::keep(const Registry& registry) {
+    Roster roster;
+    for (const auto& [id, item] : registry.items())
+        if (item.report.phase == EndpointPhase::Serving)
+            roster.reports.push_back(item.report);
+    writer_->put(encode_struct(roster));
+}
+
+} // namespace liftweir
--- /dev/null
+++ b/src/process/rosterfile.h
@@ -0,0 +1,40 @@
+#ifndef ROSTERFILE_H_INCLUDED
+#define ROSTERFILE_H_INCLUDED
+
+#include "process/registry.h"
+#include "process/storage.h"
+
+#include <memory>
+#include <vector>
+
+namespace liftweir {
+
+// The endpoints that a control host knew a moment ago, on its disk. After a loss of power on all
+// hosts, entry hosts can serve by it until the endpoints have registered again. It is a hint: what
+// endpoints say themselves always goes first, and groups are never formed by it.
+//
+// Writing goes on in a thread of its own, since a disk may stand still for seconds. A write that
+// fails is logged, and the next one tries again.
+class RosterFile {
+  public:
+    // `storage` has to stay usable while the last write goes on.
+    explicit RosterFile(std::shared_ptr<Storage> storage);
+    ~RosterFile();
+    RosterFile(const RosterFile&) = delete;
+    RosterFile& operator=(const RosterFile&) = delete;
+
+    // What was kept before this process began; empty where there is nothing, or nothing readable.
+    std::vector<EndpointReport> load() const;
+    // Replaces what is kept, soon. A write that is still waiting is replaced by this one.
+    void keep(const Registry& registry);
+
+  private:
+    class Writer;
+
+    std::shared_ptr<Storage> storage_;
+    std::shared_ptr<Writer> writer_;
+};
+
+} // namespace liftweir
+
+#endif // ROSTERFILE_H_INCLUDED
--- a/src/process/storage.h
+++ b/src/process/storage.h
@@ -23,7 +23,8 @@
     // Syncs the file's bytes, and the folder if the file is new.
     virtual Expected<void> sync(const std::string& name) = 0;
     virtual Expected<void> truncate(const std::string& name, std::size_t bytes) = 0;
-    // Writes the whole file under a temporary name, syncs, renames and syncs the folder.
+    // Writes the whole file under a temporary name, syncs, renames and syncs the folder. For
+    // different names it may be called from different threads.
     virtual Expected<void> replace(const std::string& name, std::string_view bytes) = 0;
     virtual Expected<void> remove(const std::string& name) = 0;
 };
--- /dev/null
+++ b/src/request/arrivalhold.cpp
@@ -0,0 +1,56 @@
+#include "request/arrivalhold.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace liftweir {
+
+namespace {
+
+// Control elects a leader within half a second of a total loss of power; entry hosts that start
+// alone have settings within 50 ms. Longer waits end in a refusal with time left for another try.
+constexpr Duration LongestHold = std::chrono::milliseconds(1500);
+// A caller that waits for a short while only is told sooner.
+constexpr int HoldPartOfPatience = 4;
+// 10 KB each at the most, where a second brings a few dozen.
+constexpr std::size_t MostHeld = 1000;
+
+} // namespace
+
+bool ArrivalHold::take(const std::shared_ptr<HttpExchange>& exchange, const CallerRequest& request,
+                       Time now) {
+    if (held_.size() >= MostHeld)
+        return false;
+    const Duration hold = request.patience
+                              ? std::min(LongestHold, *request.patience / HoldPartOfPatience)
+                              : LongestHold;
+    const auto gone = std::make_shared<bool>(false);
+    exchange->on_gone([gone] { *gone = true; });
+    held_.push_back({{exchange, request, now + hold}, gone});
+    return true;
+}
+
+std::vector<ArrivalHold::Held> ArrivalHold::release() {
+    std::vector<Held> out;
+    for (Entry& entry : std::exchange(held_, {}))
+        if (!*entry.gone)
+            out.push_back(std::move(entry.held));
+    return out;
+}
+
+std::vector<ArrivalHold::Held> ArrivalHold::expired(Time now) {
+    std::vector<Held> out;
+    std::vector<Entry> still;
+    for (Entry& entry : std::exchange(held_, {})) {
+        if (*entry.gone)
+            continue;
+        if (now >= entry.held.until)
+            out.push_back(std::move(entry.held));
+        else
+            still.push_back(std::move(entry));
+    }
+    held_ = std::move(still);
+    return out;
+}
+
+} // namespace liftweir
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -13,6 +13,8 @@
 // A call that no endpoint takes is held for this part of its latency goal: long enough for a group
 // that is just being put together, short enough that a refusal leaves time for another try.
 constexpr int HoldPartOfGoal = 5;
+// While endpoints are about to be heard of, it may wait for this part of the time it has.
+constexpr int HoldPartOfPatience = 4;
 // A full group frees places as streams end.
 constexpr Duration RetryAfterFull = std::chrono::milliseconds(1000);
 // A dark host answers no connect; another endpoint may still be in time.
@@ -65,7 +67,7 @@
         send(*pick, now);
         return;
     }
-    if (pick.error() == PickFailure::AllFull && !begun_) {
+    if (pick.error() == PickFailure::AllFull && !begun_ && !host_.learns_endpoints(now)) {
         refuse("all groups are full", RetryAfterFull);
         return;
     }
@@ -212,10 +214,18 @@
             cut("no group to go on at");
         return;
     }
-    if (now - received_ >= plan_.route->latency_goal / HoldPartOfGoal)
+    if (now - received_ >= longest_wait(now))
         refuse(sends_ == 0 ? "no endpoint serves" : "no other endpoint serves", RetryAfterNoGroup);
 }
 
+// Right after the start of this host most endpoints are about to be heard of.
+Duration RelayedCall::longest_wait(Time now) const {
+    const Duration usual = plan_.route->latency_goal / HoldPartOfGoal;
+    if (!host_.learns_endpoints(now))
+        return usual;
+    return std::max(usual, (deadline_ - received_) / HoldPartOfPatience);
+}
+
 Duration RelayedCall::patience_between_events() const {
     const Duration gap = std::max({CallerGap, CallerGapGoals * plan_.route->latency_goal,
                                    CallerGapPauses * plan_.route->pause_goal});
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -23,6 +23,8 @@
     virtual HttpChannelPool& pool() = 0;
     virtual const CallerProtocol& protocol() const = 0;
     virtual RepeatBudget& budget(const std::string& service) = 0;
+    // This host began a moment ago, and may not have heard of all endpoints yet.
+    virtual bool learns_endpoints(Time now) const = 0;
     // An endpoint took no connection.
     virtual void unreachable(const EndpointId& id) = 0;
     // The call has ended and is forgotten; it may be destroyed from here on.
@@ -87,6 +89,7 @@
     // time
     void out_of_time();
     void wait_on(Time now);
+    Duration longest_wait(Time now) const;
     bool overdue(Time now) const;
     Duration patience_between_events() const;
 
--- a/tests/site/test_site.py
+++ b/tests/site/test_site.py
@@ -124,6 +124,33 @@
     play(scenario, controls=5, tolerance=2)
 
 
+# Found in inc-ab72: callers that came right after a loss of power were refused, and so lost the one
+# try that they had left.
+def test_requests_that_come_before_the_first_settings_are_answered_with_them():
+    async def scenario(site):
+        for process in site.entries + site.controls:
+            process.kill()
+        for process in site.entries:
+            process.start()
+        assert await site.until(lambda: _listens("127.0.2.1", CALLERS))
+        early = [asyncio.ensure_future(site.ask("look")) for _ in range(5)]
+        await asyncio.sleep(0.2)
+        for process in site.controls:
+            process.start()
+        assert await asyncio.gather(*early) == [200] * 5
+
+    play(scenario)
+
+
+async def _listens(ip, port):
+    try:
+        _, writer = await asyncio.open_connection(ip, port)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
 def test_a_control_host_that_is_killed_or_paused_stops_nothing():
     async def scenario(site):
         site.controls[0].kill()
