Late requests yield to those that may be in time; remembered endpoints are only those heard lately

A second try of a caller looked like a first one. Remembered leads that had been lost before the fault took held requests first, 120 ms each: the roster of a control host that had itself just returned held them, because a full copy of the registry made every silent endpoint look heard just now. Change: CallerWaits tells from the time limit that a caller names how long it has waited before; a request that will be late is sent with a lower priority and only where a fresh one would still meet its goal. Full copies of the registry carry how long each endpoint has been silent; the roster leaves out those that have missed two reports, and an entry host drops a remembered endpoint at its first failed connect. Ruled out: priorities at the engine alone (prompts are read in the order of admission). Tests: CallerWaits (4).

--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -231,13 +231,20 @@
     NodeId node = NoNode;
     std::vector<NodeId> nodes;
     std::uint64_t registry = 0; // digest of the endpoints that it knows
-    MSGPACK_DEFINE(node, nodes, registry)
+    bool settled = false;       // it has run for long enough to have heard of all endpoints
+    MSGPACK_DEFINE(node, nodes, registry, settled)
 };
 
 // Reports that the receiver may not have yet.
 struct EndpointChanges {
     std::vector<EndpointReport> reports;
-    MSGPACK_DEFINE(reports)
+    // How long ago each was heard of, in the same order; none where all were heard just now.
+    std::vector<std::uint32_t> silent_ms;
+    MSGPACK_DEFINE(reports, silent_ms)
+
+    Duration silent(std::size_t n) const {
+        return std::chrono::milliseconds(n < silent_ms.size() ? silent_ms[n] : 0);
+    }
 };
 
 // Endpoints that have registered again without a change.
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -58,6 +58,8 @@
     coordinator->roster_ = std::make_unique<RosterFile>(coordinator->storage_);
     coordinator->remembered_ = coordinator->roster_->load();
     coordinator->started_ = BootClock::now();
+    log(LogLevel::Info, "endpoints known before the start",
+        {{"count", std::to_string(coordinator->remembered_.size())}});
     return coordinator;
 }
 
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -124,10 +124,11 @@
     std::vector<NodeId> known_nodes() const;
 
     // registrations
-    void merge(const EndpointReport& report, bool first_hand);
+    void merge(const EndpointReport& report, bool first_hand, Time heard);
     void changed(const EndpointReport& report, bool to_peers);
     void flush_changes();
     void flush_alive();
+    bool settled(Time now) const;
     void keep_roster(Time now);
     void send_registry(const std::function<void(const Wire&)>& send) const;
 
@@ -160,7 +161,7 @@
     Registry registry_;
     std::unique_ptr<RosterFile> roster_;
     std::vector<EndpointReport> remembered_; // from before the start; empty once that is old
-    bool roster_changed_ = false;
+    bool peer_settled_ = false; // another control host ran on while this one did not
     Time started_{};
     Time roster_due_{};
     std::vector<EndpointReport> changes_;       // to peers and entry hosts
--- a/src/process/coordinatorfleet.cpp
+++ b/src/process/coordinatorfleet.cpp
@@ -15,6 +15,8 @@
 constexpr Duration PlanEvery = std::chrono::milliseconds(150);
 // Two beats and some: by then whoever lives has registered again.
 constexpr Duration RememberedFor = std::chrono::milliseconds(3000);
+// An endpoint that has missed two reports is kept no longer.
+constexpr int BeatsMissed = 2;
 // About 200 bytes for each endpoint: with 930 of them less than 100 KB a second.
 constexpr Duration RosterEvery = std::chrono::milliseconds(2000);
 // Changes may be under way: only a difference seen twice in a row is mended by a full copy.
@@ -53,7 +55,7 @@
 
 void Coordinator::greet(Peer& peer) {
     if (node_ != NoNode)
-        peer.dialer->send(PeerHello{node_, known_nodes(), registry_.digest()});
+        peer.dialer->send(PeerHello{node_, known_nodes(), registry_.digest(), settled(BootClock::now())});
 }
 
 // A host has one data folder at a time: the number that it says now is the one that counts.
@@ -67,6 +69,7 @@
     if (peer.node != hello.node)
         log(LogLevel::Info, "control host known", {{"node", text_of(hello.node)}});
     peer.node = hello.node;
+    peer_settled_ = peer_settled_ || hello.settled;
     peer.dialer->hurry();
     for (const NodeId node : hello.nodes) {
         const bool host_known =
@@ -93,8 +96,8 @@
     } else if (const auto* renew = std::get_if<Renew>(&message)) {
         on_renew(link, *renew);
     } else if (const auto* changes = std::get_if<EndpointChanges>(&message)) {
-        for (const EndpointReport& report : changes->reports)
-            merge(report, false);
+        for (std::size_t n = 0; n < changes->reports.size(); ++n)
+            merge(changes->reports[n], false, now - changes->silent(n));
     } else if (const auto* alive = std::get_if<EndpointsAlive>(&message)) {
         for (const EndpointId& id : alive->ids)
             registry_.heard(id, now);
@@ -175,26 +178,37 @@
 
 // ---- registrations
 
-// Not before the registry is whole again after a start: until then the old file is worth more.
+bool Coordinator::settled(Time now) const {
+    return now - started_ > RememberedFor;
+}
+
+// Not before the registry is whole again after a start: until then the old file is worth more. Where
+// another control host went on meanwhile, the old file is worth nothing.
 void Coordinator::keep_roster(Time now) {
-    if (now - started_ < RememberedFor)
+    if (peer_settled_)
+        remembered_.clear();
+    const bool copied = peer_settled_ && !registry_.items().empty();
+    if (!settled(now) && !copied)
         return;
     remembered_.clear();
-    if (now < roster_due_ || !std::exchange(roster_changed_, false))
+    if (now < roster_due_)
         return;
     roster_due_ = now + RosterEvery;
-    roster_->keep(registry_);
+    roster_->keep(registry_, now - BeatsMissed * config_.bounds.beat);
 }
 
 void Coordinator::send_registry(const std::function<void(const Wire&)>& send) const {
+    const Time now = BootClock::now();
     EndpointChanges all;
-    for (const auto& [id, item] : registry_.items())
+    for (const auto& [id, item] : registry_.items()) {
         all.reports.push_back(item.report);
+        all.silent_ms.push_back(static_cast<std::uint32_t>(to_millis(now - item.heard)));
+    }
     send(all);
 }
 
 void Coordinator::report(const EndpointReport& report) {
-    merge(report, true);
+    merge(report, true, BootClock::now());
 }
 
 void Coordinator::heard(const EndpointId& id) {
@@ -205,28 +219,25 @@
 void Coordinator::gone(const EndpointId& id) {
     if (!registry_.mark_gone(id, BootClock::now()))
         return;
-    roster_changed_ = true;
     changed(registry_.find(id)->report, true);
     flush_changes();
 }
 
-void Coordinator::merge(const EndpointReport& report, bool first_hand) {
-    const Time now = BootClock::now();
+void Coordinator::merge(const EndpointReport& report, bool first_hand, Time heard) {
     const Registry::Item* before = registry_.find(report.id);
     const EndpointPhase phase = before == nullptr ? EndpointPhase::Serving : before->report.phase;
-    const bool is_change = registry_.merge(report, now);
+    const bool is_change = registry_.merge(report, heard);
     if (first_hand)
         alive_.insert(report.id);
     if (!is_change)
         return;
-    roster_changed_ = true;
     const EndpointReport& current = registry_.find(report.id)->report;
     if (first_hand)
         changed(current, true);
     else if (current.phase != phase)
         changed(current, false);
     else if (GroupPlanner* planner = planner_of(current.service))
-        planner->observe(current, now);
+        planner->observe(current, BootClock::now());
     // The one who registers is answered after this: nobody may still send it work then.
     if (first_hand && current.phase != EndpointPhase::Serving)
         flush_changes();
@@ -255,7 +266,7 @@
     flush_posted_ = false;
     if (changes_.empty() && entry_changes_.empty())
         return;
-    const EndpointChanges to_peers{std::exchange(changes_, {})};
+    const EndpointChanges to_peers{std::exchange(changes_, {}), {}};
     EndpointChanges to_entries = to_peers;
     for (EndpointReport& report : std::exchange(entry_changes_, {}))
         to_entries.reports.push_back(std::move(report));
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -191,9 +191,10 @@
 void Gateway::on_changes(const EndpointChanges& changes) {
     const Time now = BootClock::now();
     bool changed = false;
-    for (const EndpointReport& report : changes.reports) {
+    for (std::size_t n = 0; n < changes.reports.size(); ++n) {
+        const EndpointReport& report = changes.reports[n];
         unconfirmed_.erase(report.id);
-        if (!directory_.registry().merge(report, now))
+        if (!directory_.registry().merge(report, now - changes.silent(n)))
             continue;
         changed = true;
         if (report.phase == EndpointPhase::Gone)
@@ -390,6 +391,9 @@
     if (!authorise(*exchange, request, now, plan))
         return;
     plan.service = choose_service(*table_, *plan.route);
+    if (request.patience)
+        plan.waited_before =
+            waits_.waited(plan.route->name, *request.patience, plan.route->timeout, now);
     ++calls_taken_;
     const auto call = std::make_shared<RelayedCall>(*this, exchange, request, plan);
     calls_.insert(call);
@@ -440,6 +444,13 @@
     });
 }
 
+// What was only remembered is not worth a second try.
+void Gateway::unreachable(const EndpointId& id) {
+    tell_suspicion(id, BootClock::now());
+    if (unconfirmed_.erase(id) > 0)
+        directory_.registry().forget(id);
+}
+
 void Gateway::tell_suspicion(const EndpointId& id, Time now) {
     Time& told = suspected_[id];
     const Registry::Item* item = directory_.registry().find(id);
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -6,6 +6,7 @@
 #include "process/leasekeeper.h"
 #include "process/ticker.h"
 #include "request/arrivalhold.h"
+#include "request/callerwait.h"
 #include "request/relayedcall.h"
 #include "version/deployment.h"
 
@@ -42,7 +43,7 @@
     const CallerProtocol& protocol() const override { return protocol_; }
     RepeatBudget& budget(const std::string& service) override;
     bool learns_endpoints(Time now) const override;
-    void unreachable(const EndpointId& id) override { tell_suspicion(id, BootClock::now()); }
+    void unreachable(const EndpointId& id) override;
     void ended(const std::string& route, int status, Duration took) override;
 
     // control
@@ -88,6 +89,7 @@
     bool had_lease_ = false;
     bool ever_in_service_ = false;
     Time in_service_since_{};
+    CallerWaits waits_;
     ArrivalHold held_; // until this host is in service for the first time
     Directory directory_;
     std::unique_ptr<HttpChannelPool> pool_;
--- a/src/process/registry.cpp
+++ b/src/process/registry.cpp
@@ -53,22 +53,22 @@
         }
 }
 
-bool Registry::merge(EndpointReport report, Time now) {
+bool Registry::merge(EndpointReport report, Time heard) {
     const auto found = items_.find(report.id);
     if (found == items_.end()) {
         if (report.phase != EndpointPhase::Gone)
-            retire_address(report, now);
-        items_.emplace(report.id, Item{report, now});
+            retire_address(report, heard);
+        items_.emplace(report.id, Item{report, heard});
         return true;
     }
     Item& item = found->second;
     if (item.report.phase == EndpointPhase::Gone)
         return false;
     if (report.phase == EndpointPhase::Gone)
-        return mark_gone(report.id, now);
+        return mark_gone(report.id, heard);
     if (report.sequence <= item.report.sequence)
         return false;
-    item.heard = now;
+    item.heard = std::max(item.heard, heard);
     const bool changed = !report.same_content(item.report);
     item.report = std::move(report);
     return changed;
--- a/src/process/registry.h
+++ b/src/process/registry.h
@@ -78,8 +78,9 @@
         Time heard{}; // last sign of life, from whichever side
     };
 
-    // True where the content changed; the change is then to be passed on.
-    bool merge(EndpointReport report, Time now);
+    // `heard` is when the endpoint showed the sign of life that the report stems from. True where
+    // the content changed; the change is then to be passed on.
+    bool merge(EndpointReport report, Time heard);
     // Adds what was known before a restart, unless something newer is known of the endpoint or of
     // its address. True where it was added.
     bool remember(const EndpointReport& report, Time now);
--- a/src/process/rosterfile.cpp
+++ b/src/process/rosterfile.cpp
@@ -22,6 +22,12 @@
     MSGPACK_DEFINE(reports)
 };
 
+// The sequence rises with each report, and would make each write differ from the last.
+EndpointReport without_sequence(EndpointReport report) {
+    report.sequence = 0;
+    return report;
+}
+
 } // namespace
 
 // Outlives its RosterFile while the disk holds a write up: a process must be able to end then.
@@ -102,12 +108,17 @@
     return std::move(roster->reports);
 }
 
-void RosterFile::keep(const Registry& registry) {
+// The registry keeps silent endpoints for long, as they may be cut off from control alone.
+void RosterFile::keep(const Registry& registry, Time since) {
     Roster roster;
     for (const auto& [id, item] : registry.items())
-        if (item.report.phase == EndpointPhase::Serving)
-            roster.reports.push_back(item.report);
-    writer_->put(encode_struct(roster));
+        if (item.report.phase == EndpointPhase::Serving && item.heard >= since)
+            roster.reports.push_back(without_sequence(item.report));
+    std::string bytes = encode_struct(roster);
+    if (bytes == kept_)
+        return;
+    kept_ = bytes;
+    writer_->put(std::move(bytes));
 }
 
 } // namespace liftweir
--- a/src/process/rosterfile.h
+++ b/src/process/rosterfile.h
@@ -25,14 +25,16 @@
 
     // What was kept before this process began; empty where there is nothing, or nothing readable.
     std::vector<EndpointReport> load() const;
-    // Replaces what is kept, soon. A write that is still waiting is replaced by this one.
-    void keep(const Registry& registry);
+    // Replaces what is kept, soon, by the endpoints that serve and were heard since `since`. A write
+    // that is still waiting is replaced by this one; what is kept already is not written again.
+    void keep(const Registry& registry, Time since);
 
   private:
     class Writer;
 
     std::shared_ptr<Storage> storage_;
     std::shared_ptr<Writer> writer_;
+    std::string kept_; // the bytes of the last write that was asked for
 };
 
 } // namespace liftweir
--- a/src/request/callerprotocol.h
+++ b/src/request/callerprotocol.h
@@ -32,6 +32,7 @@
     std::string customer; // empty where the route needs no key
     Duration time_left{};
     std::string last_event; // empty: from the beginning
+    bool yields = false;    // requests that may still be in time go first
 
     auto operator<=>(const ForwardNote&) const = default;
 };
--- a/src/request/directory.cpp
+++ b/src/request/directory.cpp
@@ -14,12 +14,19 @@
 // A forecast this far above the goal is too late; below that it may still be met, since a
 // forecast is an estimate of other hosts' work.
 constexpr double GoalSlack = 1.25;
+// A request that is late anyway is let in only where one that is not would still meet its goal: the
+// engine's priorities order what waits for a place, not the reading of prompts that have one.
+constexpr double YieldPartOfGoal = 0.6;
 // Below this part of the places taken nobody is refused, whatever the forecast says.
 constexpr double RefuseAbove = 0.55;
 // Forecasts closer than this are equal; then chance decides, so that entry hosts that see the
 // same do not all choose the same.
 constexpr double ForecastNoise = 0.15;
 
+double to_millis_exactly(Duration d) {
+    return std::chrono::duration<double, std::milli>(d).count();
+}
+
 } // namespace
 
 void Directory::expire(Time now) {
@@ -55,8 +62,10 @@
                                     [&](const ModelShape& m) { return m.name == demand.model; });
     if (shape == engine.models.end())
         return tl::make_unexpected(PickFailure::NoneServes);
-    const double goal =
-        std::chrono::duration<double, std::milli>(demand.latency_goal).count() * GoalSlack;
+    const double goal = to_millis_exactly(demand.latency_goal);
+    const double latest = demand.engine.yields
+                              ? YieldPartOfGoal * goal
+                              : GoalSlack * (goal - to_millis_exactly(demand.waited));
     std::optional<Pick> best;
     double best_score = 0;
     bool any_open = false;
@@ -74,10 +83,11 @@
         ModelShape model = *shape;
         if (spans_domains(report))
             model.pace *= engine.far_factor;
-        const LoadForecast f = forecast(engine, model, load, demand.prompt_tokens, others_);
-        const bool late = goal > 0 && f.first_event_ms > goal;
+        const LoadForecast f = forecast(engine, model, load, demand.engine, others_);
+        const bool late = goal > 0 && f.first_event_ms > latest;
         const bool full = f.in_flight >= engine.slots;
-        if (f.in_flight > RefuseAbove * engine.slots && (late || full))
+        const bool crowded = f.in_flight > RefuseAbove * engine.slots;
+        if (demand.engine.yields ? late || full : crowded && (late || full))
             continue;
         const double noise =
             1 + ForecastNoise * std::uniform_real_distribution<double>(0, 1)(random_);
--- a/src/request/directory.h
+++ b/src/request/directory.h
@@ -29,8 +29,9 @@
 struct Demand {
     const Service* service = nullptr;
     std::string model; // empty for plain services
-    std::uint32_t prompt_tokens = 0;
-    Duration latency_goal{};
+    EngineDemand engine;
+    Duration latency_goal{}; // for the first event
+    Duration waited{};       // by the caller, until now
 };
 
 // Why no endpoint was picked.
--- a/src/request/groupload.cpp
+++ b/src/request/groupload.cpp
@@ -22,9 +22,14 @@
 }
 
 LoadForecast forecast(const EngineCost& engine, const ModelShape& model, const GroupLoad& load,
-                      std::uint32_t prompt_tokens, double others) {
-    const double sequences = others * load.writing + others * load.reading;
-    const double unread = others * static_cast<double>(load.reading_tokens);
+                      const EngineDemand& demand, double others) {
+    // Those that let others go first are behind this one, unless it does so itself.
+    const std::uint32_t reading = load.reading - (demand.yields ? 0 : load.yielding);
+    const std::uint64_t reading_tokens =
+        load.reading_tokens - (demand.yields ? 0 : load.yielding_tokens);
+    const std::uint32_t prompt_tokens = demand.prompt_tokens;
+    const double sequences = others * load.writing + others * reading;
+    const double unread = others * static_cast<double>(reading_tokens);
     const double most_read = static_cast<double>(engine.chunk) * engine.stride;
     const double read_in_pass = std::min(most_read, unread);
     const double steps = engine.stride * (engine.step_ms + engine.step_ms_per_sequence * sequences);
--- a/src/request/groupload.h
+++ b/src/request/groupload.h
@@ -13,6 +13,8 @@
     std::uint32_t writing = 0;        // streams past their first event
     std::uint32_t reading = 0;        // requests before their first event
     std::uint64_t reading_tokens = 0; // prompt tokens of those
+    std::uint32_t yielding = 0;        // of those, requests that let others go first
+    std::uint64_t yielding_tokens = 0; // prompt tokens of these
     double seen_pass_ms = 0;          // smoothed time between events; zero where none was seen
 
     auto operator<=>(const GroupLoad&) const = default;
@@ -30,11 +32,19 @@
 // Longest time that one pass can take: all places write, and every step reads a full chunk.
 Duration longest_pass(const EngineCost& engine, const ModelShape& model);
 
+// What a request asks of an engine.
+struct EngineDemand {
+    std::uint32_t prompt_tokens = 0;
+    bool yields = false; // it waits behind all that do not
+
+    auto operator<=>(const EngineDemand&) const = default;
+};
+
 // Predicts what one more request meets at a group. The engine makes passes: in each it reads at
 // most a chunk of prompts at each of its steps and writes a few tokens of every stream. `others` is
 // how many times this host's own work all entry hosts have there together.
 LoadForecast forecast(const EngineCost& engine, const ModelShape& model, const GroupLoad& load,
-                      std::uint32_t prompt_tokens, double others);
+                      const EngineDemand& demand, double others);
 
 } // namespace liftweir
 
--- a/src/request/relayedanswer.cpp
+++ b/src/request/relayedanswer.cpp
@@ -75,8 +75,7 @@
     use.watch.progress(now, !first_seen_);
     if (std::exchange(first_seen_, true))
         return;
-    --use.load.reading;
-    use.load.reading_tokens -= request_.prompt_tokens;
+    count_reading(use.load, -1);
     ++use.load.writing;
 }
 
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -13,6 +13,9 @@
 // A call that no endpoint takes is held for this part of its latency goal: long enough for a group
 // that is just being put together, short enough that a refusal leaves time for another try.
 constexpr int HoldPartOfGoal = 5;
+// A first event takes about half of the goal where a group has its usual work: whoever has waited for
+// longer than the other half is going to be late.
+constexpr int YieldAfterPartOfGoal = 2;
 // While endpoints are about to be heard of, it may wait for this part of the time it has.
 constexpr int HoldPartOfPatience = 4;
 // A full group frees places as streams end.
@@ -52,8 +55,20 @@
     attempt(received_);
 }
 
-Demand RelayedCall::demand() const {
-    return {plan_.service, request_.model, request_.prompt_tokens, plan_.route->latency_goal};
+Demand RelayedCall::demand(Time now) const {
+    Demand demand;
+    demand.service = plan_.service;
+    demand.model = request_.model;
+    demand.engine = {request_.prompt_tokens, yields(now)};
+    demand.latency_goal = plan_.route->latency_goal;
+    demand.waited = waited(now);
+    return demand;
+}
+
+// What will be too late lets go first what may still be in time. A stream that was begun is never
+// put behind: its caller would see it stand still.
+bool RelayedCall::yields(Time now) const {
+    return !begun_ && waited(now) > plan_.route->latency_goal / YieldAfterPartOfGoal;
 }
 
 // ---- sending
@@ -61,13 +76,14 @@
 void RelayedCall::attempt(Time now) {
     if (done_)
         return;
-    const auto pick = host_.directory().pick(demand(), tried_, now);
+    const auto pick = host_.directory().pick(demand(now), tried_, now);
     if (pick) {
         waiting_ = false;
         send(*pick, now);
         return;
     }
-    if (pick.error() == PickFailure::AllFull && !begun_ && !host_.learns_endpoints(now)) {
+    const bool may_wait = begun_ || yields(now) || host_.learns_endpoints(now);
+    if (pick.error() == PickFailure::AllFull && !may_wait) {
         refuse("all groups are full", RetryAfterFull);
         return;
     }
@@ -81,7 +97,7 @@
 
 bool RelayedCall::takes_another(Time now) {
     return host_.budget(plan_.service->name).has_left(now) &&
-           host_.directory().pick(demand(), tried_, now).has_value();
+           host_.directory().pick(demand(now), tried_, now).has_value();
 }
 
 bool RelayedCall::may_send_again(Time now) {
@@ -101,7 +117,7 @@
         note_sent_again(pick, now);
     begin_attempt(pick, now);
     occupy_endpoint(pick, now);
-    const ForwardNote note{endpoint_, plan_.customer, deadline_ - now, last_event_};
+    const ForwardNote note{endpoint_, plan_.customer, deadline_ - now, last_event_, yields_};
     ChannelOptions options;
     options.fresh = !plan_.route->repeatable();
     options.connect_timeout = ConnectPatience;
@@ -125,6 +141,7 @@
     endpoints_ += (endpoints_.empty() ? "" : ",") + pick.endpoint;
     tried_.insert(pick.endpoint);
     sent_ = now;
+    yields_ = yields(now);
     first_seen_ = false;
     head_ = {};
     note_ = {};
@@ -136,13 +153,23 @@
     EndpointUse& use = host_.directory().use(endpoint_);
     ++use.in_flight;
     if (uses_engine()) {
-        ++use.load.reading;
-        use.load.reading_tokens += request_.prompt_tokens;
+        count_reading(use.load, 1);
         use.watch.expect(pick.longest_pass, pick.first_event);
         use.watch.started(now);
     }
 }
 
+// Counts this request in or out among those whose prompts wait to be read.
+void RelayedCall::count_reading(GroupLoad& load, int by) const {
+    const std::int64_t tokens = by * static_cast<std::int64_t>(request_.prompt_tokens);
+    load.reading += by;
+    load.reading_tokens += tokens;
+    if (!yields_)
+        return;
+    load.yielding += by;
+    load.yielding_tokens += tokens;
+}
+
 CallEvents RelayedCall::events_of_attempt() {
     const std::weak_ptr<RelayedCall> weak = weak_from_this();
     CallEvents events;
@@ -173,8 +200,7 @@
         if (first_seen_) {
             --use.load.writing;
         } else {
-            --use.load.reading;
-            use.load.reading_tokens -= request_.prompt_tokens;
+            count_reading(use.load, -1);
         }
         use.watch.ended(first_seen_);
     }
@@ -204,7 +230,8 @@
 }
 
 void RelayedCall::wait_on(Time now) {
-    if (const auto pick = host_.directory().pick(demand(), tried_, now)) {
+    const auto pick = host_.directory().pick(demand(now), tried_, now);
+    if (pick) {
         waiting_ = false;
         send(*pick, now);
         return;
@@ -214,14 +241,18 @@
             cut("no group to go on at");
         return;
     }
-    if (now - received_ >= longest_wait(now))
+    if (now - received_ < longest_wait(now))
+        return;
+    if (pick.error() == PickFailure::AllFull)
+        refuse("all groups are full", RetryAfterFull);
+    else
         refuse(sends_ == 0 ? "no endpoint serves" : "no other endpoint serves", RetryAfterNoGroup);
 }
 
 // Right after the start of this host most endpoints are about to be heard of.
 Duration RelayedCall::longest_wait(Time now) const {
     const Duration usual = plan_.route->latency_goal / HoldPartOfGoal;
-    if (!host_.learns_endpoints(now))
+    if (!host_.learns_endpoints(now) && !yields(now))
         return usual;
     return std::max(usual, (deadline_ - received_) / HoldPartOfPatience);
 }
@@ -315,6 +346,8 @@
          {"endpoints", endpoints_},
          {"status", std::to_string(status)},
          {"took_ms", millis_text(took)},
+         {"time_allowed_ms", millis_text(deadline_ - received_)},
+         {"waited_before_ms", millis_text(plan_.waited_before)},
          {"forecast_ms", std::to_string(std::lround(forecast_.first_event_ms))},
          {"forecast_in_flight", std::to_string(std::lround(forecast_.in_flight))},
          {"first_event_ms", millis_text(first_event_took_)},
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -37,6 +37,7 @@
     const Route* route = nullptr;
     const Service* service = nullptr;
     std::string customer;
+    Duration waited_before{}; // by the caller, in earlier tries
 };
 
 // One caller's request from its arrival to its last byte: sends it to an endpoint, passes the
@@ -65,8 +66,12 @@
     void begin_attempt(const Pick& pick, Time now);
     void occupy_endpoint(const Pick& pick, Time now);
     void release_endpoint();
+    void count_reading(GroupLoad& load, int by) const;
     CallEvents events_of_attempt();
-    Demand demand() const;
+    Demand demand(Time now) const;
+    // How long the caller has been waiting.
+    Duration waited(Time now) const { return plan_.waited_before + (now - received_); }
+    bool yields(Time now) const;
     bool takes_another(Time now);
     std::uint32_t runs_allowed() const;
     bool uses_engine() const { return plan_.service->engine && !request_.model.empty(); }
@@ -120,6 +125,7 @@
     std::uint32_t runs_ = 0;  // that may have been run
     Time sent_{};
     LoadForecast forecast_;   // of the last pick
+    bool yields_ = false;     // at the present endpoint
     bool first_seen_ = false; // an event came from the present endpoint
     bool waiting_ = false;    // no endpoint takes it at the moment
 
--- /dev/null
+++ b/tests/unit/callerwait_test.cpp
@@ -0,0 +1,50 @@
+#include "request/callerwait.h"
+
+#include <gtest/gtest.h>
+
+namespace liftweir {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Time Start = Time{} + seconds(100);
+constexpr Duration Limit = seconds(6);
+
+TEST(CallerWaits, WhoNamesLessThanTheOthersHasTriedBefore) {
+    CallerWaits waits;
+    for (int i = 0; i < 100; ++i)
+        EXPECT_EQ(waits.waited("r", milliseconds(5950), Limit, Start + milliseconds(i * 100)),
+                  Duration::zero());
+    const Time later = Start + seconds(12);
+    EXPECT_EQ(waits.waited("r", milliseconds(5940), Limit, later), Duration::zero());
+    EXPECT_EQ(waits.waited("r", milliseconds(4950), Limit, later), milliseconds(1000));
+    EXPECT_EQ(waits.waited("r", milliseconds(900), Limit, later), Duration::zero());
+}
+
+// Right after a start there is nothing to compare with but what operators set.
+TEST(CallerWaits, TheRoutesTimeoutIsBelievedUntilCallersWereSeen) {
+    CallerWaits waits;
+    EXPECT_EQ(waits.waited("r", milliseconds(4500), Limit, Start), milliseconds(1500));
+    EXPECT_EQ(waits.waited("r", milliseconds(5990), Limit, Start), Duration::zero());
+}
+
+TEST(CallerWaits, CallersWithLimitsOfTheirOwnHaveNotWaited) {
+    CallerWaits waits;
+    const auto limit_of = [](int i) { return milliseconds(3000 + (i * 7919) % 3000); };
+    for (int i = 0; i < 300; ++i)
+        (void)waits.waited("r", limit_of(i), Limit, Start + milliseconds(i * 50));
+    for (int i = 0; i < 100; ++i)
+        EXPECT_EQ(waits.waited("r", limit_of(i), Limit, Start + seconds(16) + milliseconds(i)),
+                  Duration::zero());
+}
+
+TEST(CallerWaits, CallersOfAShorterLimitThanTheRoutesAreLearned) {
+    CallerWaits waits;
+    for (int i = 0; i < 100; ++i)
+        (void)waits.waited("r", seconds(4), Limit, Start + milliseconds(i * 110));
+    EXPECT_EQ(waits.waited("r", seconds(4), Limit, Start + seconds(12)), Duration::zero());
+}
+
+} // namespace
+} // namespace liftweir
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -275,8 +275,8 @@
     busy.writing = 6;
     busy.reading = 2;
     busy.reading_tokens = 9000;
-    const LoadForecast a = forecast(engine(), model, idle, 1400, 5);
-    const LoadForecast b = forecast(engine(), model, busy, 1400, 5);
+    const LoadForecast a = forecast(engine(), model, idle, {1400, false}, 5);
+    const LoadForecast b = forecast(engine(), model, busy, {1400, false}, 5);
     EXPECT_LT(a.first_event_ms, b.first_event_ms);
     EXPECT_LT(a.pause_ms, b.pause_ms);
     EXPECT_DOUBLE_EQ(b.in_flight, 40);
