--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -82,7 +82,7 @@
         send(*pick, now);
         return;
     }
-    const bool may_wait = begun_ || yields(now) || host_.learns_endpoints(now);
+    const bool may_wait = begun_ || host_.learns_endpoints(now);
     if (pick.error() == PickFailure::AllFull && !may_wait) {
         refuse("all groups are full", RetryAfterFull);
         return;
@@ -252,7 +252,7 @@
 // Right after the start of this host most endpoints are about to be heard of.
 Duration RelayedCall::longest_wait(Time now) const {
     const Duration usual = plan_.route->latency_goal / HoldPartOfGoal;
-    if (!host_.learns_endpoints(now) && !yields(now))
+    if (!host_.learns_endpoints(now))
         return usual;
     return std::max(usual, (deadline_ - received_) / HoldPartOfPatience);
 }
