One place of a route has one form; an endpoint's bound on connections is kept

Change: place_of gives the form that is checked and looked up. Directory allows an entry host its part of the bound, by its part of the work and a sixteenth at least; resting connections are bounded alike. Tests: Deployment, RouteTable (both failed before), Directory, Registry, RosterFile, ChannelTest.

--- a/src/connection/httpchannel.cpp
+++ b/src/connection/httpchannel.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr std::size_t MaxKeptPerAddress = 64;
-
 // The connections that rest between calls, by address; the one used last is taken first.
 class Pool final : public ChannelKeeper, public std::enable_shared_from_this<Pool> {
   public:
@@ -32,6 +30,7 @@
 
     asio::io_context& io_;
     std::map<std::string, std::deque<ChannelPtr>> kept_;
+    std::map<std::string, std::size_t> most_kept_; // by address, as the last call told
     std::uint64_t opened_ = 0;
 };
 
@@ -83,6 +82,7 @@
 std::unique_ptr<HttpCallHandle> Pool::start(const std::string& address, const HttpRequestHead& head,
                                             const std::string& body, ChannelOptions options,
                                             CallEvents events) {
+    most_kept_[address] = options.most_kept;
     ChannelPtr channel = options.fresh ? nullptr : take_kept(address);
     const bool kept = channel != nullptr;
     if (!kept) {
@@ -98,7 +98,7 @@
 void Pool::keep(const ChannelPtr& channel) {
     auto& channels = kept_[channel->address()];
     channels.push_back(channel);
-    if (channels.size() <= MaxKeptPerAddress)
+    if (channels.size() <= most_kept_[channel->address()])
         return;
     const ChannelPtr oldest = channels.front();
     channels.pop_front();
@@ -112,6 +112,7 @@
 }
 
 void Pool::forget(const std::string& address) {
+    most_kept_.erase(address);
     const auto found = kept_.find(address);
     if (found == kept_.end())
         return;
--- a/src/connection/httpchannel.h
+++ b/src/connection/httpchannel.h
@@ -60,6 +60,8 @@
     // An endpoint may close a resting connection just as the next request leaves. What may not be
     // repeated then has an unknown outcome, so it takes a connection of its own.
     bool fresh = false;
+    // So many connections to this address may rest afterwards, this one among them.
+    std::size_t most_kept = 16;
 };
 
 // Connections to endpoints over Asio, kept between calls. A connection that brought more bytes
--- a/src/request/directory.cpp
+++ b/src/request/directory.cpp
@@ -23,6 +23,10 @@
 // same do not all choose the same.
 constexpr double ForecastNoise = 0.15;
 
+// A host whose part of the work is small may get a crowd before the others have told of theirs.
+constexpr double LeastConnectionPart = 1.0 / 16;
+constexpr std::uint32_t LeastConnections = 2;
+
 double to_millis_exactly(Duration d) {
     return std::chrono::duration<double, std::milli>(d).count();
 }
@@ -49,6 +53,12 @@
     use.avoid_until = std::max(use.avoid_until, now + FirstAvoided * (1 << doublings));
 }
 
+// The bound is shared with the other entry hosts by the work that each has.
+std::uint32_t Directory::connections_allowed(const Service& service) const {
+    const double part = std::max(1 / others_, LeastConnectionPart);
+    return std::max(LeastConnections, static_cast<std::uint32_t>(service.max_connections * part));
+}
+
 tl::expected<Pick, PickFailure> Directory::pick(const Demand& demand,
                                                 const std::set<EndpointId>& tried, Time now) {
     return demand.service->engine && !demand.model.empty() ? pick_group(demand, tried, now)
@@ -66,6 +76,7 @@
     const double latest = demand.engine.yields
                               ? YieldPartOfGoal * goal
                               : GoalSlack * (goal - to_millis_exactly(demand.waited));
+    const std::uint32_t connections = connections_allowed(*demand.service);
     std::optional<Pick> best;
     double best_score = 0;
     bool any_open = false;
@@ -78,6 +89,8 @@
         if (use.avoided(now) || tried.contains(id) || dissolved_.contains(report.membership.epoch))
             continue;
         any_open = true;
+        if (use.in_flight >= connections)
+            continue;
         GroupLoad load = use.load;
         load.seen_pass_ms = use.watch.pass_ms();
         ModelShape model = *shape;
@@ -106,14 +119,20 @@
 
 tl::expected<Pick, PickFailure> Directory::pick_plain(const Demand& demand,
                                                       const std::set<EndpointId>& tried, Time now) {
+    const std::uint32_t connections = connections_allowed(*demand.service);
     std::optional<Pick> best;
     std::pair<int, double> best_score;
+    bool any_full = false;
     for (const auto& [id, item] : registry_.items()) {
         const EndpointReport& report = item.report;
         if (report.phase != EndpointPhase::Serving || report.service != demand.service->name ||
             tried.contains(id))
             continue;
         const EndpointUse& use = uses_[id];
+        if (use.in_flight >= connections) {
+            any_full = true;
+            continue;
+        }
         // An endpoint that failed lately is better than none.
         const std::pair<int, double> score{
             use.avoided(now) ? 1 : 0,
@@ -125,7 +144,7 @@
     }
     if (best)
         return *best;
-    return tl::make_unexpected(PickFailure::NoneServes);
+    return tl::make_unexpected(any_full ? PickFailure::AllFull : PickFailure::NoneServes);
 }
 
 } // namespace liftweir
--- a/src/request/directory.h
+++ b/src/request/directory.h
@@ -70,6 +70,8 @@
     // Endpoints in `tried` are left out.
     tl::expected<Pick, PickFailure> pick(const Demand& demand, const std::set<EndpointId>& tried,
                                          Time now);
+    // How many connections this host may have with one endpoint of the service.
+    std::uint32_t connections_allowed(const Service& service) const;
     // The endpoint failed a request, or took no connection.
     void failed(const EndpointId& id, Time now);
     void succeeded(const EndpointId& id) { uses_[id].failures = 0; }
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -84,7 +84,7 @@
     }
     const bool may_wait = begun_ || host_.learns_endpoints(now);
     if (pick.error() == PickFailure::AllFull && !may_wait) {
-        refuse("all groups are full", RetryAfterFull);
+        refuse(full_reason(), RetryAfterFull);
         return;
     }
     waiting_ = true;
@@ -121,6 +121,7 @@
     ChannelOptions options;
     options.fresh = !plan_.route->repeatable();
     options.connect_timeout = ConnectPatience;
+    options.most_kept = host_.directory().connections_allowed(*plan_.service);
     call_ = host_.pool().start(pick.address, host_.protocol().forward(*exchange_, note),
                                std::string(exchange_->body()), options, events_of_attempt());
 }
@@ -244,7 +245,7 @@
     if (now - received_ < longest_wait(now))
         return;
     if (pick.error() == PickFailure::AllFull)
-        refuse("all groups are full", RetryAfterFull);
+        refuse(full_reason(), RetryAfterFull);
     else
         refuse(sends_ == 0 ? "no endpoint serves" : "no other endpoint serves", RetryAfterNoGroup);
 }
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -74,6 +74,9 @@
     bool yields(Time now) const;
     bool takes_another(Time now);
     std::uint32_t runs_allowed() const;
+    const char* full_reason() const {
+        return uses_engine() ? "all groups are full" : "all endpoints are full";
+    }
     bool uses_engine() const { return plan_.service->engine && !request_.model.empty(); }
 
     // the endpoint's answer
--- a/src/version/deployment.cpp
+++ b/src/version/deployment.cpp
@@ -1,6 +1,7 @@
 #include "version/deployment.h"
 
 #include <algorithm>
+#include <cctype>
 #include <set>
 #include <utility>
 
@@ -37,6 +38,21 @@
 
 } // namespace
 
+std::string host_of(std::string_view host) {
+    std::string out(host.substr(0, host.find(':')));
+    std::transform(out.begin(), out.end(), out.begin(), [](char c) {
+        return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    });
+    return out;
+}
+
+std::string place_of(const Route& route) {
+    std::string place = host_of(route.host) + route.prefix;
+    if (!place.ends_with('/'))
+        place += '/';
+    return place;
+}
+
 const Service* Deployment::service(std::string_view name) const {
     const auto found = std::find_if(services.begin(), services.end(),
                                     [&](const Service& s) { return s.name == name; });
@@ -44,12 +60,12 @@
 }
 
 Expected<void> check(const Deployment& deployment) {
-    std::set<std::pair<std::string, std::string>> places;
+    std::set<std::string> places;
     for (const Route& route : deployment.routes) {
         if (auto good = check_route(deployment, route); !good)
             return good;
-        if (!places.emplace(route.host, route.prefix).second)
-            return fail(FailureKind::BadSettings, "two routes at " + route.host + route.prefix);
+        if (!places.insert(place_of(route)).second)
+            return fail(FailureKind::BadSettings, "two routes at " + place_of(route));
     }
     for (const Service& service : deployment.services)
         if (auto good = check_engine(service); !good)
--- a/src/version/deployment.h
+++ b/src/version/deployment.h
@@ -80,6 +80,12 @@
     auto operator<=>(const EngineCost&) const = default;
 };
 
+// Where a route lies, in one form: the host in lower case, and the path's beginning with a closing
+// slash. Two routes of equal places are the same one.
+std::string place_of(const Route& route);
+// A host name without its port, in lower case.
+std::string host_of(std::string_view host);
+
 // Endpoints that do the same work.
 struct Service {
     std::string name;
--- a/src/version/routetable.cpp
+++ b/src/version/routetable.cpp
@@ -1,27 +1,10 @@
 #include "version/routetable.h"
 
-#include <algorithm>
-#include <cctype>
-
 namespace liftweir {
 
-namespace {
-
-std::string lower_case(std::string_view text) {
-    std::string out(text);
-    std::transform(out.begin(), out.end(), out.begin(), [](char c) {
-        return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-    });
-    return out;
-}
-
-} // namespace
-
 RouteTable::RouteTable(Deployment deployment) : deployment_(std::move(deployment)) {
-    for (std::size_t i = 0; i < deployment_.routes.size(); ++i) {
-        const Route& route = deployment_.routes[i];
-        routes_.emplace(lower_case(route.host) + route.prefix, i);
-    }
+    for (std::size_t i = 0; i < deployment_.routes.size(); ++i)
+        routes_.emplace(place_of(deployment_.routes[i]), i);
     for (std::size_t i = 0; i < deployment_.customers.size(); ++i)
         for (const std::string& key : deployment_.customers[i].keys)
             keys_.emplace(key, i);
@@ -30,7 +13,7 @@
 // A prefix ends with a slash, so only the path's slashes need to be tried, the last one first.
 // The cost does not grow with the number of routes.
 const Route* RouteTable::find(std::string_view host, std::string_view path) const {
-    std::string key = lower_case(host.substr(0, host.find(':')));
+    std::string key = host_of(host);
     const std::size_t host_size = key.size();
     key.append(path);
     while (key.size() > host_size) {
--- a/tests/unit/deployment_test.cpp
+++ b/tests/unit/deployment_test.cpp
@@ -43,6 +43,12 @@
     EXPECT_TRUE(refused([](Deployment& d) { d.routes[0].timeout = {}; }));
     EXPECT_TRUE(refused([](Deployment& d) { d.routes[1].prefix = "/x/"; }));
     EXPECT_TRUE(refused([](Deployment& d) { d.customers[1].keys = {"k2"}; }));
+    // One place, written in two ways.
+    EXPECT_TRUE(refused([](Deployment& d) {
+        d.routes[1].host = "ONE.example";
+        d.routes[1].prefix = "/x/";
+    }));
+    EXPECT_TRUE(refused([](Deployment& d) { d.routes[1].prefix = "/x"; }));
 }
 
 TEST(RouteTable, LongestPrefixWinsWithoutRegardToTheHostsCase) {
@@ -56,6 +62,15 @@
     EXPECT_EQ(table.find("", ""), nullptr);
 }
 
+// Found by reading: such a route was accepted, and no request ever matched it.
+TEST(RouteTable, APrefixWithoutAClosingSlashMatchesWholeParts) {
+    Deployment deployment = two_routes();
+    deployment.routes[1].prefix = "/x/y";
+    const RouteTable table(deployment);
+    EXPECT_EQ(table.find("one.example", "/x/y/z")->name, "b");
+    EXPECT_EQ(table.find("one.example", "/x/yy")->name, "a");
+}
+
 TEST(RouteTable, KeysNameTheirCustomer) {
     const RouteTable table(two_routes());
     EXPECT_EQ(table.customer("k2")->name, "big");
--- /dev/null
+++ b/tests/unit/directory_test.cpp
@@ -0,0 +1,71 @@
+#include "request/directory.h"
+
+#include <gtest/gtest.h>
+
+namespace liftweir {
+namespace {
+
+constexpr Time Start = Time{} + std::chrono::seconds(100);
+
+EndpointReport plain(const EndpointId& id, const std::string& address) {
+    EndpointReport report;
+    report.id = id;
+    report.service = "app";
+    report.address = address;
+    report.sequence = 1;
+    return report;
+}
+
+// An endpoint resets connections beyond its bound, which all entry hosts share.
+TEST(Directory, AnEndpointIsGivenNoMoreConnectionsThanThisHostsPartOfItsBound) {
+    Directory directory(7);
+    directory.registry().merge(plain("i-1", "10.0.0.1:80"), Start);
+    directory.set_others(5);
+    const Service service{"app", 50, std::nullopt};
+    Demand demand;
+    demand.service = &service;
+    EXPECT_EQ(directory.connections_allowed(service), 10u);
+    directory.use("i-1").in_flight = 9;
+    EXPECT_TRUE(directory.pick(demand, {}, Start));
+    directory.use("i-1").in_flight = 10;
+    const auto full = directory.pick(demand, {}, Start);
+    ASSERT_FALSE(full);
+    EXPECT_EQ(full.error(), PickFailure::AllFull);
+    directory.registry().merge(plain("i-2", "10.0.0.2:80"), Start);
+    EXPECT_EQ(directory.pick(demand, {}, Start)->endpoint, "i-2");
+}
+
+// A host whose part is small now may get a crowd in the next second.
+TEST(Directory, SomeConnectionsAreAlwaysAllowed) {
+    Directory directory(7);
+    directory.set_others(50);
+    EXPECT_EQ(directory.connections_allowed({"app", 400, std::nullopt}), 25u);
+    EXPECT_EQ(directory.connections_allowed({"app", 1, std::nullopt}), 2u);
+}
+
+// What was known before a restart never hides what was heard since.
+TEST(Registry, RemembersOnlyWhatNothingNewerIsKnownOf) {
+    Registry registry;
+    registry.merge(plain("new", "10.0.0.1:80"), Start);
+    EXPECT_FALSE(registry.remember(plain("old", "10.0.0.1:80"), Start));
+    EXPECT_FALSE(registry.remember(plain("new", "10.0.0.9:80"), Start));
+    EXPECT_TRUE(registry.remember(plain("other", "10.0.0.2:80"), Start));
+    registry.forget("other");
+    EXPECT_EQ(registry.find("other"), nullptr);
+    EXPECT_EQ(registry.find("new")->report.phase, EndpointPhase::Serving);
+}
+
+// A copy of a registry tells when each endpoint was heard: the receiver is not to take it for alive.
+TEST(Registry, AMergedReportIsAsOldAsItsSource) {
+    Registry registry;
+    registry.merge(plain("i-1", "10.0.0.1:80"), Start - std::chrono::seconds(9));
+    EXPECT_EQ(registry.find("i-1")->heard, Start - std::chrono::seconds(9));
+    EndpointReport later = plain("i-1", "10.0.0.1:80");
+    later.sequence = 2;
+    registry.heard("i-1", Start);
+    registry.merge(later, Start - std::chrono::seconds(1));
+    EXPECT_EQ(registry.find("i-1")->heard, Start);
+}
+
+} // namespace
+} // namespace liftweir
--- a/tests/unit/httpchannel_test.cpp
+++ b/tests/unit/httpchannel_test.cpp
@@ -94,6 +94,14 @@
     EXPECT_EQ(accepted_, 1);
 }
 
+// An endpoint takes a bounded number of connections from all entry hosts, resting ones too.
+TEST_F(ChannelTest, KeepsNoMoreConnectionsThanItMay) {
+    scripts_ = {{Good}, {Good}};
+    EXPECT_EQ(call({.most_kept = 0}).end, CallEnd::Complete);
+    EXPECT_EQ(call({.most_kept = 0}).end, CallEnd::Complete);
+    EXPECT_EQ(accepted_, 2);
+}
+
 TEST_F(ChannelTest, TakesAConnectionOfItsOwnWhereItMustNotMeetAClose) {
     scripts_ = {{Good}, {Good}};
     EXPECT_EQ(call().end, CallEnd::Complete);
--- /dev/null
+++ b/tests/unit/rosterfile_test.cpp
@@ -0,0 +1,59 @@
+#include "process/rosterfile.h"
+#include "unit/memstorage.h"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace liftweir {
+namespace {
+
+constexpr Time Start = Time{} + std::chrono::seconds(100);
+
+EndpointReport endpoint(const EndpointId& id, EndpointPhase phase = EndpointPhase::Serving) {
+    EndpointReport report;
+    report.id = id;
+    report.service = "llm";
+    report.address = id + ":80";
+    report.phase = phase;
+    report.sequence = 4;
+    return report;
+}
+
+// The write is done by another thread.
+std::vector<EndpointReport> kept(const std::shared_ptr<Storage>& storage) {
+    for (int i = 0; i < 200; ++i) {
+        auto reports = RosterFile(storage).load();
+        if (!reports.empty())
+            return reports;
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return {};
+}
+
+TEST(RosterFile, KeepsWhoServesAndWasHeardLately) {
+    auto folder = open_folder(testing::TempDir() + "/roster-keeps");
+    ASSERT_TRUE(folder);
+    const std::shared_ptr<Storage> storage = std::move(*folder);
+    RosterFile roster(storage);
+    EXPECT_TRUE(roster.load().empty());
+    Registry registry;
+    registry.merge(endpoint("heard"), Start);
+    registry.merge(endpoint("silent"), Start - std::chrono::seconds(9));
+    registry.merge(endpoint("leaving", EndpointPhase::Draining), Start);
+    roster.keep(registry, Start - std::chrono::seconds(2));
+    const auto reports = kept(storage);
+    ASSERT_EQ(reports.size(), 1u);
+    EXPECT_EQ(reports.front().id, "heard");
+    EXPECT_EQ(reports.front().sequence, 0u); // any word of its own goes before it
+    ASSERT_TRUE(storage->remove("endpoints"));
+}
+
+TEST(RosterFile, AFileThatCanNotBeReadIsLikeNone) {
+    const auto storage = std::make_shared<MemStorage>();
+    ASSERT_TRUE(storage->replace("endpoints", "\xff\x00 not a roster"));
+    EXPECT_TRUE(RosterFile(storage).load().empty());
+}
+
+} // namespace
+} // namespace liftweir
