Metrics have one table: the page, the HELP lines and a lint check come from it

Adds latencies of first events, longest pauses, orders and documents, and counts of repeats, resumed streams and held requests. The linter compares the page with the program and the table with the names in the sources. Tests: MetricTable.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -4,6 +4,7 @@
 #include "ctl/why.h"
 #include "process/clock.h"
 #include "process/config.h"
+#include "process/metricnames.h"
 #include "version/keys.h"
 
 #include <popt.h>
@@ -321,6 +322,11 @@
              std::cout << sha256_hex(a[0]) << "\n";
              return CtlOk;
          }},
+        {"metrics", "", "the docs page of all metrics", 0,
+         [](Session&, O, A) {
+             std::cout << metrics_page();
+             return 0;
+         }},
         {"keys", "", "the docs page of all settings", 0,
          [](Session&, O, A) { return print_keys(); }},
         {"completion", "", "completion for bash", 0,
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -306,7 +306,7 @@
         done(fail(FailureKind::NotLeader, leader_ip()));
         return;
     }
-    waiting_.push_back({version, std::move(done)});
+    waiting_.push_back({version, std::move(done), BootClock::now()});
     const Version newest = std::max(replica_->state().document().version, proposed_document_);
     if (version > newest) {
         proposed_document_ = version;
@@ -315,6 +315,13 @@
     pump_soon();
 }
 
+void Coordinator::acknowledge(const Waiting& item) {
+    Metrics::instance()
+        .histogram("liftweir_document_seconds")
+        .add(std::chrono::duration<double>(BootClock::now() - item.begun).count());
+    item.done({});
+}
+
 void Coordinator::settle_waiting() {
     if (waiting_.empty())
         return;
@@ -324,7 +331,7 @@
             item.done(fail(FailureKind::NoQuorum, "leadership was lost"));
         else if (replica_->state().document().version >= item.version &&
                  durable(replica_->state().document()))
-            item.done({});
+            acknowledge(item);
         else
             still.push_back(std::move(item));
     }
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -90,6 +90,7 @@
     struct Waiting {
         Version version = 0;
         Done done;
+        Time begun{};
     };
 
     // storage and log
@@ -105,6 +106,7 @@
     Voters learners() const;
     std::vector<NodeView> views_of(Voters nodes) const;
     void settle_waiting();
+    static void acknowledge(const Waiting& item);
     bool durable(const StoredDocument& document) const;
     void document_applied();
     GroupPlanner& planner_for(const Service& service);
--- a/src/process/coordinatorfleet.cpp
+++ b/src/process/coordinatorfleet.cpp
@@ -362,6 +362,9 @@
     const Time sent = BootClock::now();
     orders_.send(order, [this, &planner, order, sent](OrderAnswer answer) {
         const Time now = BootClock::now();
+        Metrics::instance()
+            .histogram("liftweir_order_seconds")
+            .add(std::chrono::duration<double>(now - sent).count());
         log(LogLevel::Info, "order",
             {{"kind", std::string(name_of(order.kind))},
              {"endpoint", order.endpoint},
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -80,6 +80,8 @@
     Metrics& metrics = Metrics::instance();
     metrics.gauge("liftweir_calls_in_flight",
                   [this] { return static_cast<double>(calls_.size()); });
+    metrics.gauge("liftweir_requests_held",
+                  [this] { return static_cast<double>(held_.size()); });
     metrics.gauge("liftweir_document_version",
                   [this] { return static_cast<double>(document_.version); });
     metrics.gauge("liftweir_connections_opened",
@@ -402,12 +404,21 @@
         calls_.erase(call);
 }
 
-void Gateway::ended(const std::string& route, int status, Duration took) {
+void Gateway::ended(const CallSummary& summary) {
+    const auto seconds = [](Duration d) { return std::chrono::duration<double>(d).count(); };
     Metrics& metrics = Metrics::instance();
-    const std::string labels =
-        "route=\"" + route + "\",class=\"" + std::to_string(status_class(status)) + "xx\"";
+    const std::string labels = "route=\"" + summary.route + "\",class=\"" +
+                               std::to_string(status_class(summary.status)) + "xx\"";
     metrics.counter("liftweir_calls", labels).add();
-    metrics.histogram("liftweir_call_seconds").add(std::chrono::duration<double>(took).count());
+    metrics.histogram("liftweir_call_seconds").add(seconds(summary.took));
+    if (summary.first_event > Duration::zero()) {
+        metrics.histogram("liftweir_first_event_seconds").add(seconds(summary.first_event));
+        metrics.histogram("liftweir_longest_pause_seconds").add(seconds(summary.longest_pause));
+    }
+    if (summary.sends > 1)
+        metrics.counter("liftweir_sent_again").add(summary.sends - 1);
+    if (summary.resumed > 0)
+        metrics.counter("liftweir_resumed").add();
 }
 
 void Gateway::tick() {
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -44,7 +44,7 @@
     RepeatBudget& budget(const std::string& service) override;
     bool learns_endpoints(Time now) const override;
     void unreachable(const EndpointId& id) override;
-    void ended(const std::string& route, int status, Duration took) override;
+    void ended(const CallSummary& summary) override;
 
     // control
     void connect_to(const std::string& address);
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -1,5 +1,7 @@
 #include "process/metrics.h"
 
+#include "process/metricnames.h"
+
 #include "connection/link.h"
 
 #include <boost/histogram.hpp>
@@ -108,8 +110,11 @@
     std::ostringstream out;
     std::string last;
     const auto header = [&](const std::string& name, const char* type) {
-        if (std::exchange(last, name) != name)
-            out << "# TYPE " << name << " " << type << "\n";
+        if (std::exchange(last, name) == name)
+            return;
+        if (const MetricInfo* info = find_metric(name))
+            out << "# HELP " << name << " " << info->meaning << "\n";
+        out << "# TYPE " << name << " " << type << "\n";
     };
     for (const auto& [key, counter] : counters_) {
         header(key.first, "counter");
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -355,7 +355,8 @@
          {"longest_pause_ms", millis_text(longest_pause_)},
          {"resumed", std::to_string(resumed_)},
          {"why", why}});
-    host_.ended(plan_.route->name, status, took);
+    host_.ended({plan_.route->name, status, took, first_event_took_, longest_pause_, sends_,
+                 resumed_});
 }
 
 } // namespace liftweir
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -15,6 +15,19 @@
 
 namespace liftweir {
 
+// How a call went, for the metrics.
+struct CallSummary {
+    std::string route;
+    int status = 0; // 0: no whole answer
+    Duration took{};
+    Duration first_event{}; // zero where no stream began
+    Duration longest_pause{};
+    std::uint32_t sends = 0;
+    std::uint32_t resumed = 0;
+
+    auto operator<=>(const CallSummary&) const = default;
+};
+
 // What calls need of the entry host that they run on.
 class RelayHost {
   public:
@@ -28,7 +41,7 @@
     // An endpoint took no connection.
     virtual void unreachable(const EndpointId& id) = 0;
     // The call has ended and is forgotten; it may be destroyed from here on.
-    virtual void ended(const std::string& route, int status, Duration took) = 0;
+    virtual void ended(const CallSummary& summary) = 0;
 };
 
 // Where a caller's request goes, decided before it is passed on.
--- /dev/null
+++ b/tests/unit/metrics_test.cpp
@@ -0,0 +1,30 @@
+#include "process/metricnames.h"
+#include "process/metrics.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace liftweir {
+namespace {
+
+TEST(MetricTable, NamesEachMetricOnceAndSaysWhatItTells) {
+    std::set<std::string_view> names;
+    for (const MetricInfo& info : metric_table()) {
+        EXPECT_TRUE(names.insert(info.name).second) << info.name;
+        EXPECT_FALSE(info.meaning.empty()) << info.name;
+        EXPECT_FALSE(info.unit.empty()) << info.name;
+        EXPECT_NE(metrics_page().find("`" + std::string(info.name) + "`"), std::string::npos);
+    }
+}
+
+TEST(MetricTable, ItsMeaningIsServedBesideTheFigure) {
+    Metrics::instance().counter("liftweir_resumed").add();
+    const std::string text = Metrics::instance().text();
+    EXPECT_NE(text.find("# HELP liftweir_resumed Streams that went on at another group.\n"
+                        "# TYPE liftweir_resumed counter\n"),
+              std::string::npos);
+}
+
+} // namespace
+} // namespace liftweir
--- a/tools/lint.py
+++ b/tools/lint.py
@@ -2,12 +2,15 @@
 import concurrent.futures
 import glob
 import os
+import re
 import subprocess
 import sys
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 BUILD = os.path.join(ROOT, "build", "release")
 LONGEST_FILE = 600
+# The names of metrics as they stand in the sources.
+METRIC = re.compile(r'"((?:liftweir|process)_[a-z_]+?)(?=[" {])')
 
 
 def sources(*patterns):
@@ -59,6 +62,16 @@
     page = os.path.join(ROOT, "docs", "SETTINGS.md")
     if code or not os.path.exists(page) or open(page, encoding="utf-8").read() != text:
         failures.append("docs/SETTINGS.md is not what `liftweirctl keys` prints")
+    code, text = run([os.path.join(BUILD, "liftweirctl"), "metrics"])
+    page = os.path.join(ROOT, "docs", "METRICS.md")
+    if code or not os.path.exists(page) or open(page, encoding="utf-8").read() != text:
+        failures.append("docs/METRICS.md is not what `liftweirctl metrics` prints")
+    used = {name for file in code_files if "metricnames" not in file
+            for name in METRIC.findall(open(file, encoding="utf-8").read())}
+    listed = set(re.findall(r"^\| `(\w+)`", text, re.M))
+    failures += ["metric %s is not in the table" % name for name in sorted(used - listed)]
+    failures += ["metric %s is in the table and nowhere else" % name
+                 for name in sorted(listed - used)]
     src, tests = lines(code_files), lines(test_files)
     share = tests / (src + tests)
     print("lines: src %d, tests %d; tests are %.0f %% of all code" % (src, tests, 100 * share))
