Hosts that are of no use load the model of those that lack a few

Only hosts with an empty disk were ever staged. Change: where a model has fewer groups than it should and at least half of a group waits in a domain, free hosts there that are too few for a group of their own model load it, within the load budget. Test: Planner.AHostThatIsOfNoUseIsGivenTheModelOfThoseThatLackOne (failed before).

--- a/src/process/groupformation.cpp
+++ b/src/process/groupformation.cpp
@@ -12,6 +12,8 @@
 
 // A host that was in a group of the model since its start joins another one this fast.
 constexpr Duration WarmJoin = std::chrono::milliseconds(200);
+// A load pays where at least half of a group waits for it: other hosts may come or go meanwhile.
+constexpr std::size_t LeastPartWaiting = 2;
 // Groups that a model without any counts as when it is weighed against the others.
 constexpr double LeastLiveGroups = 0.5;
 
@@ -190,10 +192,10 @@
     for (const auto& [id, item] : registry_->items()) {
         if (item.report.domain != report.domain || id == report.id)
             continue;
-        const auto host = hosts_.find(id);
-        const bool staging = host != hosts_.end() && now < host->second.staging_until &&
-                             host->second.staging == model;
-        spares += staging || (is_free(item.report, now) && staged(item.report, model)) ? 1 : 0;
+        spares +=
+            is_staging(id, model, now) || (is_free(item.report, now) && staged(item.report, model))
+                ? 1
+                : 0;
     }
     return spares;
 }
@@ -227,15 +229,76 @@
             given != assignment_.end() ? given->second : model_to_stage(report, now);
         if (model.empty())
             return;
-        Host& host = hosts_[id];
-        host.staging = model;
-        host.staging_until = now + 2 * shape(model)->load + FormingSlack;
-        loads_.begun(now);
-        order(OrderKind::Stage, report, nullptr).model = model;
-        note("staging", "", id, model);
+        stage(report, *shape(model), model, now);
     }
 }
 
+void GroupPlanner::stage(const EndpointReport& report, const ModelShape& model,
+                         const std::string& why, Time now) {
+    Host& host = hosts_[report.id];
+    host.staging = model.name;
+    host.staging_until = now + 2 * model.load + FormingSlack;
+    loads_.begun(now);
+    order(OrderKind::Stage, report, nullptr).model = model.name;
+    note("staging", "", report.id, why);
+}
+
+bool GroupPlanner::is_staging(const EndpointId& id, const std::string& model, Time now) const {
+    const auto host = hosts_.find(id);
+    return host != hosts_.end() && now < host->second.staging_until &&
+           host->second.staging == model;
+}
+
+// Free hosts that are too few for a group of their model are of no use until one more is there. If
+// that takes no more than a few hosts of their domain that are too few for a group of another
+// model, those load it: a load takes seconds, and the next newcomer may be long in coming.
+void GroupPlanner::restage_stranded(Time now) {
+    if (!traffic_)
+        return;
+    const auto domains = free_by_domain(now);
+    for (const ModelShape& model : engine_.models) {
+        if (live_groups(model.name) >= target(model, now))
+            continue;
+        for (const auto& [domain, free] : domains)
+            if (restage(model, free, now))
+                return;
+    }
+}
+
+bool GroupPlanner::restage(const ModelShape& model, const Hosts& free, Time now) {
+    std::size_t ready = 0;
+    std::map<std::string, Hosts> others;
+    for (const EndpointReport* report : free) {
+        if (staged(*report, model.name))
+            ++ready;
+        else if (!report->staged.empty())
+            others[report->staged.back()].push_back(report);
+    }
+    // Whoever loads the model is not free meanwhile.
+    for (const auto& [id, item] : registry_->items())
+        ready += item.report.domain == free.front()->domain && is_staging(id, model.name, now);
+    if (ready == 0 || ready >= model.size)
+        return false;
+    std::size_t missing = model.size - ready;
+    if (missing > model.size / LeastPartWaiting)
+        return false;
+    Hosts useless;
+    for (const auto& [other, hosts] : others) {
+        const ModelShape* shape_of_other = shape(other);
+        if (shape_of_other == nullptr || hosts.size() < shape_of_other->size)
+            useless.insert(useless.end(), hosts.begin(), hosts.end());
+    }
+    if (useless.size() < missing)
+        return false;
+    for (const EndpointReport* report : useless) {
+        if (missing == 0 || !loads_.allows(now))
+            break;
+        stage(*report, model, model.name + ", for those that wait for one more", now);
+        --missing;
+    }
+    return true;
+}
+
 // Joining takes a fifth of a second for a host that was in a group of the model since its start,
 // and over a second for one that has the weights on its disk only.
 void GroupPlanner::warm_spares(Time now) {
--- a/src/process/groupplanner.cpp
+++ b/src/process/groupplanner.cpp
@@ -326,6 +326,7 @@
     });
     form_groups(now);
     stage_spares(now);
+    restage_stranded(now);
     warm_spares(now);
     return std::exchange(orders_, {});
 }
--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -123,6 +123,11 @@
     Hosts across_domains(const ModelShape& model, Time now) const;
     void form(const ModelShape& shape, const Hosts& hosts, const std::string& why, Time now);
     void stage_spares(Time now);
+    void restage_stranded(Time now);
+    bool restage(const ModelShape& model, const Hosts& free, Time now);
+    void stage(const EndpointReport& report, const ModelShape& model, const std::string& why,
+               Time now);
+    bool is_staging(const EndpointId& id, const std::string& model, Time now) const;
     void warm_spares(Time now);
     std::string model_to_stage(const EndpointReport& report, Time now) const;
     double staging_score(const EndpointReport& report, const ModelShape& model, Time now) const;
--- a/tests/unit/groupplanner_test.cpp
+++ b/tests/unit/groupplanner_test.cpp
@@ -229,6 +229,34 @@
     Fleet fleet_{3, 8};
 };
 
+// Found in inc-cebd: seven hosts of a model waited for an eighth for half a minute, beside three
+// hosts of another model that were of no use either.
+TEST(Planner, AHostThatIsOfNoUseIsGivenTheModelOfThoseThatLackOne) {
+    Fleet fleet(1, 8);
+    fleet.planner.configure(engine());
+    fleet.planner.take_over(1, fleet.now);
+    fleet.run(seconds(10));
+    ASSERT_EQ(fleet.open("big"), 1u);
+    ASSERT_EQ(fleet.open("small"), 1u);
+    fleet.planner.traffic_began();
+    // Two spares of the large model are left, and one survivor of each model.
+    fleet.lead_of("small").dark = true;
+    const std::vector<EndpointId> members = fleet.lead_of("big").list;
+    for (std::size_t i = 0; i < 3; ++i)
+        fleet.endpoints.at(members[i]).dark = true;
+    const auto suspect_all = [&] {
+        for (const auto& [id, e] : fleet.endpoints)
+            if (e.report.grouped())
+                fleet.planner.suspect(e.report.membership.epoch, fleet.now);
+    };
+    for (int i = 0; i < 40; ++i) {
+        suspect_all();
+        fleet.run(milliseconds(500));
+    }
+    EXPECT_EQ(fleet.open("big"), 1u);
+    EXPECT_TRUE(fleet.violations.empty());
+}
+
 TEST_F(PlannerTest, FormsAllGroupsBeforeTheFirstRequest) {
     start();
     EXPECT_EQ(fleet_.open("big"), 4u);
