--- a/src/process/groupformation.cpp
+++ b/src/process/groupformation.cpp
@@ -255,16 +255,37 @@
 void GroupPlanner::restage_stranded(Time now) {
     if (!traffic_)
         return;
-    const auto domains = free_by_domain(now);
-    for (const ModelShape& model : engine_.models) {
-        if (live_groups(model.name) >= target(model, now))
+    std::vector<const ModelShape*> scarce;
+    for (const ModelShape& model : engine_.models)
+        if (supply(model, now) < 1)
+            scarce.push_back(&model);
+    std::stable_sort(scarce.begin(), scarce.end(), [&](const ModelShape* a, const ModelShape* b) {
+        return supply(*a, now) < supply(*b, now);
+    });
+    for (const auto& [domain, free] : free_by_domain(now)) {
+        // What the last loads bring is seen first: models would take hosts from each other.
+        if (is_restaging(domain, now))
             continue;
-        for (const auto& [domain, free] : domains)
-            if (restage(model, free, now))
-                return;
+        for (const ModelShape* model : scarce)
+            if (restage(*model, free, now))
+                break;
     }
 }
 
+// Groups of the model that there are, as a part of those that there should be.
+double GroupPlanner::supply(const ModelShape& model, Time now) const {
+    return static_cast<double>(live_groups(model.name)) / static_cast<double>(target(model, now));
+}
+
+bool GroupPlanner::is_restaging(const std::string& domain, Time now) const {
+    return std::any_of(registry_->items().begin(), registry_->items().end(), [&](const auto& item) {
+        const EndpointReport& report = item.second.report;
+        const auto host = hosts_.find(report.id);
+        return report.domain == domain && !report.staged.empty() && host != hosts_.end() &&
+               now < host->second.staging_until && alive(report.id, now);
+    });
+}
+
 bool GroupPlanner::restage(const ModelShape& model, const Hosts& free, Time now) {
     std::size_t ready = 0;
     std::map<std::string, Hosts> others;
--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -124,6 +124,8 @@
     void form(const ModelShape& shape, const Hosts& hosts, const std::string& why, Time now);
     void stage_spares(Time now);
     void restage_stranded(Time now);
+    double supply(const ModelShape& model, Time now) const;
+    bool is_restaging(const std::string& domain, Time now) const;
     bool restage(const ModelShape& model, const Hosts& free, Time now);
     void stage(const EndpointReport& report, const ModelShape& model, const std::string& why,
                Time now);
