Durations are converted and scaled in one place

What was added for late requests and metrics had its own copies of the same conversions, and of the one in stallwatch. clock.h has them now: to_seconds, to_exact_millis, scaled.

--- a/src/process/clock.h
+++ b/src/process/clock.h
@@ -27,6 +27,19 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
 }
 
+// With the fractions that to_millis cuts off.
+constexpr double to_exact_millis(Duration d) {
+    return std::chrono::duration<double, std::milli>(d).count();
+}
+
+constexpr double to_seconds(Duration d) {
+    return std::chrono::duration<double>(d).count();
+}
+
+constexpr Duration scaled(Duration d, double factor) {
+    return std::chrono::duration_cast<Duration>(factor * std::chrono::duration<double>(d));
+}
+
 } // namespace liftweir
 
 #endif // CLOCK_H_INCLUDED
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -318,7 +318,7 @@
 void Coordinator::acknowledge(const Waiting& item) {
     Metrics::instance()
         .histogram("liftweir_document_seconds")
-        .add(std::chrono::duration<double>(BootClock::now() - item.begun).count());
+        .add(to_seconds(BootClock::now() - item.begun));
     item.done({});
 }
 
--- a/src/process/coordinatorfleet.cpp
+++ b/src/process/coordinatorfleet.cpp
@@ -363,9 +363,7 @@
     const Time sent = BootClock::now();
     orders_.send(order, [this, &planner, order, sent](OrderAnswer answer) {
         const Time now = BootClock::now();
-        Metrics::instance()
-            .histogram("liftweir_order_seconds")
-            .add(std::chrono::duration<double>(now - sent).count());
+        Metrics::instance().histogram("liftweir_order_seconds").add(to_seconds(now - sent));
         log(LogLevel::Info, "order",
             {{"kind", std::string(name_of(order.kind))},
              {"endpoint", order.endpoint},
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -85,9 +85,8 @@
                   [this] { return static_cast<double>(document_.version); });
     metrics.gauge("liftweir_connections_opened",
                   [this] { return static_cast<double>(pool_->opened()); });
-    metrics.gauge("liftweir_lease_left_seconds", [this] {
-        return std::chrono::duration<double>(lease_.valid_until() - BootClock::now()).count();
-    });
+    metrics.gauge("liftweir_lease_left_seconds",
+                  [this] { return to_seconds(lease_.valid_until() - BootClock::now()); });
     ticker_.start();
 }
 
@@ -404,15 +403,14 @@
 }
 
 void Gateway::ended(const CallSummary& summary) {
-    const auto seconds = [](Duration d) { return std::chrono::duration<double>(d).count(); };
     Metrics& metrics = Metrics::instance();
     const std::string labels = "route=\"" + summary.route + "\",class=\"" +
                                std::to_string(status_class(summary.status)) + "xx\"";
     metrics.counter("liftweir_calls", labels).add();
-    metrics.histogram("liftweir_call_seconds").add(seconds(summary.took));
+    metrics.histogram("liftweir_call_seconds").add(to_seconds(summary.took));
     if (summary.first_event > Duration::zero()) {
-        metrics.histogram("liftweir_first_event_seconds").add(seconds(summary.first_event));
-        metrics.histogram("liftweir_longest_pause_seconds").add(seconds(summary.longest_pause));
+        metrics.histogram("liftweir_first_event_seconds").add(to_seconds(summary.first_event));
+        metrics.histogram("liftweir_longest_pause_seconds").add(to_seconds(summary.longest_pause));
     }
     if (summary.sends > 1)
         metrics.counter("liftweir_sent_again").add(summary.sends - 1);
--- a/src/request/callerwait.cpp
+++ b/src/request/callerwait.cpp
@@ -18,10 +18,6 @@
 // Where fewer callers than this name the longest limit, they have limits of their own.
 constexpr double LeastWhole = 0.3;
 
-Duration part_of(Duration whole, double part) {
-    return std::chrono::duration_cast<Duration>(part * std::chrono::duration<double>(whole));
-}
-
 } // namespace
 
 // The longest limit grows while the first calls come in, so that "whole" is an estimate.
@@ -29,7 +25,7 @@
     ++window.total;
     if (patience > window.longest)
         window.longest = patience;
-    if (patience >= part_of(window.longest, Tolerance))
+    if (patience >= scaled(window.longest, Tolerance))
         ++window.whole;
 }
 
@@ -46,7 +42,7 @@
     if (known && before.whole < LeastWhole * before.total)
         return Duration::zero();
     const Duration limit = known ? std::max(before.longest, windows.now.longest) : timeout;
-    if (patience >= part_of(limit, Tolerance) || patience < part_of(limit, LeastPart))
+    if (patience >= scaled(limit, Tolerance) || patience < scaled(limit, LeastPart))
         return Duration::zero();
     return limit - patience;
 }
--- a/src/request/directory.cpp
+++ b/src/request/directory.cpp
@@ -27,10 +27,6 @@
 constexpr double LeastConnectionPart = 1.0 / 16;
 constexpr std::uint32_t LeastConnections = 2;
 
-double to_millis_exactly(Duration d) {
-    return std::chrono::duration<double, std::milli>(d).count();
-}
-
 } // namespace
 
 void Directory::expire(Time now) {
@@ -72,10 +68,10 @@
                                     [&](const ModelShape& m) { return m.name == demand.model; });
     if (shape == engine.models.end())
         return tl::make_unexpected(PickFailure::NoneServes);
-    const double goal = to_millis_exactly(demand.latency_goal);
+    const double goal = to_exact_millis(demand.latency_goal);
     const double latest = demand.engine.yields
                               ? YieldPartOfGoal * goal
-                              : GoalSlack * (goal - to_millis_exactly(demand.waited));
+                              : GoalSlack * (goal - to_exact_millis(demand.waited));
     const std::uint32_t connections = connections_allowed(*demand.service);
     std::optional<Pick> best;
     double best_score = 0;
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -266,8 +266,7 @@
 
 // Whether a safe call has gone without a head for so long that another endpoint should get it.
 bool RelayedCall::overdue(Time now) const {
-    const auto repeat_after = std::chrono::duration_cast<Duration>(
-        RepeatAfterGoal * std::chrono::duration<double>(plan_.route->latency_goal));
+    const Duration repeat_after = scaled(plan_.route->latency_goal, RepeatAfterGoal);
     return plan_.route->kind == CallKind::Safe && head_.status == 0 && now - sent_ > repeat_after &&
            runs_ + 1 < runs_allowed();
 }
--- a/src/request/stallwatch.cpp
+++ b/src/request/stallwatch.cpp
@@ -20,10 +20,6 @@
 constexpr double FirstEventFactor = 3.0;
 constexpr Duration LeastFirstPatience = std::chrono::milliseconds(800);
 
-Duration scaled(Duration d, double factor) {
-    return std::chrono::duration_cast<Duration>(factor * std::chrono::duration<double>(d));
-}
-
 } // namespace
 
 void StallWatch::expect(Duration longest_pass, Duration first_event) {
@@ -40,7 +36,7 @@
 void StallWatch::progress(Time now, bool first) {
     const bool same_pass = now - last_ <= SamePass;
     if (!same_pass && writing_ > 0) {
-        const double gap = std::chrono::duration<double, std::milli>(now - last_).count();
+        const double gap = to_exact_millis(now - last_);
         pass_ms_ = pass_ms_ == 0 ? gap : (1 - Smoothing) * pass_ms_ + Smoothing * gap;
     }
     if (!same_pass)
