Gateway's side towards control hosts has a source of its own

The first is gatewaycontrol.cpp now. A new document is decoded there and put in force beside the calls that go by it. Moved as it stood otherwise.

--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -3,7 +3,6 @@
 #include "process/fleetprogram.h"
 #include "process/logging.h"
 #include "process/metrics.h"
-#include "process/node.h"
 
 #include <algorithm>
 
@@ -13,9 +12,6 @@
 
 // Streams that stand still, and calls out of time, are looked for this often.
 constexpr Duration TickEvery = std::chrono::milliseconds(40);
-constexpr Duration RenewEvery = std::chrono::milliseconds(1000);
-// A control host knows of something newer: asked again at this pace until it is here.
-constexpr Duration RenewBehindEvery = std::chrono::milliseconds(150);
 constexpr Duration SecondlyEvery = std::chrono::milliseconds(1000);
 // The lease ends this much before a removed key must have stopped: messages on their way, a loop
 // that is late, and the drift of two clocks.
@@ -35,11 +31,6 @@
 constexpr Duration LastAnswersWhenLate = std::chrono::milliseconds(200);
 // Puts the begin of leaving out of reach, so that the loop is stopped only once.
 constexpr Duration AfterStop = std::chrono::hours(1);
-// A report may be late by this much.
-constexpr Duration BeatSlack = std::chrono::milliseconds(400);
-constexpr double ShareSmoothing = 0.3;
-// This host never takes itself for a smaller part of all entry hosts.
-constexpr double LeastShare = 0.02;
 // An endpoint that was not suspected for so many rounds of telling is forgotten here.
 constexpr int SuspicionRoundsKept = 10;
 
@@ -96,195 +87,16 @@
         connect_to(ip + ":" + std::to_string(config_.link_port));
 }
 
-// ---- control
-
-void Gateway::connect_to(const std::string& address) {
-    if (control_.contains(address))
-        return;
-    auto dialer = std::make_unique<Dialer>(io_, address, identity_, keys_);
-    dialer->start(
-        [this](const Link::Ptr&) { renew_due_ = {}; },
-        [this, address](const Link::Ptr&, Wire&& m) { on_message(address, std::move(m)); },
-        [](const Link::Ptr&) {});
-    control_.emplace(address, std::move(dialer));
-}
-
-void Gateway::send_to_control(const Wire& message) {
-    for (auto& [address, dialer] : control_)
-        dialer->send(message);
-}
-
-void Gateway::renew(Time now) {
-    renew_due_ = now + (lease_.behind() ? RenewBehindEvery : RenewEvery);
-    choose_source();
-    for (const auto& [address, dialer] : control_)
-        if (dialer->up())
-            dialer->send(make_renew(address, now));
-}
-
-// Any control host that is up, and the same one for as long as it is.
-void Gateway::choose_source() {
-    const auto source = control_.find(source_);
-    if (source != control_.end() && source->second->up())
-        return;
-    std::vector<std::string> up;
-    for (const auto& [address, dialer] : control_)
-        if (dialer->up())
-            up.push_back(address);
-    source_ = up.empty() ? "" : up[random_() % up.size()];
-}
-
-Renew Gateway::make_renew(const std::string& address, Time now) {
-    Renew renew;
-    renew.entry = config_.name;
-    renew.incarnation = identity_.incarnation;
-    renew.lease = document_.index;
-    renew.want_delta = address == source_;
-    renew.registry = directory_.registry().digest();
-    renew.calls = calls_taken_;
-    renew.in_flight = static_cast<std::uint32_t>(calls_.size());
-    const auto node = nodes_.find(address);
-    renew.sequence = node == nodes_.end() ? 0 : lease_.asked(node->second, now);
-    return renew;
-}
-
-void Gateway::on_message(const std::string& address, Wire&& message) {
-    if (const auto* vouch = std::get_if<Vouch>(&message)) {
-        on_vouch(address, *vouch);
-    } else if (const auto* push = std::get_if<DocumentPush>(&message)) {
-        on_document(*push);
-    } else if (const auto* dissolved = std::get_if<GroupsDissolved>(&message)) {
-        directory_.dissolve(dissolved->epochs);
-    } else if (const auto* changes = std::get_if<EndpointChanges>(&message)) {
-        on_changes(*changes);
-    } else if (const auto* remembered = std::get_if<EndpointsRemembered>(&message)) {
-        on_remembered(*remembered);
-    }
-}
-
-// A host that has been in service for long knows better.
-void Gateway::on_remembered(const EndpointsRemembered& remembered) {
-    const Time now = BootClock::now();
-    if (ever_in_service_ && !learns_endpoints(now))
-        return;
-    std::size_t added = 0;
-    for (const EndpointReport& report : remembered.reports) {
-        if (!directory_.registry().remember(report, now))
-            continue;
-        unconfirmed_.insert(report.id);
-        ++added;
-    }
-    if (added > 0)
-        log(LogLevel::Info, "endpoints remembered", {{"added", std::to_string(added)}});
-}
-
-void Gateway::forget_unconfirmed(Time now) {
-    if (unconfirmed_.empty() || !ever_in_service_ || learns_endpoints(now))
-        return;
-    log(LogLevel::Info, "endpoints not heard of again",
-        {{"count", std::to_string(unconfirmed_.size())}});
-    for (const EndpointId& id : std::exchange(unconfirmed_, {}))
-        directory_.registry().forget(id);
-}
-
-// A call that waits for an endpoint may find one among the changes.
-void Gateway::on_changes(const EndpointChanges& changes) {
-    const Time now = BootClock::now();
-    bool changed = false;
-    for (std::size_t n = 0; n < changes.reports.size(); ++n) {
-        const EndpointReport& report = changes.reports[n];
-        unconfirmed_.erase(report.id);
-        if (!directory_.registry().merge(report, now - changes.silent(n)))
-            continue;
-        changed = true;
-        if (report.phase == EndpointPhase::Gone)
-            if (const auto* item = directory_.registry().find(report.id))
-                pool_->forget(item->report.address);
-    }
-    if (!changed)
-        return;
-    for (const auto& call : calls())
-        call->tick(now);
-}
-
-void Gateway::on_vouch(const std::string& address, const Vouch& vouch) {
-    const Time now = BootClock::now();
-    for (const NodeId node : vouch.nodes)
-        connect_to(address_of(node, config_.link_port));
-    // The first answer tells who answers; only questions after it can prove a lease.
-    if (nodes_[address] != vouch.node) {
-        nodes_[address] = vouch.node;
-        renew_due_ = {};
-    }
-    const bool was_behind = lease_.behind();
-    lease_.on_vouch(vouch, document_.index, now);
-    // A committed document that the chosen source has not pushed comes from who knows it.
-    if (vouch.table > document_.index && address != source_) {
-        source_ = address;
-        renew_due_ = std::min(renew_due_, now + RenewBehindEvery);
-    } else if (lease_.behind() && !was_behind) {
-        renew_due_ = std::min(renew_due_, now + RenewBehindEvery);
-    }
-    learn_share(vouch);
-    note_lease(now);
-}
-
-// This host's part of all calls under way; an equal part where it has none.
-void Gateway::learn_share(const Vouch& vouch) {
-    if (vouch.sequence != 0 && vouch.in_flight_total > 0 && !calls_.empty()) {
-        const double seen = static_cast<double>(calls_.size()) /
-                            std::max<double>(vouch.in_flight_total, calls_.size());
-        share_ += ShareSmoothing * (seen - share_);
-    } else if (vouch.sequence != 0 && vouch.entries > 0 && calls_.empty()) {
-        share_ += ShareSmoothing * (1.0 / vouch.entries - share_);
-    }
-    directory_.set_others(1 / std::max(share_, LeastShare));
-    for (auto& [service, budget] : budgets_)
-        budget.set_share(share_);
-}
-
-void Gateway::note_lease(Time now) {
-    const bool holds = lease_holds(now);
-    if (holds != std::exchange(had_lease_, holds))
-        log(LogLevel::Info, holds ? "settings lease held" : "settings lease lost",
-            {{"document", std::to_string(document_.version)}});
-    settle_held(BootClock::now());
-}
+// ---- calls
 
-// Never back to an older version, whoever offers it.
-void Gateway::on_document(const DocumentPush& push) {
-    if (push.document.version <= document_.version || push.document.index <= document_.index)
-        return;
-    auto deployment = decode_(push.document.body);
-    if (!deployment) {
-        log(LogLevel::Error, "a document can not be decoded",
-            {{"version", std::to_string(push.document.version)},
-             {"detail", deployment.error().detail}});
-        return;
-    }
-    document_ = push.document;
-    document_.body.clear();
-    table_ = std::make_shared<const RouteTable>(std::move(*deployment));
+void Gateway::put_in_force(Deployment deployment) {
+    table_ = std::make_shared<const RouteTable>(std::move(deployment));
     callers_->set_limits(limits_of(table_->deployment().limits));
     for (const Service& service : table_->deployment().services)
         if (!budgets_.contains(service.name))
             budget(service.name).set_share(share_);
-    log(LogLevel::Info, "document in force",
-        {{"version", std::to_string(document_.version)},
-         {"routes", std::to_string(table_->deployment().routes.size())}});
-    renew_due_ = {};
-}
-
-bool Gateway::lease_holds(Time now) const {
-    return !config_.bounds.fail_closed || now < lease_.valid_until();
-}
-
-bool Gateway::ready() const {
-    return table_ != nullptr && leaving_since_ == Time{} && lease_holds(BootClock::now());
 }
 
-// ---- calls
-
 RepeatBudget& Gateway::budget(const std::string& service) {
     const FleetBounds& bounds = config_.bounds;
     return budgets_
@@ -292,11 +104,6 @@
         .first->second;
 }
 
-// Control hosts that lost everything with this one hear of each endpoint within a beat.
-bool Gateway::learns_endpoints(Time now) const {
-    return now - in_service_since_ < config_.bounds.beat + BeatSlack;
-}
-
 void Gateway::answer_self(HttpExchange& exchange, const CallerRequest& request, int status,
                           const char* kind, Duration retry_after) {
     Metrics::instance().counter("liftweir_refused", std::string("kind=\"") + kind + "\"").add();
@@ -452,13 +259,6 @@
     });
 }
 
-// What was only remembered is not worth a second try.
-void Gateway::unreachable(const EndpointId& id) {
-    tell_suspicion(id, BootClock::now());
-    if (unconfirmed_.erase(id) > 0)
-        directory_.registry().forget(id);
-}
-
 void Gateway::tell_suspicion(const EndpointId& id, Time now) {
     Time& told = suspected_[id];
     const Registry::Item* item = directory_.registry().find(id);
@@ -478,6 +278,10 @@
 
 // ---- leaving
 
+bool Gateway::ready() const {
+    return table_ != nullptr && leaving_since_ == Time{} && lease_holds(BootClock::now());
+}
+
 void Gateway::leave() {
     if (leaving_since_ != Time{})
         return;
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -56,12 +56,16 @@
     void learn_share(const Vouch& vouch);
     void note_lease(Time now);
     void on_document(const DocumentPush& push);
+    void send_to_control(const Wire& message);
+    bool lease_holds(Time now) const;
+
+    // endpoints, as control tells of them
     void on_changes(const EndpointChanges& changes);
     void on_remembered(const EndpointsRemembered& remembered);
     void forget_unconfirmed(Time now);
-    void send_to_control(const Wire& message);
 
     // calls
+    void put_in_force(Deployment deployment);
     void on_request(const std::shared_ptr<HttpExchange>& exchange);
     void admit(const std::shared_ptr<HttpExchange>& exchange, const CallerRequest& request);
     bool in_service(Time now) const;
@@ -74,10 +78,11 @@
     void tick();
     void watch_stalls(Time now);
     void tell_suspicion(const EndpointId& id, Time now);
+
+    // leaving
+    bool ready() const;
     void maybe_stop(Time now);
     void stop(Duration last_answers);
-    bool ready() const;
-    bool lease_holds(Time now) const;
 
     asio::io_context& io_;
     FleetConfig config_;
