How long a relayed call waits has a source of its own

relayedcall.cpp held sending, time and ends. Time is relayedwait.cpp now, with the constants that only it uses; a second pause before another try is used by three parts, so it stands beside the other one in the class. Moved as it stood otherwise.

--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -10,25 +10,11 @@
 
 namespace {
 
-// A call that no endpoint takes is held for this part of its latency goal: long enough for a group
-// that is just being put together, short enough that a refusal leaves time for another try.
-constexpr int HoldPartOfGoal = 5;
 // A first event takes about half of the goal where a group has its usual work: whoever has waited
 // for longer than the other half is going to be late.
 constexpr int YieldAfterPartOfGoal = 2;
-// While endpoints are about to be heard of, it may wait for this part of the time it has.
-constexpr int HoldPartOfPatience = 4;
-// A full group frees places as streams end.
-constexpr Duration RetryAfterFull = std::chrono::milliseconds(1000);
 // A dark host answers no connect; another endpoint may still be in time.
 constexpr Duration ConnectPatience = std::chrono::milliseconds(120);
-// Callers give a stream up after the longest of these; liftweir goes on trying until just before.
-constexpr Duration CallerGap = std::chrono::milliseconds(2000);
-constexpr int CallerGapGoals = 4;
-constexpr int CallerGapPauses = 8;
-constexpr Duration GapMargin = std::chrono::milliseconds(150);
-// A safe call without an answer is sent elsewhere after this part of its latency goal.
-constexpr double RepeatAfterGoal = 0.6;
 // Beside the permitted number of runs, one send that provably did not run may be repeated.
 constexpr std::uint32_t ExtraSends = 1;
 
@@ -208,76 +194,6 @@
     endpoint_.clear();
 }
 
-// ---- time
-
-void RelayedCall::tick(Time now) {
-    if (done_)
-        return;
-    if (now >= deadline_)
-        out_of_time();
-    else if (waiting_)
-        wait_on(now);
-    else if (overdue(now) && takes_another(now))
-        on_broken("no answer in time");
-}
-
-void RelayedCall::out_of_time() {
-    if (begun_)
-        cut("out of time");
-    else if (sends_ == 0)
-        refuse("out of time", RetryAfterNoGroup);
-    else
-        fail(504, "out of time");
-}
-
-void RelayedCall::wait_on(Time now) {
-    const auto pick = host_.directory().pick(demand(now), tried_, now);
-    if (pick) {
-        waiting_ = false;
-        send(*pick, now);
-        return;
-    }
-    if (begun_) {
-        if (now - last_passed_ > patience_between_events())
-            cut("no group to go on at");
-        return;
-    }
-    if (now - received_ < longest_wait(now))
-        return;
-    if (pick.error() == PickFailure::AllFull)
-        refuse(full_reason(), RetryAfterFull);
-    else
-        refuse(sends_ == 0 ? "no endpoint serves" : "no other endpoint serves", RetryAfterNoGroup);
-}
-
-// Right after the start of this host most endpoints are about to be heard of.
-Duration RelayedCall::longest_wait(Time now) const {
-    const Duration usual = plan_.route->latency_goal / HoldPartOfGoal;
-    if (!host_.learns_endpoints(now))
-        return usual;
-    return std::max(usual, (deadline_ - received_) / HoldPartOfPatience);
-}
-
-Duration RelayedCall::patience_between_events() const {
-    const Duration gap = std::max({CallerGap, CallerGapGoals * plan_.route->latency_goal,
-                                   CallerGapPauses * plan_.route->pause_goal});
-    return gap - GapMargin;
-}
-
-// Whether a safe call has gone without a head for so long that another endpoint should get it.
-bool RelayedCall::overdue(Time now) const {
-    const Duration repeat_after = scaled(plan_.route->latency_goal, RepeatAfterGoal);
-    return plan_.route->kind == CallKind::Safe && head_.status == 0 && now - sent_ > repeat_after &&
-           runs_ + 1 < runs_allowed();
-}
-
-void RelayedCall::stalled(const EndpointId& lead, Time now) {
-    if (done_ || endpoint_ != lead || !plan_.route->repeatable() || runs_ + 1 >= runs_allowed())
-        return;
-    if (takes_another(now))
-        on_broken("the group stands still");
-}
-
 // ---- ends
 
 // A caller that has the head can be told no status any more: its stream is cut off instead.
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -124,6 +124,8 @@
 
     // A group that lost a member serves again after about this long.
     static constexpr Duration RetryAfterNoGroup = std::chrono::milliseconds(1600);
+    // A full group frees places as streams end.
+    static constexpr Duration RetryAfterFull = std::chrono::milliseconds(1000);
 
     RelayHost& host_;
     std::shared_ptr<HttpExchange> exchange_;
