A relayed call picks and sends in one place

The first attempt and the wait for an endpoint each picked an endpoint, ended the wait and sent. send_to_best does that for both, and tells why none was found.

--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -62,14 +62,11 @@
 void RelayedCall::attempt(Time now) {
     if (done_)
         return;
-    const auto pick = host_.directory().pick(demand(now), tried_, now);
-    if (pick) {
-        waiting_ = false;
-        send(*pick, now);
+    const auto sent = send_to_best(now);
+    if (sent)
         return;
-    }
     const bool may_wait = begun_ || host_.learns_endpoints(now);
-    if (pick.error() == PickFailure::AllFull && !may_wait) {
+    if (sent.error() == PickFailure::AllFull && !may_wait) {
         refuse(full_reason(), RetryAfterFull);
         return;
     }
@@ -77,6 +74,15 @@
     tick(now);
 }
 
+tl::expected<void, PickFailure> RelayedCall::send_to_best(Time now) {
+    const auto pick = host_.directory().pick(demand(now), tried_, now);
+    if (!pick)
+        return tl::make_unexpected(pick.error());
+    waiting_ = false;
+    send(*pick, now);
+    return {};
+}
+
 std::uint32_t RelayedCall::runs_allowed() const {
     return std::max(1u, plan_.route->max_attempts);
 }
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -73,6 +73,8 @@
   private:
     // sending
     void attempt(Time now);
+    // Fails where no endpoint takes the request now.
+    tl::expected<void, PickFailure> send_to_best(Time now);
     bool may_send_again(Time now);
     void send(const Pick& pick, Time now);
     void note_sent_again(const Pick& pick, Time now) const;
--- a/src/request/relayedwait.cpp
+++ b/src/request/relayedwait.cpp
@@ -44,12 +44,9 @@
 }
 
 void RelayedCall::wait_on(Time now) {
-    const auto pick = host_.directory().pick(demand(now), tried_, now);
-    if (pick) {
-        waiting_ = false;
-        send(*pick, now);
+    const auto sent = send_to_best(now);
+    if (sent)
         return;
-    }
     if (begun_) {
         if (now - last_passed_ > patience_between_events())
             cut("no group to go on at");
@@ -57,7 +54,7 @@
     }
     if (now - received_ < longest_wait(now))
         return;
-    if (pick.error() == PickFailure::AllFull)
+    if (sent.error() == PickFailure::AllFull)
         refuse(full_reason(), RetryAfterFull);
     else
         refuse(sends_ == 0 ? "no endpoint serves" : "no other endpoint serves", RetryAfterNoGroup);
