Coordinator's registrations have a source of their own

coordinatorfleet.cpp held links, registrations and groups. Registrations, with what is kept of them for the next start, are coordinatorregistry.cpp now. Moved as they stood.

--- a/src/process/coordinatorfleet.cpp
+++ b/src/process/coordinatorfleet.cpp
@@ -1,4 +1,4 @@
-// The side of Coordinator that meets others: links, registrations, and the orders of its planners.
+// The side of Coordinator that meets other hosts, and gives its planners' orders.
 
 #include "connection/codec.h"
 #include "process/coordinator.h"
@@ -13,12 +13,6 @@
 namespace {
 
 constexpr Duration PlanEvery = std::chrono::milliseconds(150);
-// Two beats and some: by then whoever lives has registered again.
-constexpr Duration RememberedFor = std::chrono::milliseconds(3000);
-// An endpoint that has missed two reports is kept no longer.
-constexpr int BeatsMissed = 2;
-// About 200 bytes for each endpoint: with 930 of them less than 100 KB a second.
-constexpr Duration RosterEvery = std::chrono::milliseconds(2000);
 // Changes may be under way: only a difference seen twice in a row is mended by a full copy.
 constexpr int DigestMissesAllowed = 1;
 
@@ -177,118 +171,6 @@
     }
 }
 
-// ---- registrations
-
-bool Coordinator::settled(Time now) const {
-    return now - started_ > RememberedFor;
-}
-
-// Not before the registry is whole again after a start: until then the old file is worth more.
-// Where another control host went on meanwhile, the old file is worth nothing.
-void Coordinator::keep_roster(Time now) {
-    if (peer_settled_)
-        remembered_.clear();
-    const bool copied = peer_settled_ && !registry_.items().empty();
-    if (!settled(now) && !copied)
-        return;
-    remembered_.clear();
-    if (now < roster_due_)
-        return;
-    roster_due_ = now + RosterEvery;
-    roster_->keep(registry_, now - BeatsMissed * config_.bounds.beat);
-}
-
-void Coordinator::send_registry(const std::function<void(const Wire&)>& send) const {
-    const Time now = BootClock::now();
-    EndpointChanges all;
-    for (const auto& [id, item] : registry_.items()) {
-        all.reports.push_back(item.report);
-        all.silent_ms.push_back(static_cast<std::uint32_t>(to_millis(now - item.heard)));
-    }
-    send(all);
-}
-
-void Coordinator::report(const EndpointReport& report) {
-    merge(report, true, BootClock::now());
-}
-
-void Coordinator::heard(const EndpointId& id) {
-    registry_.heard(id, BootClock::now());
-    alive_.insert(id);
-}
-
-void Coordinator::gone(const EndpointId& id) {
-    if (!registry_.mark_gone(id, BootClock::now()))
-        return;
-    changed(registry_.find(id)->report, true);
-    flush_changes();
-}
-
-void Coordinator::merge(const EndpointReport& report, bool first_hand, Time heard) {
-    const Registry::Item* before = registry_.find(report.id);
-    const EndpointPhase phase = before == nullptr ? EndpointPhase::Serving : before->report.phase;
-    const bool is_change = registry_.merge(report, heard);
-    if (first_hand)
-        alive_.insert(report.id);
-    if (!is_change)
-        return;
-    const EndpointReport& current = registry_.find(report.id)->report;
-    if (first_hand)
-        changed(current, true);
-    else if (current.phase != phase)
-        changed(current, false);
-    else if (GroupPlanner* planner = planner_of(current.service))
-        planner->observe(current, BootClock::now());
-    // The one who registers is answered after this: nobody may still send it work then.
-    if (first_hand && current.phase != EndpointPhase::Serving)
-        flush_changes();
-    plan_soon();
-}
-
-void Coordinator::changed(const EndpointReport& report, bool to_peers) {
-    if (GroupPlanner* planner = planner_of(report.service))
-        planner->observe(report, BootClock::now());
-    const Membership& membership = report.membership;
-    log(LogLevel::Info, "endpoint",
-        {{"id", report.id},
-         {"address", report.address},
-         {"phase", std::to_string(static_cast<int>(report.phase))},
-         {"group", membership.group},
-         {"state", report.grouped() ? std::string(name_of(membership.state)) : "none"},
-         {"rank", std::to_string(membership.rank)},
-         {"sequence", std::to_string(report.sequence)}});
-    (to_peers ? changes_ : entry_changes_).push_back(report);
-    if (std::exchange(flush_posted_, true))
-        return;
-    asio::post(io_, [this] { flush_changes(); });
-}
-
-void Coordinator::flush_changes() {
-    flush_posted_ = false;
-    if (changes_.empty() && entry_changes_.empty())
-        return;
-    const EndpointChanges to_peers{std::exchange(changes_, {}), {}};
-    EndpointChanges to_entries = to_peers;
-    for (EndpointReport& report : std::exchange(entry_changes_, {}))
-        to_entries.reports.push_back(std::move(report));
-    for (auto& [name, session] : entries_)
-        if (session.link)
-            session.link->send(to_entries);
-    if (to_peers.reports.empty())
-        return;
-    for (auto& [address, peer] : peers_)
-        peer.dialer->send(to_peers);
-}
-
-void Coordinator::flush_alive() {
-    if (alive_.empty())
-        return;
-    const EndpointsAlive message{{alive_.begin(), alive_.end()}};
-    alive_.clear();
-    for (auto& [address, peer] : peers_)
-        peer.dialer->send(message);
-}
-
 // ---- groups
 
 GroupPlanner* Coordinator::planner_of(const std::string& service) {
