--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -73,6 +73,8 @@
   private:
     // sending
     void attempt(Time now);
+    // Fails where no endpoint takes the request now.
+    tl::expected<void, PickFailure> send_to_best(Time now);
     bool may_send_again(Time now);
     void send(const Pick& pick, Time now);
     void note_sent_again(const Pick& pick, Time now) const;
@@ -124,6 +126,8 @@
 
     // A group that lost a member serves again after about this long.
     static constexpr Duration RetryAfterNoGroup = std::chrono::milliseconds(1600);
+    // A full group frees places as streams end.
+    static constexpr Duration RetryAfterFull = std::chrono::milliseconds(1000);
 
     RelayHost& host_;
     std::shared_ptr<HttpExchange> exchange_;
