A host that was lost while it loaded weights is not counted as a spare to come

Found by reading: its load was believed for half a minute, so that nobody else was told to load the model. Not tested apart; planner tests pass.

--- a/src/process/groupformation.cpp
+++ b/src/process/groupformation.cpp
@@ -246,7 +246,7 @@
 bool GroupPlanner::is_staging(const EndpointId& id, const std::string& model, Time now) const {
     const auto host = hosts_.find(id);
     return host != hosts_.end() && now < host->second.staging_until &&
-           host->second.staging == model;
+           host->second.staging == model && alive(id, now);
 }
 
 // Free hosts that are too few for a group of their model are of no use until one more is there. If
