The choice of a group falls into its steps

What a group would give and whether it lets a request in are functions of their own. The comments on RefuseAbove and AllFull say what holds since late requests yield and connections are bounded.

--- a/src/request/directory.cpp
+++ b/src/request/directory.cpp
@@ -17,7 +17,8 @@
 // A request that is late anyway is let in only where one that is not would still meet its goal: the
 // engine's priorities order what waits for a place, not the reading of prompts that have one.
 constexpr double YieldPartOfGoal = 0.4;
-// Below this part of the places taken nobody is refused, whatever the forecast says.
+// Below this part of the places taken only those that yield are refused, whatever the forecast
+// says.
 constexpr double RefuseAbove = 0.55;
 // Forecasts closer than this are equal; then chance decides, so that entry hosts that see the
 // same do not all choose the same.
@@ -25,8 +26,22 @@
 
 // A host whose part of the work is small may get a crowd before the others have told of theirs.
 constexpr double LeastConnectionPart = 1.0 / 16;
+// However small the bound is, one request need not wait for the end of another.
 constexpr std::uint32_t LeastConnections = 2;
 
+// Whether a group with this forecast takes the request.
+bool lets_in(const Demand& demand, const LoadForecast& met) {
+    const EngineCost& engine = *demand.service->engine;
+    const double goal = to_exact_millis(demand.latency_goal);
+    const double latest = demand.engine.yields
+                              ? YieldPartOfGoal * goal
+                              : GoalSlack * (goal - to_exact_millis(demand.waited));
+    const bool late = goal > 0 && met.first_event_ms > latest;
+    const bool full = met.in_flight >= engine.slots;
+    const bool crowded = met.in_flight > RefuseAbove * engine.slots;
+    return !(late || full) || !(demand.engine.yields || crowded);
+}
+
 } // namespace
 
 void Directory::expire(Time now) {
@@ -61,6 +76,21 @@
                                                            : pick_plain(demand, tried, now);
 }
 
+// A group whose members are far apart is slower at everything.
+ModelShape Directory::shape_at(const EndpointReport& lead, ModelShape shape,
+                               const EngineCost& engine) const {
+    if (spans_domains(lead))
+        shape.pace *= engine.far_factor;
+    return shape;
+}
+
+LoadForecast Directory::forecast_at(const EndpointUse& use, const ModelShape& model,
+                                    const Demand& demand) const {
+    GroupLoad load = use.load;
+    load.seen_pass_ms = use.watch.pass_ms();
+    return forecast(*demand.service->engine, model, load, demand.engine, others_);
+}
+
 tl::expected<Pick, PickFailure> Directory::pick_group(const Demand& demand,
                                                       const std::set<EndpointId>& tried, Time now) {
     const EngineCost& engine = *demand.service->engine;
@@ -68,10 +98,6 @@
                                     [&](const ModelShape& m) { return m.name == demand.model; });
     if (shape == engine.models.end())
         return tl::make_unexpected(PickFailure::NoneServes);
-    const double goal = to_exact_millis(demand.latency_goal);
-    const double latest = demand.engine.yields
-                              ? YieldPartOfGoal * goal
-                              : GoalSlack * (goal - to_exact_millis(demand.waited));
     const std::uint32_t connections = connections_allowed(*demand.service);
     std::optional<Pick> best;
     double best_score = 0;
@@ -87,26 +113,19 @@
         any_open = true;
         if (use.in_flight >= connections)
             continue;
-        GroupLoad load = use.load;
-        load.seen_pass_ms = use.watch.pass_ms();
-        ModelShape model = *shape;
-        if (spans_domains(report))
-            model.pace *= engine.far_factor;
-        const LoadForecast f = forecast(engine, model, load, demand.engine, others_);
-        const bool late = goal > 0 && f.first_event_ms > latest;
-        const bool full = f.in_flight >= engine.slots;
-        const bool crowded = f.in_flight > RefuseAbove * engine.slots;
-        if (demand.engine.yields ? late || full : crowded && (late || full))
+        const ModelShape model = shape_at(report, *shape, engine);
+        const LoadForecast met = forecast_at(use, model, demand);
+        if (!lets_in(demand, met))
             continue;
         const double noise =
             1 + ForecastNoise * std::uniform_real_distribution<double>(0, 1)(random_);
-        const double score = (f.first_event_ms + f.pause_ms) * noise;
+        const double score = (met.first_event_ms + met.pause_ms) * noise;
         if (best && score >= best_score)
             continue;
         best_score = score;
-        best = Pick{id, report.address, f, longest_pass(engine, model),
+        best = Pick{id, report.address, met, longest_pass(engine, model),
                     std::chrono::duration_cast<Duration>(
-                        std::chrono::duration<double, std::milli>(f.first_event_ms))};
+                        std::chrono::duration<double, std::milli>(met.first_event_ms))};
     }
     if (best)
         return *best;
--- a/src/request/directory.h
+++ b/src/request/directory.h
@@ -37,7 +37,7 @@
 // Why no endpoint was picked.
 enum class PickFailure : std::uint8_t {
     NoneServes, // no group or endpoint takes requests now
-    AllFull     // one more would come too late everywhere
+    AllFull     // one more would come too late, or be a connection too many, everywhere
 };
 
 // The endpoint chosen for a request, and what the request should meet there.
@@ -83,6 +83,12 @@
                                                const std::set<EndpointId>& tried, Time now);
 
     bool spans_domains(const EndpointReport& lead) const;
+    // The model's shape as the lead's group runs it.
+    ModelShape shape_at(const EndpointReport& lead, ModelShape shape,
+                        const EngineCost& engine) const;
+    // What the request would meet at the group.
+    LoadForecast forecast_at(const EndpointUse& use, const ModelShape& model,
+                             const Demand& demand) const;
 
     Registry registry_;
     std::map<EndpointId, EndpointUse> uses_;
