Dialer: what follows a connect is said in functions of its own

dial() held the attempt, its failure and the whole life of the link in one nested lambda. connect_failed and connected hold the last two, word for word. Tests: unit tests, all green.

--- a/src/connection/link.cpp
+++ b/src/connection/link.cpp
@@ -348,36 +348,43 @@
             return;
         connecting_.reset();
         timer_.cancel();
-        if (error) {
-            if (std::exchange(hurried_, false))
-                dial();
-            else
-                dial_later();
-            return;
-        }
-        hurried_ = false;
-        link_ = std::make_shared<Link>(std::move(*socket), self_, keys_, true);
-        link_->start(
-            [this, alive](const Link::Ptr& link) {
-                if (!*alive)
-                    return;
-                pause_ = FirstPause;
-                on_up_(link);
-            },
-            [this, alive](const Link::Ptr& link, Wire&& message) {
-                if (*alive)
-                    on_message_(link, std::move(message));
-            },
-            [this, alive](const Link::Ptr& link) {
-                if (!*alive)
-                    return;
-                link_.reset();
-                on_down_(link);
-                dial_later();
-            });
+        if (error)
+            connect_failed();
+        else
+            connected(std::move(*socket));
     });
 }
 
+void Dialer::connect_failed() {
+    if (std::exchange(hurried_, false))
+        dial();
+    else
+        dial_later();
+}
+
+void Dialer::connected(asio::ip::tcp::socket socket) {
+    hurried_ = false;
+    link_ = std::make_shared<Link>(std::move(socket), self_, keys_, true);
+    link_->start(
+        [this, alive = alive_](const Link::Ptr& link) {
+            if (!*alive)
+                return;
+            pause_ = FirstPause;
+            on_up_(link);
+        },
+        [this, alive = alive_](const Link::Ptr& link, Wire&& message) {
+            if (*alive)
+                on_message_(link, std::move(message));
+        },
+        [this, alive = alive_](const Link::Ptr& link) {
+            if (!*alive)
+                return;
+            link_.reset();
+            on_down_(link);
+            dial_later();
+        });
+}
+
 // Jitter keeps hundreds of agents from dialing a returning control host in one instant.
 void Dialer::dial_later() {
     timer_.expires_after(jittered(pause_));
--- a/src/connection/link.h
+++ b/src/connection/link.h
@@ -135,6 +135,8 @@
   private:
     void dial();
     void dial_later();
+    void connect_failed();
+    void connected(asio::ip::tcp::socket socket);
 
     asio::io_context& io_;
     std::string address_;
