Metrics: one name for success, and includes in their order

The new command returned a bare 0 where the others return CtlOk. Tests: unit tests, all green; docs/METRICS.md is still what the program prints.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -325,7 +325,7 @@
         {"metrics", "", "the docs page of all metrics", 0,
          [](Session&, O, A) {
              std::cout << metrics_page();
-             return 0;
+             return CtlOk;
          }},
         {"keys", "", "the docs page of all settings", 0,
          [](Session&, O, A) { return print_keys(); }},
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -1,8 +1,7 @@
 #include "process/metrics.h"
 
-#include "process/metricnames.h"
-
 #include "connection/link.h"
+#include "process/metricnames.h"
 
 #include <boost/histogram.hpp>
 #include <boost/histogram/accumulators/thread_safe.hpp>
