--- a/bench/days/kinds.py
+++ b/bench/days/kinds.py
@@ -1,5 +1,7 @@
-"""Plays a day of our own for every kind of trouble, alone and beside a restart, a cut and a change of
-settings, and prints which promises were broken. Needs the users' bench:
+"""Plays a day of our own for every kind of trouble, and prints which promises were broken.
+
+Each trouble comes alone, and beside a restart, a cut and a change of settings. Needs the users'
+bench:
 
     bench/days/kinds.py BENCH SITE [--jobs N] [--only WORD] [--seed N]
 
