--- a/tools/lint.py
+++ b/tools/lint.py
@@ -10,7 +10,7 @@
 BUILD = os.path.join(ROOT, "build", "release")
 LONGEST_FILE = 600
 # The names of metrics as they stand in the sources.
-METRIC = re.compile(r'"((?:liftweir|process)_[a-z_]+?)(?=[" {])')
+METRIC = re.compile(r'"((?:liftweir_[a-z_]+?|process_[a-z_]+_(?:total|bytes)))(?=[" {])')
 
 
 def sources(*patterns):
