Sight: what waits to be sent, by kind, who lacks the log, and what comes to a host that leaves

Added: bytes that wait in the queues of all links, bytes sent by kind of message, a line a second for each control host that lacks committed entries with the bytes queued for it, and a line for each request that comes after the signal to stop, with kept or new connection. No logic is changed.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -45,6 +45,7 @@
         return std::string(find_header(message_.headers, name));
     }
     Time received() const override { return received_; }
+    bool on_kept_connection() const override { return message_.on_kept_connection; }
 
     void respond(int status, const HttpHeaders& headers, std::string body) override {
         if (std::exchange(done_, true))
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -31,6 +31,8 @@
     virtual std::string header(std::string_view name) const = 0;
     // When the whole request had arrived.
     virtual Time received() const = 0;
+    // Whether an earlier request was answered on the same connection.
+    virtual bool on_kept_connection() const = 0;
 
     // Whole answer at once.
     virtual void respond(int status, const HttpHeaders& headers, std::string body) = 0;
--- a/src/connection/link.cpp
+++ b/src/connection/link.cpp
@@ -116,7 +116,16 @@
     if (closed_)
         return;
     link_counters().messages_out.fetch_add(1, std::memory_order_relaxed);
-    send_frame(encode(message));
+    const std::string body = encode(message);
+    link_counters().sent[message.index()].fetch_add(body.size(), std::memory_order_relaxed);
+    send_frame(body);
+}
+
+// Brings the number of waiting bytes up to date, here and in the sum over all links.
+void Link::note_queued() {
+    const std::size_t queued = closed_ ? 0 : pending_.size() + writing_.size();
+    link_counters().queued.fetch_add(queued - queued_bytes_, std::memory_order_relaxed);
+    queued_bytes_ = queued;
 }
 
 void Link::send_frame(const std::string& body) {
@@ -125,7 +134,7 @@
     std::memcpy(header, &length, sizeof length);
     pending_.append(header, sizeof header);
     pending_ += body;
-    queued_bytes_ = pending_.size() + writing_.size();
+    note_queued();
     if (queued_bytes_ > MaxQueuedBytes) {
         close();
         return;
@@ -152,7 +161,7 @@
                               return;
                           }
                           self->writing_.clear();
-                          self->queued_bytes_ = self->pending_.size();
+                          self->note_queued();
                           self->write_next();
                       });
 }
@@ -258,6 +267,7 @@
     if (std::exchange(closed_, true))
         return;
     up_ = false;
+    note_queued();
     asio::error_code ignored;
     socket_.close(ignored);
     timer_.cancel();
--- a/src/connection/link.h
+++ b/src/connection/link.h
@@ -7,6 +7,7 @@
 
 #include <asio.hpp>
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <deque>
@@ -28,13 +29,15 @@
     MSGPACK_DEFINE(role, name, incarnation)
 };
 
-// Counts for the budget of control traffic.
+// Counts for the budget of control traffic, and for what waits to leave.
 struct LinkCounters {
     std::atomic<std::uint64_t> bytes_in{0};
     std::atomic<std::uint64_t> bytes_out{0};
     std::atomic<std::uint64_t> messages_in{0};
     std::atomic<std::uint64_t> messages_out{0};
     std::atomic<std::uint64_t> refused{0}; // failed handshakes and undecodable frames
+    std::atomic<std::uint64_t> queued{0};  // bytes that wait in the send queues of all links
+    std::array<std::atomic<std::uint64_t>, WireNames.size()> sent{}; // bytes by kind of message
 };
 
 LinkCounters& link_counters();
@@ -63,6 +66,7 @@
     static constexpr std::size_t SmallestRead = 2048;
 
     void send_frame(const std::string& body);
+    void note_queued();
     void write_next();
     void read_more();
     void take_frames();
@@ -127,6 +131,8 @@
     bool up() const { return link_ && link_->up(); }
     // False where no link is up: the message was not sent and never will be.
     bool send(const Wire& message);
+    // Bytes that wait to leave.
+    std::size_t queued_bytes() const { return link_ ? link_->queued_bytes() : 0; }
     const std::string& address() const { return address_; }
     // The other side is known to be there: dials at once if it is waiting to, or if an attempt has
     // gone unanswered for longer than a sound one takes.
--- a/src/connection/serverconnection.cpp
+++ b/src/connection/serverconnection.cpp
@@ -179,6 +179,7 @@
     }
     complete_ = false;
     close_after_ = !message_.keep_alive;
+    message_.on_kept_connection = std::exchange(kept_, true);
     set_phase(Phase::Working, Time::max());
     core_.on_request(shared_from_this(), std::exchange(message_, RequestMessage{}));
 }
--- a/src/connection/serverconnection.h
+++ b/src/connection/serverconnection.h
@@ -27,6 +27,7 @@
     HttpHeaders headers;
     std::string body;
     bool keep_alive = true;
+    bool on_kept_connection = false; // an earlier request was answered on it
 };
 
 class ServerConnection;
@@ -107,6 +108,7 @@
     int refused_ = 0;       // status of the refusal; zero where nothing is wrong
     bool complete_ = false; // the request is whole
     bool close_after_ = false;
+    bool kept_ = false;     // a request was answered before
     bool informed_ = false; // 100 Continue was sent for this request
     std::vector<PendingWrite> queue_;
     std::vector<PendingWrite> writing_;
--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -6,7 +6,9 @@
 #include "request/outcome.h"
 #include "version/state.h"
 
+#include <array>
 #include <optional>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -286,6 +288,14 @@
                  Broken, PeerHello, EndpointChanges, EndpointsAlive, DocumentPush, GroupSuspected,
                  GroupsDissolved, EndpointsRemembered>;
 
+// Names of the alternatives, in their order, for metrics.
+constexpr std::array<std::string_view, std::variant_size_v<Wire>> WireNames = {
+    "raft",     "agent_status",    "agent_order",      "not_leader", "renew",
+    "vouch",    "command_request", "command_reply",    "attempt",    "cancel",
+    "credit",   "gate_state",      "refused",          "head",       "chunk",
+    "end",      "broken",          "peer_hello",       "changes",    "alive",
+    "document", "group_suspected", "groups_dissolved", "remembered"};
+
 // ---- member to member, by UDP
 
 // Asks a member whether it holds its part of the group. Its echo carries the same epoch and
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -184,6 +184,8 @@
                 learn(voter);
     for (auto& [address, peer] : peers_)
         greet(peer);
+    if (leads())
+        note_peers_behind();
     if (leads())
         for (auto& [service, planner] : planners_)
             log(LogLevel::Info, "layout",
@@ -193,6 +195,22 @@
     });
 }
 
+// One line a second for each control host that lacks entries which others have committed.
+void Coordinator::note_peers_behind() const {
+    const Raft& raft = replica_->raft();
+    for (const auto& [address, peer] : peers_) {
+        const auto view = raft.peer(peer.node);
+        if (!view || view->match >= raft.commit())
+            continue;
+        log(LogLevel::Info, "control host behind",
+            {{"node", text_of(peer.node)},
+             {"match", std::to_string(view->match)},
+             {"commit", std::to_string(raft.commit())},
+             {"queued_bytes", std::to_string(peer.dialer->queued_bytes())},
+             {"heard_ms_ago", std::to_string(to_millis(BootClock::now() - view->heard))}});
+    }
+}
+
 // Work of one turn of the loop shares one sync: this is the group commit.
 void Coordinator::pump_soon() {
     if (std::exchange(pump_posted_, true))
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -144,6 +144,7 @@
 
     void tick();
     void every_second();
+    void note_peers_behind() const;
 
     asio::io_context& io_;
     FleetConfig config_;
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -155,12 +155,27 @@
         answer_self(*exchange, request, 400, "bad_request", Duration::zero());
         return;
     }
+    if (leaving_since_ != Time{})
+        note_taken_while_leaving(*exchange, request, now);
     if (in_service(now))
         admit(exchange, request);
     else if (leaving_since_ != Time{} || !held_.take(exchange, request, now))
         answer_self(*exchange, request, 503, "no_settings", RetryAfterUnready);
 }
 
+// Tells whether callers come on connections that they kept, or because the balancer still sends.
+void Gateway::note_taken_while_leaving(const HttpExchange& exchange, const CallerRequest& request,
+                                       Time now) {
+    const std::string connection = exchange.on_kept_connection() ? "kept" : "new";
+    Metrics::instance()
+        .counter("liftweir_taken_while_leaving", "connection=\"" + connection + "\"")
+        .add();
+    log(LogLevel::Info, "request while leaving",
+        {{"request", request.id},
+         {"connection", connection},
+         {"since_signal_ms", std::to_string(to_millis(now - leaving_since_))}});
+}
+
 // Whether requests can be judged by settings that are in force. A host that was in service once
 // and lost touch with control refuses at once what it may not judge: that may last.
 bool Gateway::in_service(Time now) const {
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -68,6 +68,8 @@
     void put_in_force(Deployment deployment);
     void on_request(const std::shared_ptr<HttpExchange>& exchange);
     void admit(const std::shared_ptr<HttpExchange>& exchange, const CallerRequest& request);
+    void note_taken_while_leaving(const HttpExchange& exchange, const CallerRequest& request,
+                                  Time now);
     bool in_service(Time now) const;
     void settle_held(Time now);
     void answer_self(HttpExchange& exchange, const CallerRequest& request, int status,
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -32,6 +32,15 @@
     return all.empty() ? name : name + "{" + all + "}";
 }
 
+std::string link_bytes_by_kind(const LinkCounters& links) {
+    std::string out = "# TYPE liftweir_link_sent_bytes_total counter\n";
+    for (std::size_t n = 0; n < WireNames.size(); ++n)
+        if (const std::uint64_t bytes = links.sent[n]; bytes > 0)
+            out += "liftweir_link_sent_bytes_total{kind=\"" + std::string(WireNames[n]) + "\"} " +
+                   std::to_string(bytes) + "\n";
+    return out;
+}
+
 } // namespace
 
 struct LatencyHistogram::Impl {
@@ -138,7 +147,9 @@
         << "liftweir_link_messages_total{direction=\"out\"} " << links.messages_out << "\n"
         << "# TYPE liftweir_link_refused_total counter\n"
         << "liftweir_link_refused_total " << links.refused << "\n"
-        << "# TYPE process_cpu_seconds_total counter\n"
+        << "# TYPE liftweir_link_queued_bytes gauge\n"
+        << "liftweir_link_queued_bytes " << links.queued << "\n"
+        << link_bytes_by_kind(links) << "# TYPE process_cpu_seconds_total counter\n"
         << "process_cpu_seconds_total " << processor_seconds() << "\n"
         << "# TYPE process_resident_memory_bytes gauge\n"
         << "process_resident_memory_bytes " << resident_bytes() << "\n";
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -145,6 +145,7 @@
     std::string header(std::string_view name) const override {
         return std::string(find_header(headers_, name));
     }
+    bool on_kept_connection() const override { return false; }
     Time received() const override { return {}; }
     void respond(int, const HttpHeaders&, std::string) override {}
     void begin(int, const HttpHeaders&) override {}
