A leaving entry host takes no new work once the balancer has had time to notice

A leaving host stopped when nothing was under way; it went on taking whatever came, and where most hosts of a zone leave together the balancer sends to all of them until the end. What was taken late was cut at the hard end, 7.1 s after the signal. Ruled out: kept connections alone (they are closed 2.6 s after the signal; the site test asks on a new connection each time and fails without this change), streams stuck at endpoints.

Change: 2.6 s after the signal new requests are answered 503, not run; once nothing is under way the host closes its door and ends within 0.3 s, so that refused callers can not keep it.

--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -22,10 +22,14 @@
 // A group that stood still gets nothing new for so long; then one request tries it.
 constexpr Duration AvoidStalled = std::chrono::milliseconds(1000);
 constexpr Duration RetryAfterUnready = std::chrono::milliseconds(1000);
-// The balancer asks every second and believes two misses.
+// The balancer asks every second and believes two misses. Until then new work is taken; after that
+// none, whoever still sends it: where most hosts of a zone leave together, the balancer goes on
+// sending to all of them, and what is taken late is cut off at the end.
 constexpr Duration LeavingNotice = std::chrono::milliseconds(2600);
 // Time left for the last answers to leave before the process is killed.
 constexpr Duration LeavingReserve = std::chrono::milliseconds(900);
+// A host that has drained waits so long for callers to close connections with their last answers.
+constexpr Duration DrainedLinger = std::chrono::milliseconds(300);
 // For the last answers to leave once nothing is under way, and where calls had to be abandoned.
 constexpr Duration LastAnswers = std::chrono::milliseconds(20);
 constexpr Duration LastAnswersWhenLate = std::chrono::milliseconds(200);
@@ -157,6 +161,10 @@
     }
     if (leaving_since_ != Time{})
         note_taken_while_leaving(*exchange, request, now);
+    if (drains(now)) {
+        answer_self(*exchange, request, 503, "leaving", RetryAfterUnready);
+        return;
+    }
     if (in_service(now))
         admit(exchange, request);
     else if (leaving_since_ != Time{} || !held_.take(exchange, request, now))
@@ -305,18 +313,33 @@
     callers_->close_after_answers();
 }
 
+// Takes nothing new, and only finishes what there is.
+bool Gateway::drains(Time now) const {
+    return leaving_since_ != Time{} && now - leaving_since_ > LeavingNotice;
+}
+
+// A host that is drained closes its door: callers that still come find another one sooner by a
+// refused connect than by an answer, and can not keep this host from ending.
+bool Gateway::drained(Time now) {
+    if (!drains(now) || !calls_.empty())
+        return false;
+    if (drained_since_ == Time{}) {
+        drained_since_ = now;
+        callers_->stop_accepting();
+    }
+    return callers_->connections() == 0 || now - drained_since_ > DrainedLinger;
+}
+
 void Gateway::maybe_stop(Time now) {
     if (leaving_since_ == Time{})
         return;
-    const Duration since = now - leaving_since_;
-    if (since > LeavingNotice)
+    if (drains(now))
         callers_->close_idle();
-    const bool late = since > config_.bounds.grace - LeavingReserve;
+    const bool late = now - leaving_since_ > config_.bounds.grace - LeavingReserve;
     if (late)
         for (const auto& call : calls())
             call->abandon();
-    const bool idle = calls_.empty() && callers_->connections() == 0 && since > LeavingNotice;
-    if (!idle && !late)
+    if (!drained(now) && !late)
         return;
     log(LogLevel::Info, "stopped", {{"calls", std::to_string(calls_.size())}});
     stop(late ? LastAnswersWhenLate : LastAnswers);
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -83,6 +83,8 @@
 
     // leaving
     bool ready() const;
+    bool drains(Time now) const;
+    bool drained(Time now);
     void maybe_stop(Time now);
     void stop(Duration last_answers);
 
@@ -118,6 +120,7 @@
     Time renew_due_{};
     Time second_due_{};
     Time leaving_since_{};
+    Time drained_since_{};
     Ticker ticker_;
 };
 
