A document leaves once over each link, and copies wait where much waits already

Cause: the class of the leader out of memory: state that can be asked for again is sent again before the copy before it has left. An entry host that lacks the document asks every 150 ms and was sent all of it each time; it also made every control host that told of a newer one its source in turn, so three of them sent it.

Change: a control host remembers what it sent over a link; documents and copies of the registry wait while 1 MB waits in the link; an entry host keeps its source while that has told of the newest document; a link is given up at 16 MB and one message, not at 96 MB (a control host has 256 MB for a few dozen links).

--- a/src/connection/link.cpp
+++ b/src/connection/link.cpp
@@ -16,8 +16,9 @@
 constexpr std::string_view Magic = "liftweir";
 
 constexpr std::uint32_t MaxHandshakeBytes = 1024;
-// A peer that does not read may cost this much, then the link is given up.
-constexpr std::size_t MaxQueuedBytes = 96u << 20;
+// A peer that does not read may cost this much and one more message, then the link is given up.
+// What is large is bounded where it is sent; a control host of 256 MB bears this for several links.
+constexpr std::size_t MaxQueuedBytes = 16u << 20;
 constexpr std::size_t LargestRead = 64 * 1024;
 constexpr Duration HandshakeTimeout = std::chrono::seconds(3);
 // The kernel sends a lost first packet again after a second: dialing anew is sooner. Three times
@@ -129,16 +130,16 @@
 }
 
 void Link::send_frame(const std::string& body) {
+    if (queued_bytes_ > MaxQueuedBytes) {
+        close();
+        return;
+    }
     const auto length = static_cast<std::uint32_t>(body.size());
     char header[sizeof length];
     std::memcpy(header, &length, sizeof length);
     pending_.append(header, sizeof header);
     pending_ += body;
     note_queued();
-    if (queued_bytes_ > MaxQueuedBytes) {
-        close();
-        return;
-    }
     // One write per turn of the loop: messages sent in one turn leave in one packet.
     if (!write_active_) {
         write_active_ = true;
--- a/src/connection/link.h
+++ b/src/connection/link.h
@@ -61,9 +61,13 @@
     bool up() const { return up_; }
     const Identity& peer() const { return peer_; }
     std::size_t queued_bytes() const { return queued_bytes_; }
+    // So much waits already that copies of what can be asked for again had better wait, too.
+    bool backed_up() const { return queued_bytes_ > BackedUpBytes; }
 
   private:
     static constexpr std::size_t SmallestRead = 2048;
+    // A fifth of a second on a link of 40 Mbit/s.
+    static constexpr std::size_t BackedUpBytes = 1u << 20;
 
     void send_frame(const std::string& body);
     void note_queued();
@@ -133,6 +137,7 @@
     bool send(const Wire& message);
     // Bytes that wait to leave.
     std::size_t queued_bytes() const { return link_ ? link_->queued_bytes() : 0; }
+    bool backed_up() const { return link_ && link_->backed_up(); }
     const std::string& address() const { return address_; }
     // The other side is known to be there: dials at once if it is waiting to, or if an attempt has
     // gone unanswered for longer than a sound one takes.
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -415,14 +415,24 @@
 
 void Coordinator::push_document() {
     const Vouch notice = make_vouch(0);
-    const DocumentPush push{replica_->state().document()};
     for (auto& [name, session] : entries_) {
         if (!session.link)
             continue;
-        if (session.renew.want_delta)
-            session.link->send(push);
+        push_document_to(session);
         session.link->send(notice);
     }
 }
 
+// Once over each link: what was sent arrives, or the link ends. An entry host that lacks the
+// document asks every 150 ms; on links of 640 KB a second ten copies of 0.9 MB left for one. Where
+// much waits already, the newest document leaves at a later question.
+void Coordinator::push_document_to(EntrySession& session) {
+    const StoredDocument& document = replica_->state().document();
+    const Version known = std::max(session.renew.lease, session.pushed);
+    if (!session.renew.want_delta || known >= document.index || session.link->backed_up())
+        return;
+    session.pushed = document.index;
+    session.link->send(DocumentPush{document});
+}
+
 } // namespace liftweir
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -79,6 +79,7 @@
         Renew renew;
         Time heard{};
         int digest_misses = 0; // renewals in a row with another registry than this host's
+        Version pushed = 0;    // index of the last document that was sent over the link
     };
     // Another control host.
     struct Peer {
@@ -111,6 +112,7 @@
     void document_applied();
     GroupPlanner& planner_for(const Service& service);
     void push_document();
+    void push_document_to(EntrySession& session);
 
     // links
     void connect_to(const std::string& address);
--- a/src/process/coordinatorfleet.cpp
+++ b/src/process/coordinatorfleet.cpp
@@ -76,7 +76,7 @@
         peer.digest_misses = 0;
         return;
     }
-    if (++peer.digest_misses <= DigestMissesAllowed)
+    if (++peer.digest_misses <= DigestMissesAllowed || peer.dialer->backed_up())
         return;
     peer.digest_misses = 0;
     send_registry([&peer](const Wire& message) { peer.dialer->send(message); });
@@ -149,6 +149,8 @@
         return;
     EntrySession& session = entries_[renew.entry];
     const bool new_link = session.link != link;
+    if (new_link)
+        session.pushed = 0;
     session.link = link;
     session.renew = renew;
     session.heard = BootClock::now();
@@ -162,10 +164,12 @@
         link->send(EndpointsRemembered{remembered_});
     if (new_link && leads())
         tell_dissolved(link);
-    if (replica_ && renew.want_delta && renew.lease < replica_->state().document().index)
-        link->send(DocumentPush{replica_->state().document()});
+    if (replica_)
+        push_document_to(session);
     session.digest_misses = renew.registry == registry_.digest() ? 0 : session.digest_misses + 1;
-    if (session.digest_misses > DigestMissesAllowed || (new_link && session.digest_misses > 0)) {
+    const bool misses =
+        session.digest_misses > DigestMissesAllowed || (new_link && session.digest_misses > 0);
+    if (misses && !link->backed_up()) {
         session.digest_misses = 0;
         send_registry([&link](const Wire& message) { link->send(message); });
     }
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -51,6 +51,7 @@
     void renew(Time now);
     void on_message(const std::string& address, Wire&& message);
     void choose_source();
+    Version told_of(const std::string& address) const;
     Renew make_renew(const std::string& address, Time now);
     void on_vouch(const std::string& address, const Vouch& vouch);
     void learn_share(const Vouch& vouch);
@@ -107,7 +108,8 @@
     std::unique_ptr<HttpServer> metrics_;
     std::map<std::string, std::unique_ptr<Dialer>> control_; // by link address
     std::map<std::string, NodeId> nodes_;                    // by link address, from their answers
-    std::string source_; // control host that pushes the document
+    std::map<std::string, Version> told_of_; // newest document's index, by who told of it
+    std::string source_;                     // control host that pushes the document
     StoredDocument document_;
     std::shared_ptr<const RouteTable> table_;
     std::map<std::string, RepeatBudget> budgets_; // by service
--- a/src/process/gatewaycontrol.cpp
+++ b/src/process/gatewaycontrol.cpp
@@ -49,16 +49,28 @@
             dialer->send(make_renew(address, now));
 }
 
-// Any control host that is up, and the same one for as long as it is.
+// Any control host that is up, and the same one for as long as it is and has what others have. One
+// that has told of the newest document is sending it: asking another host as well would bring a
+// second copy over a link that is slow already.
 void Gateway::choose_source() {
+    Version newest = 0;
+    for (const auto& [address, dialer] : control_)
+        if (dialer->up())
+            newest = std::max(newest, told_of(address));
     const auto source = control_.find(source_);
-    if (source != control_.end() && source->second->up())
+    const bool up = source != control_.end() && source->second->up();
+    if (up && (told_of(source_) >= newest || document_.index >= newest))
         return;
-    std::vector<std::string> up;
+    std::vector<std::string> fit;
     for (const auto& [address, dialer] : control_)
-        if (dialer->up())
-            up.push_back(address);
-    source_ = up.empty() ? "" : up[random_() % up.size()];
+        if (dialer->up() && told_of(address) >= newest)
+            fit.push_back(address);
+    source_ = fit.empty() ? "" : fit[random_() % fit.size()];
+}
+
+Version Gateway::told_of(const std::string& address) const {
+    const auto found = told_of_.find(address);
+    return found == told_of_.end() ? 0 : found->second;
 }
 
 Renew Gateway::make_renew(const std::string& address, Time now) {
@@ -100,13 +112,10 @@
     }
     const bool was_behind = lease_.behind();
     lease_.on_vouch(vouch, document_.index, now);
-    // A committed document that the chosen source has not pushed comes from who knows it.
-    if (vouch.table > document_.index && address != source_) {
-        source_ = address;
-        renew_due_ = std::min(renew_due_, now + RenewBehindEvery);
-    } else if (lease_.behind() && !was_behind) {
+    told_of_[address] = vouch.table;
+    // By then the source has told of a new document too, or another host is asked for it.
+    if (vouch.table > document_.index || (lease_.behind() && !was_behind))
         renew_due_ = std::min(renew_due_, now + RenewBehindEvery);
-    }
     learn_share(vouch);
     note_lease(now);
 }
--- a/tests/site/test_site.py
+++ b/tests/site/test_site.py
@@ -161,21 +161,25 @@
     async def scenario(site):
         site.more_routes = 5000
         assert await site.put_document()
-        site.entries[0].kill()
         size = len(json.dumps(site.document()))
 
         async def sent():
             kind = 'liftweir_link_sent_bytes_total{kind="document"}'
             return sum([await site.metric(process, kind) for process in site.controls])
 
+        async def all_have_it():
+            return await sent() > len(site.entries) * size
+
+        assert await site.until(all_have_it)
         before = await sent()
+        site.entries[0].kill()
         proxy.delay = 0.1
         for name in proxy.names():
             proxy.set(name, "slow")
         site.entries[0].start()
         assert await site.until(lambda: _ready("127.0.2.1"), 8)
         await asyncio.sleep(1)
-        assert size < await sent() - before < 2.5 * size
+        assert size < await sent() - before < 1.5 * size
 
     proxy = FaultProxy()
     try:
