Tests that fail: shared HTTP address, ports of runs side by side, a closed group taken for repaired

Four tests for what was found behind the paused lead's test in KNOWN-RED.txt, each red on this commit: - ServerTest.AnAddressThatIsServedAlreadyIsRefused: a second server on one address is not refused. - test_harness.py, ports: two of three runs side by side get the same port; ports come from the kernel's own range. - test_harness.py, repaired: with the old condition, moved into a function unchanged, IndexError.

--- a/tests/faults/test_faults.py
+++ b/tests/faults/test_faults.py
@@ -46,6 +46,14 @@
     return group, group["members"][index]
 
 
+def wait_repaired(cluster, domain, lost):
+    """The group that serves in a domain once no group has the lost host."""
+    wait_for(lambda: len([g for g in cluster.serving() if g["domain"] == domain]) == 1 and
+             lost not in cluster.serving()[0]["members"] + cluster.serving()[-1]["members"],
+             "the group is repaired")
+    return [g for g in cluster.serving() if g["domain"] == domain][0]
+
+
 def test_a_killed_member_stops_its_group_which_is_rebuilt(cluster, followed):
     group, victim = member(cluster, 2)
     cluster.processes[victim].kill()
@@ -68,10 +76,7 @@
     group, lead = member(cluster, 0)
     cluster.processes[lead].pause()
     followed.down(lead)
-    wait_for(lambda: len([g for g in cluster.serving() if g["domain"] == group["domain"]]) == 1 and
-             lead not in cluster.serving()[0]["members"] + cluster.serving()[-1]["members"],
-             "the group is repaired")
-    repaired = [g for g in cluster.serving() if g["domain"] == group["domain"]][0]
+    repaired = wait_repaired(cluster, group["domain"], lead)
     second = repaired["members"][-1]
     cluster.processes[second].kill()
     followed.down(second)
--- /dev/null
+++ b/tests/faults/test_harness.py
@@ -0,0 +1,70 @@
+"""The harness itself: what it hands out and how it reads, where a slip looks like a fault of the
+system."""
+import subprocess
+import sys
+
+import cluster
+from test_faults import wait_repaired
+
+ASK = """
+import sys
+sys.path.insert(0, %r)
+from cluster import free_port
+print(*[free_port() for _ in range(400)], flush=True)
+sys.stdin.read()
+"""
+
+
+def ports_of_runs_side_by_side(count):
+    """The ports that so many test processes get while all of them live."""
+    script = ASK % cluster.__file__.rsplit("/", 1)[0]
+    runs = [subprocess.Popen([sys.executable, "-c", script], text=True, stdin=subprocess.PIPE,
+                             stdout=subprocess.PIPE) for _ in range(count)]
+    ports = [[int(port) for port in run.stdout.readline().split()] for run in runs]
+    for run in runs:
+        run.communicate("")
+    return ports
+
+
+# A repair did not come within 30 s, once in a whole CI run beside others. The spare host, killed
+# and restarted by the test before, never registered: two runs had given out the same port, and its
+# agent asked a process of the other run whether its engine was empty. A port was only looked at
+# for a moment and then left, so nothing kept the next run from giving it out again: of 60 times
+# that three runs began together, each with the 58 ports of one cluster, two shared a port 38 times.
+def test_runs_side_by_side_never_get_the_same_port():
+    ports = ports_of_runs_side_by_side(3)
+    assert [len(mine) for mine in ports] == [400] * 3
+    assert len(set(sum(ports, []))) == 3 * 400
+
+
+# A process that a test kills leaves its ports until it is started again. Whoever asked the kernel
+# for any port could get one of them meanwhile, a socket of a proxy as well as one of another run;
+# the agent then ended at its start with "bind: Address already in use", which nobody looked at, and
+# the next test had no spare host and waited 30 s for a repair.
+def test_the_kernel_gives_out_no_port_that_a_killed_process_needs_again():
+    with open("/proc/sys/net/ipv4/ip_local_port_range") as file:
+        first, last = map(int, file.read().split())
+    ports = [cluster.free_port() for _ in range(100)]
+    assert [port for port in ports if first <= port <= last] == []
+
+
+class Told:
+    """A cluster that tells of these lists of serving groups one after the other."""
+
+    def __init__(self, *lists):
+        self.lists = list(lists)
+
+    def serving(self):
+        return self.lists.pop(0) if len(self.lists) > 1 else self.lists[0]
+
+
+# The paused lead's test failed after 5 s with an IndexError: its condition read the list of groups
+# three times. The old group was in the first list, alone in its domain, and had gone silent before
+# the second, in which the lead was nowhere: taken for repaired, with no group in the domain. 1 of
+# 24 runs beside four busy processes; in its log the lead goes silent 46 ms before the test gives up.
+def test_a_group_that_closes_is_not_taken_for_a_repaired_one():
+    old = {"domain": "a", "members": ["a1", "a2"]}
+    new = {"domain": "a", "members": ["a2", "a3"]}
+    other = {"domain": "b", "members": ["b1", "b2"]}
+    told = Told([old, other], [other], [other], [other], [old, new, other], [new, other])
+    assert wait_repaired(told, "a", "a1") is new
--- a/tests/unit/httpserver_test.cpp
+++ b/tests/unit/httpserver_test.cpp
@@ -66,6 +66,18 @@
 
 constexpr auto Patience = std::chrono::milliseconds(2500);
 
+// A fault test waited 30 s in vain for a spare host. Its agent had been restarted and was well, but
+// never registered. Two test runs had given one port to the engine of this host and to an agent of
+// the other run; both could listen on it, and the kernel dealt out the connections. This agent's
+// went to the stranger, and its question whether the engine is empty came back as a 404 over the
+// kept connection, once every 0.7 s for 83 s (after 112 requests 17,136 bytes had come back: 153
+// each, the size of that 404; the engine would have sent 159). When the other run ended, the host
+// was registered 0.14 s later. An address that is served already has to be refused at once.
+TEST_F(ServerTest, AnAddressThatIsServedAlreadyIsRefused) {
+    serve();
+    EXPECT_THROW(serve_http(io_, address_, {}, handler_), std::system_error);
+}
+
 TEST_F(ServerTest, AnswersRequestsThatCanBeFramedInTwoWays) {
     serve();
     const std::string two_lengths =
