An HTTP server shares its address only where it is told to

Cause: every HTTP server set SO_REUSEPORT, which only the threads of one entry process need. Two processes of one user that were given the same address by mistake both listened, and the kernel dealt out the connections: neither said a word. Met as an agent whose questions to its engine went to a stranger's process: it got 404, asked again every 0.7 s over the same connection and never registered its host, for 83 s, until the stranger ended; its group had no spare meanwhile.

Change: serve_http() takes AddressUse, Alone by default; an entry host with more than one thread asks for Shared. A second process on a taken address ends at its start with "bind: Address already in use", as it does for links.

Ruled out: a probe by connecting first (races, and a connection for nothing); doing nothing in the product and only mending the test harness (two processes on one port are an operator's slip too).

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -83,7 +83,7 @@
 class AsioServer final : public HttpServer {
   public:
     AsioServer(asio::io_context& io, const std::string& address, const HttpServerLimits& limits,
-               HttpHandler handler)
+               HttpHandler handler, AddressUse use)
         : core_{io, limits,
                 [handler = std::move(handler)](const ConnectionPtr& connection,
                                                RequestMessage&& message) {
@@ -94,7 +94,10 @@
         const auto endpoint = parse_address(address).value();
         acceptor_.open(endpoint.protocol());
         acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-        acceptor_.set_option(ReusePort(true));
+        // Only where it is asked for: another process that is given the same address by mistake
+        // would get a part of the connections, and nobody would be told.
+        if (use == AddressUse::Shared)
+            acceptor_.set_option(ReusePort(true));
         acceptor_.bind(endpoint);
         acceptor_.listen(ListenBacklog);
         accept();
@@ -156,8 +159,9 @@
 } // namespace
 
 std::unique_ptr<HttpServer> serve_http(asio::io_context& io, const std::string& address,
-                                       const HttpServerLimits& limits, HttpHandler handler) {
-    return std::make_unique<AsioServer>(io, address, limits, std::move(handler));
+                                       const HttpServerLimits& limits, HttpHandler handler,
+                                       AddressUse use) {
+    return std::make_unique<AsioServer>(io, address, limits, std::move(handler), use);
 }
 
 } // namespace liftweir
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -59,8 +59,11 @@
     Duration idle_timeout = std::chrono::seconds(75);
 };
 
-// HTTP/1.1 server on one io_context. Several servers on one address, each with its own thread,
-// share the load through SO_REUSEPORT.
+// Whether other servers may listen on the same address.
+enum class AddressUse : std::uint8_t { Alone, Shared };
+
+// HTTP/1.1 server on one io_context. Several servers that share an address, each with its own
+// thread, share the load through SO_REUSEPORT.
 class HttpServer {
   public:
     virtual ~HttpServer() = default;
@@ -74,8 +77,10 @@
     virtual std::size_t connections() const = 0;
 };
 
+// Throws std::system_error where the address can not be had.
 std::unique_ptr<HttpServer> serve_http(asio::io_context& io, const std::string& address,
-                                       const HttpServerLimits& limits, HttpHandler handler);
+                                       const HttpServerLimits& limits, HttpHandler handler,
+                                       AddressUse use = AddressUse::Alone);
 
 } // namespace liftweir
 
--- a/src/process/shard.cpp
+++ b/src/process/shard.cpp
@@ -127,8 +127,11 @@
 Shard::~Shard() = default;
 
 void Shard::run() {
-    http_ = serve_http(io_, shared_.config.http, HttpServerLimits{},
-                       [this](std::shared_ptr<HttpExchange> e) { on_request(std::move(e)); });
+    const bool alone = shared_.config.threads == 1;
+    http_ = serve_http(
+        io_, shared_.config.http, HttpServerLimits{},
+        [this](std::shared_ptr<HttpExchange> e) { on_request(std::move(e)); },
+        alone ? AddressUse::Alone : AddressUse::Shared);
     sync_dialers();
     io_.run();
 }
--- a/tests/unit/httpserver_test.cpp
+++ b/tests/unit/httpserver_test.cpp
@@ -11,17 +11,20 @@
 
 class ServerTest : public testing::Test {
   protected:
-    void serve(HttpServerLimits limits = {}) {
+    void serve(HttpServerLimits limits = {}, AddressUse use = AddressUse::Alone) {
         {
             const asio::ip::tcp::acceptor probe(io_, {asio::ip::make_address("127.0.0.1"), 0});
             address_ = "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
         }
-        server_ = serve_http(io_, address_, limits, [this](const std::shared_ptr<HttpExchange>& e) {
-            ++handled_;
-            last_body_ = e->body();
-            last_target_ = e->target();
-            handler_(e);
-        });
+        server_ = serve_http(
+            io_, address_, limits,
+            [this](const std::shared_ptr<HttpExchange>& e) {
+                ++handled_;
+                last_body_ = e->body();
+                last_target_ = e->target();
+                handler_(e);
+            },
+            use);
     }
 
     // Sends bytes, and returns all that comes back until the connection ends or time is out.
@@ -78,6 +81,12 @@
     EXPECT_THROW(serve_http(io_, address_, {}, handler_), std::system_error);
 }
 
+TEST_F(ServerTest, ServersOfOneProcessShareAnAddressWhereBothAgree) {
+    serve({}, AddressUse::Shared);
+    EXPECT_NO_THROW(serve_http(io_, address_, {}, handler_, AddressUse::Shared));
+    EXPECT_THROW(serve_http(io_, address_, {}, handler_), std::system_error);
+}
+
 TEST_F(ServerTest, AnswersRequestsThatCanBeFramedInTwoWays) {
     serve();
     const std::string two_lengths =
