Fault tests keep what is known of a failure

Change: when a test with a cluster fails, in its call or around it, the hosts, groups, priced choices, status, the proxy's faults, the processes that ended with the last line of their log, and the time line are written beside the logs, and the gist is printed at the end of the run, also for tests that are known to be red.

--- a/tests/faults/conftest.py
+++ b/tests/faults/conftest.py
@@ -3,6 +3,8 @@
 
 import pytest
 
+import evidence
+
 LIST = os.path.join(os.path.dirname(__file__), "..", "..", "KNOWN-RED.txt")
 
 
@@ -19,3 +21,22 @@
     for item in items:
         if item.name in red:
             item.add_marker(pytest.mark.xfail(reason=red[item.name], strict=False))
+
+
+GATHERED = []  # (test and phase, text)
+
+
+@pytest.hookimpl(hookwrapper=True)
+def pytest_runtest_makereport(item, call):
+    yield
+    cluster = item.funcargs.get("cluster")
+    if call.excinfo is not None and hasattr(cluster, "folder"):
+        name = "%s-%s" % (item.name, call.when)
+        GATHERED.append((name, evidence.gather(cluster, name)))
+
+
+def pytest_terminal_summary(terminalreporter):
+    """Also for a test that is known to be red: of its failure pytest prints nothing."""
+    for name, text in GATHERED:
+        terminalreporter.section("evidence of " + name)
+        terminalreporter.write_line(text)
