An agent says so when its engine can not be emptied

Cause: an agent reports to control only once its engine is empty. Where the engine's address led to a process that is no engine, the agent asked for 83 s and logged nothing; control can not name a host that never registered. It was found with a trace of system calls only.

Change: after five refused tries (some 2.5 s; an engine that starts with its agent misses the first ones) it logs a warning with the engine's address. The loop of tries is a member function; what it does is unchanged.

--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -20,6 +20,8 @@
 // A control host that does not answer for this long is not asked any longer.
 constexpr Duration ControlSilence = std::chrono::milliseconds(1200);
 constexpr Duration ResetPause = std::chrono::milliseconds(500);
+// An engine that starts together with its agent is not there for the first ones.
+constexpr int ResetsUntilTold = 5;
 // Tables of entry hosts follow a leaving notice within this time; refusals cover the rest.
 constexpr Duration LeavingGrace = std::chrono::milliseconds(1500);
 constexpr Duration LeavingDeadline = std::chrono::seconds(120);
@@ -100,17 +102,25 @@
     last_tick_ = heard_ = BootClock::now();
     receive_datagram();
     ticker_.start();
-    const auto try_reset = std::make_shared<std::function<void()>>();
-    *try_reset = [this, try_reset] {
-        endpoint_->reset([this, try_reset](bool ok) {
-            endpoint_reset_ = ok;
-            if (ok)
-                return;
-            const auto timer = std::make_shared<asio::steady_timer>(io_, ResetPause);
-            timer->async_wait([timer, try_reset](asio::error_code) { (*try_reset)(); });
+    reset_endpoint();
+}
+
+// Until the engine is empty the host is not reported to control, so nobody but this process can
+// say why it is missing.
+void Agent::reset_endpoint() {
+    endpoint_->reset([this](bool ok) {
+        endpoint_reset_ = ok;
+        if (ok)
+            return;
+        if (++failed_resets_ == ResetsUntilTold)
+            log(LogLevel::Warning, "the engine can not be emptied; the host is not registered",
+                {{"engine", config_.engine_url}});
+        const auto timer = std::make_shared<asio::steady_timer>(io_, ResetPause);
+        timer->async_wait([this, timer](asio::error_code error) {
+            if (!error)
+                reset_endpoint();
         });
-    };
-    (*try_reset)();
+    });
 }
 
 void Agent::tick() {
--- a/src/process/agent.h
+++ b/src/process/agent.h
@@ -45,6 +45,7 @@
     static constexpr std::size_t DefaultSlots = 32;
     static constexpr std::size_t DefaultQueue = 256;
 
+    void reset_endpoint();
     void tick();
     void check_pause(Time now);
     void check_gate(Time now);
@@ -96,6 +97,7 @@
     Term term_ = 0;
     bool registered_ = false;
     bool endpoint_reset_ = false;
+    int failed_resets_ = 0;
     std::unique_ptr<LinkListener> listener_;
     std::set<Link::Ptr> entries_;
     std::unique_ptr<HttpServer> http_;
--- a/tests/faults/test_whole.py
+++ b/tests/faults/test_whole.py
@@ -91,3 +91,20 @@
     formed = next(i for i, r in enumerate(rows) if r["kind"] == "group_formed")
     opened = next(i for i, r in enumerate(rows) if r["kind"] == "gate_opened")
     assert formed < opened
+
+
+# A host was missing for 83 s: its agent asked a process that was no engine whether its engine was
+# empty, again and again, and said nothing; control had not heard of it and could not. It took a
+# trace of the agent's system calls to see it.
+def test_an_agent_whose_engine_does_not_answer_as_one_says_so_and_is_not_registered(cluster):
+    name = "host-lost"
+    cluster.engines[name] = cluster.agent_addresses["host-a1"][2]  # an agent's pages
+    try:
+        cluster.start_agent(name, "fabric-a")
+        wait_for(lambda: "the engine can not be emptied" in
+                 open(cluster.processes[name].log).read(), "it says so")
+        assert cluster.engines[name] in open(cluster.processes[name].log).read()
+        assert name not in [h["host"] for h in cluster.rpc("hosts.list")]
+    finally:
+        cluster.processes[name].kill()
+        del cluster.processes[name], cluster.engines[name], cluster.domain_of[name]
