A late report of a dead start ends nobody: the address itself says who is there

Cause: Registry took an id that was new to it for the newer start at the address and ended whoever stood there, for good. That holds for a restart; it does not where a cut had held back the report of a start that crashed, and the host hears of that start only now (never heard before, restarted since, or ended longer than 60 s ago). The wrong end then went to all hosts with the next full copy.

Change: an id that is first heard of while another stands at its address is in doubt, and seen by no planner, entry host, copy, digest or roster. Control hosts ask the address for it. An answer proves that the one that stood has ended, as it had registered before the question; the end and the newer report are handed on in this order. Where nothing answers, who reports over 1 s takes the place of one silent for 3 s, at control hosts only. Remembered endpoints make room at once. Word of leaving from an id in doubt is handed on at once as before. The planner gives a group up as soon as another start has a member's address, without an order to the dead one. No field of a message is new.

Ruled out: order of arrival (the same three reports come of a restart and of a late report), sequences (begin anew), a number for each start from control (as wrong as the host that gives it), 421 as proof of an end (an older start may answer while the newer one begins), the silence rule at entry hosts (they hear no beats).

Replaced: Registry.ANewIncarnationAtAnAddressEndsTheOneBefore asserted the faulty rule, that the id heard of last wins at once. It now asserts that the newer one is shown to nobody before the address has answered, the question itself, the order in which both are handed on, and that the older one stays gone.

--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -170,6 +170,7 @@
         second_due_ = now + SecondlyEvery;
         every_second();
     }
+    settle_doubts(now);
     if (now >= plan_due_)
         plan();
 }
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -25,7 +25,8 @@
   public:
     virtual ~EndpointOrders() = default;
     virtual void send(const EndpointOrder& order, std::function<void(OrderAnswer)> answered) = 0;
-    // Asks an endpoint for a sign of life; false where it gave none in time.
+    // Asks an endpoint for a sign of life; false where it gave none in time, or another incarnation
+    // has its address.
     virtual void probe(const EndpointReport& endpoint, std::function<void(bool)> answered) = 0;
 };
 
@@ -128,6 +129,9 @@
     // registrations
     void merge(const EndpointReport& report, bool first_hand, Time heard);
     void changed(const EndpointReport& report, bool to_peers);
+    void pass_on_doubted(const EndpointReport& report);
+    void pass_on_settled();
+    void settle_doubts(Time now);
     void flush_changes();
     void flush_alive();
     bool settled(Time now) const;
--- a/src/process/coordinatorfleet.cpp
+++ b/src/process/coordinatorfleet.cpp
@@ -96,6 +96,7 @@
     } else if (const auto* alive = std::get_if<EndpointsAlive>(&message)) {
         for (const EndpointId& id : alive->ids)
             registry_.heard(id, now);
+        pass_on_settled();
     } else if (const auto* suspected = std::get_if<GroupSuspected>(&message)) {
         on_suspected(*suspected, now);
     }
--- a/src/process/coordinatorregistry.cpp
+++ b/src/process/coordinatorregistry.cpp
@@ -24,10 +24,14 @@
 void Coordinator::send_registry(const std::function<void(const Wire&)>& send) const {
     const Time now = BootClock::now();
     EndpointChanges all;
-    for (const auto& [id, item] : registry_.items()) {
-        all.reports.push_back(item.report);
-        all.silent_ms.push_back(static_cast<std::uint32_t>(to_millis(now - item.heard)));
-    }
+    // Those that ended first: who has their places is not in doubt then.
+    for (const bool ended : {true, false})
+        for (const auto& [id, item] : registry_.items()) {
+            if ((item.report.phase == EndpointPhase::Gone) != ended)
+                continue;
+            all.reports.push_back(item.report);
+            all.silent_ms.push_back(static_cast<std::uint32_t>(to_millis(now - item.heard)));
+        }
     send(all);
 }
 
@@ -38,6 +42,7 @@
 void Coordinator::heard(const EndpointId& id) {
     registry_.heard(id, BootClock::now());
     alive_.insert(id);
+    pass_on_settled();
 }
 
 void Coordinator::gone(const EndpointId& id) {
@@ -53,6 +58,10 @@
     const bool is_change = registry_.merge(report, heard);
     if (first_hand)
         alive_.insert(report.id);
+    pass_on_settled();
+    settle_doubts(BootClock::now());
+    if (first_hand && registry_.find(report.id) == nullptr)
+        pass_on_doubted(report);
     if (!is_change)
         return;
     const EndpointReport& current = registry_.find(report.id)->report;
@@ -68,6 +77,39 @@
     plan_soon();
 }
 
+// In doubt here, it may stand elsewhere, and its word that it leaves counts there. Who does not
+// know it doubts it too.
+void Coordinator::pass_on_doubted(const EndpointReport& report) {
+    if (report.phase == EndpointPhase::Serving)
+        return;
+    changes_.push_back(report);
+    flush_changes();
+}
+
+// Those that ended go first: hosts that hear of a newer start alone would doubt it.
+void Coordinator::pass_on_settled() {
+    for (const EndpointId& id : registry_.take_settled()) {
+        const EndpointReport& report = registry_.find(id)->report;
+        log(LogLevel::Info, "address settled",
+            {{"id", id},
+             {"address", report.address},
+             {"stands", report.phase == EndpointPhase::Gone ? "no" : "yes"}});
+        changed(report, true);
+        plan_soon();
+    }
+}
+
+// Two incarnations at one address: the address itself says which of them it is.
+void Coordinator::settle_doubts(Time now) {
+    for (const Registry::Question& question : registry_.take_questions(now))
+        orders_.probe(question.endpoint, [this, question](bool alive) {
+            if (!alive)
+                return;
+            registry_.confirmed(question, BootClock::now());
+            pass_on_settled();
+        });
+}
+
 void Coordinator::changed(const EndpointReport& report, bool to_peers) {
     if (GroupPlanner* planner = planner_of(report.service))
         planner->observe(report, BootClock::now());
@@ -91,9 +133,10 @@
     if (changes_.empty() && entry_changes_.empty())
         return;
     const EndpointChanges to_peers{std::exchange(changes_, {}), {}};
-    EndpointChanges to_entries = to_peers;
-    for (EndpointReport& report : std::exchange(entry_changes_, {}))
-        to_entries.reports.push_back(std::move(report));
+    // What peers told goes first: it may have ended whose place another has taken since.
+    EndpointChanges to_entries{std::exchange(entry_changes_, {}), {}};
+    to_entries.reports.insert(to_entries.reports.end(), to_peers.reports.begin(),
+                              to_peers.reports.end());
     for (auto& [name, session] : entries_)
         if (session.link)
             session.link->send(to_entries);
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -61,6 +61,7 @@
 
     // endpoints, as control tells of them
     void on_changes(const EndpointChanges& changes);
+    void forget_connections(const EndpointReport& report);
     void on_remembered(const EndpointsRemembered& remembered);
     void forget_unconfirmed(Time now);
 
--- a/src/process/gatewaycontrol.cpp
+++ b/src/process/gatewaycontrol.cpp
@@ -196,7 +196,7 @@
         changed = true;
         if (report.phase == EndpointPhase::Gone)
             if (const auto* item = directory_.registry().find(report.id))
-                pool_->forget(item->report.address);
+                forget_connections(item->report);
     }
     if (!changed)
         return;
@@ -204,6 +204,12 @@
         call->tick(now);
 }
 
+// Those to a newer start at the address are as good as before.
+void Gateway::forget_connections(const EndpointReport& report) {
+    if (!directory_.registry().replaced(report))
+        pool_->forget(report.address);
+}
+
 // Control hosts that lost everything with this one hear of each endpoint within a beat.
 bool Gateway::learns_endpoints(Time now) const {
     return now - in_service_since_ < config_.bounds.beat + BeatSlack;
--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -106,6 +106,7 @@
     void advance_dead(Group& group, Time now);
     void probe_if_suspected(Group& group, Time now);
     void bury(Group& group, const std::string& why, Time now);
+    void bury_if_replaced(Group& group, Time now);
     Time forming_due(const Group& group, const ModelShape& model) const;
     bool replaceable(const Group& group, Time now) const;
     void open(Group& group, const EndpointReport& lead, Time now);
--- a/src/process/groupprogress.cpp
+++ b/src/process/groupprogress.cpp
@@ -19,6 +19,7 @@
 // ---- progress of groups
 
 void GroupPlanner::advance(Group& group, Time now) {
+    bury_if_replaced(group, now);
     switch (group.phase) {
     case Phase::Forming:
         advance_forming(group, now);
@@ -33,6 +34,18 @@
     }
 }
 
+// A member whose address another incarnation has is no more: no order reaches it, and its part of
+// the group is lost.
+void GroupPlanner::bury_if_replaced(Group& group, Time now) {
+    for (const EndpointId& id : group.members) {
+        const EndpointReport* report = report_of(id);
+        if (report == nullptr || !registry_->replaced(*report))
+            continue;
+        bury(group, "another start has the address of member " + id, now);
+        return;
+    }
+}
+
 void GroupPlanner::advance_forming(Group& group, Time now) {
     const ModelShape* model = shape(group.model);
     const std::size_t size = group.warm_up ? 1 : (model == nullptr ? 0 : model->size);
--- a/src/process/registry.cpp
+++ b/src/process/registry.cpp
@@ -13,6 +13,13 @@
 constexpr Duration GoneKept = std::chrono::seconds(60);
 // A silent endpoint may be cut off from control and still serve. Cuts last seconds to a minute.
 constexpr Duration SilentKept = std::chrono::seconds(120);
+// Where an address answers nobody, one that reports over at least a beat takes the place of one
+// that has missed two and some.
+constexpr Duration GoesOnReporting = std::chrono::milliseconds(1000);
+constexpr Duration HolderSilent = std::chrono::milliseconds(3000);
+// An address is asked again about an endpoint in doubt.
+constexpr Duration DoubtKept = std::chrono::seconds(5); // four beats
+constexpr Duration AskEvery = std::chrono::milliseconds(400);
 
 } // namespace
 
@@ -43,24 +50,92 @@
     return found == items_.end() ? nullptr : &found->second;
 }
 
-// An address serves one incarnation at a time: whoever held it before has ended.
-void Registry::retire_address(const EndpointReport& newer, Time now) {
-    for (auto& [id, item] : items_)
-        if (id != newer.id && item.report.address == newer.address &&
-            item.report.phase != EndpointPhase::Gone) {
-            item.report.phase = EndpointPhase::Gone;
-            item.heard = now;
-        }
+const Registry::Item* Registry::standing(const std::string& address,
+                                         const EndpointId& other_than) const {
+    const auto found = std::find_if(items_.begin(), items_.end(), [&](const auto& pair) {
+        const EndpointReport& report = pair.second.report;
+        return report.address == address && report.phase != EndpointPhase::Gone &&
+               pair.first != other_than;
+    });
+    return found == items_.end() ? nullptr : &found->second;
+}
+
+bool Registry::replaced(const EndpointReport& report) const {
+    return report.phase == EndpointPhase::Gone && standing(report.address, report.id) != nullptr;
+}
+
+void Registry::forget(const EndpointId& id) {
+    items_.erase(id);
+    doubts_.erase(id);
+}
+
+// The first word of an endpoint that is not known. A remembered one is forgotten rather than ended:
+// it may be the one that lives.
+bool Registry::meet(EndpointReport report, Time heard) {
+    const Item* holder =
+        report.phase == EndpointPhase::Gone ? nullptr : standing(report.address, report.id);
+    if (holder != nullptr && !holder->remembered)
+        return doubt(std::move(report), heard, *holder);
+    if (holder != nullptr)
+        items_.erase(EndpointId(holder->report.id));
+    doubts_.erase(report.id);
+    const EndpointId id = report.id;
+    items_.emplace(id, Item{std::move(report), heard});
+    return true;
+}
+
+// Neither sequence nor order of arrival tells the newer start from the older one. Who goes on
+// reporting lives; what a cut held back comes all at once.
+bool Registry::doubt(EndpointReport report, Time heard, const Item& holder) {
+    const EndpointId id = report.id;
+    Doubt& doubt = doubts_.try_emplace(id, Doubt{report, heard, heard, Time{}}).first->second;
+    if (report.sequence > doubt.report.sequence)
+        doubt.report = std::move(report);
+    doubt.first = std::min(doubt.first, heard);
+    doubt.heard = std::max(doubt.heard, heard);
+    const bool goes_on = doubt.heard - doubt.first >= GoesOnReporting;
+    if (hears_beats_ && goes_on && doubt.heard - holder.heard >= HolderSilent)
+        admit(id, holder.report.id, heard);
+    return false; // told by take_settled()
+}
+
+void Registry::admit(const EndpointId& id, const EndpointId& instead_of, Time now) {
+    const auto found = doubts_.find(id);
+    if (items_.contains(instead_of) && mark_gone(instead_of, now))
+        settled_.push_back(instead_of);
+    items_.insert_or_assign(id, Item{std::move(found->second.report), found->second.heard});
+    doubts_.erase(found);
+    settled_.push_back(id);
+}
+
+std::vector<Registry::Question> Registry::take_questions(Time now) {
+    std::vector<Question> questions;
+    for (auto& [id, doubt] : doubts_) {
+        if (now < doubt.ask_due)
+            continue;
+        doubt.ask_due = now + AskEvery;
+        const Item* holder = standing(doubt.report.address, id);
+        questions.push_back({doubt.report, holder == nullptr ? "" : holder->report.id});
+    }
+    return questions;
+}
+
+// Whoever stood when the question was put had registered before the answer came: its process has
+// ended. One that took the place meanwhile may be newer still. That another incarnation answers
+// ends nobody: it may be the older one, about to make room.
+void Registry::confirmed(const Question& question, Time now) {
+    const EndpointId& id = question.endpoint.id;
+    if (!doubts_.contains(id))
+        return;
+    const Item* holder = standing(question.endpoint.address, id);
+    if (holder == nullptr || holder->report.id == question.against)
+        admit(id, question.against, now);
 }
 
 bool Registry::merge(EndpointReport report, Time heard) {
     const auto found = items_.find(report.id);
-    if (found == items_.end()) {
-        if (report.phase != EndpointPhase::Gone)
-            retire_address(report, heard);
-        items_.emplace(report.id, Item{report, heard});
-        return true;
-    }
+    if (found == items_.end())
+        return meet(std::move(report), heard);
     Item& item = found->second;
     if (item.report.phase == EndpointPhase::Gone)
         return false;
@@ -71,6 +146,7 @@
     item.heard = std::max(item.heard, heard);
     const bool changed = !report.same_content(item.report);
     item.report = std::move(report);
+    item.remembered = false;
     return changed;
 }
 
@@ -80,11 +156,13 @@
     });
     if (newer_known)
         return false;
-    items_.emplace(report.id, Item{report, now});
+    items_.emplace(report.id, Item{report, now, true});
     return true;
 }
 
+// An endpoint in doubt leaves its id only: nobody has acted on what it said.
 bool Registry::mark_gone(const EndpointId& id, Time now) {
+    doubts_.erase(id);
     const auto found = items_.find(id);
     if (found == items_.end()) {
         EndpointReport unknown;
@@ -104,9 +182,17 @@
     const auto found = items_.find(id);
     if (found != items_.end() && found->second.report.phase != EndpointPhase::Gone)
         found->second.heard = now;
+    const auto doubted = doubts_.find(id);
+    if (doubted == doubts_.end())
+        return;
+    doubted->second.heard = now;
+    const EndpointReport report = doubted->second.report;
+    if (const Item* holder = standing(report.address, id))
+        doubt(report, now, *holder);
 }
 
 void Registry::expire(Time now) {
+    std::erase_if(doubts_, [&](const auto& pair) { return now - pair.second.heard > DoubtKept; });
     std::erase_if(items_, [&](const auto& pair) {
         const Item& item = pair.second;
         const bool gone = item.report.phase == EndpointPhase::Gone;
--- a/src/process/registry.h
+++ b/src/process/registry.h
@@ -10,6 +10,7 @@
 #include <msgpack.hpp>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace liftweir {
@@ -71,37 +72,81 @@
 
 // All endpoints that have registered, as one process knows them. Soft state: reports are merged
 // by their sequence, in any order and from any side, and every copy ends up the same.
+//
+// At most one endpoint that is not gone stands at an address. An id that is heard of first while
+// another stands there is in doubt: it may be a new start, or one that crashed long ago and whose
+// report was held back. It is shown to nobody until the other one is gone, its address has answered
+// for it, or the other one has fallen silent while it goes on reporting. An endpoint that is gone
+// stays so, and is ended by such a proof only, never by the order of arrival: hosts that have heard
+// the same end up the same.
 class Registry {
   public:
     struct Item {
         EndpointReport report;
-        Time heard{}; // last sign of life, from whichever side
+        Time heard{};            // last sign of life, from whichever side
+        bool remembered = false; // known from before a restart only; anyone may take its place
     };
 
+    // A question that the holder of the registry should put to an address.
+    struct Question {
+        EndpointReport endpoint; // in doubt
+        EndpointId against;      // who stands at its address
+
+        auto operator<=>(const Question&) const = default;
+    };
+
+    // Whether all signs of life come in here, so that silence tells something. An entry host hears
+    // of changes only, and leaves it to control hosts to settle doubts.
+    explicit Registry(bool hears_beats = true) : hears_beats_(hears_beats) {}
+
     // `heard` is when the endpoint showed the sign of life that the report stems from. True where
-    // the content changed; the change is then to be passed on.
+    // the content changed; the change is then to be passed on, after those of take_settled().
     bool merge(EndpointReport report, Time heard);
     // Adds what was known before a restart, unless something newer is known of the endpoint or of
     // its address. True where it was added.
     bool remember(const EndpointReport& report, Time now);
-    void forget(const EndpointId& id) { items_.erase(id); }
+    void forget(const EndpointId& id);
     // The endpoint has ended, or will without another word. Final.
     bool mark_gone(const EndpointId& id, Time now);
     // A sign of life, without a report.
     void heard(const EndpointId& id, Time now);
+    // Endpoints in doubt whose addresses should be asked now.
+    std::vector<Question> take_questions(Time now);
+    // The endpoint in doubt has answered at its address, after the question was taken.
+    void confirmed(const Question& question, Time now);
+    // Endpoints whose standing changed by another's report or by an answer, since the last call.
+    // Those that ended come before those that took their places.
+    std::vector<EndpointId> take_settled() { return std::exchange(settled_, {}); }
     // Forgets endpoints that are gone or have been silent for long.
     void expire(Time now);
 
     const std::map<EndpointId, Item>& items() const { return items_; }
     // Null where the endpoint is not known.
     const Item* find(const EndpointId& id) const;
+    // The endpoint that stands at the address, but for `other_than`; null where none does.
+    const Item* standing(const std::string& address, const EndpointId& other_than) const;
+    // The endpoint is gone, and another incarnation has its address.
+    bool replaced(const EndpointReport& report) const;
     // Two registries of equal digest hold the same content.
     std::uint64_t digest() const;
 
   private:
-    void retire_address(const EndpointReport& newer, Time now);
+    // An id that is new here, at an address where another stands.
+    struct Doubt {
+        EndpointReport report;
+        Time first{}; // first and last sign of life
+        Time heard{};
+        Time ask_due{};
+    };
+
+    bool meet(EndpointReport report, Time heard);
+    bool doubt(EndpointReport report, Time heard, const Item& holder);
+    void admit(const EndpointId& id, const EndpointId& instead_of, Time now);
 
+    bool hears_beats_;
     std::map<EndpointId, Item> items_;
+    std::map<EndpointId, Doubt> doubts_;
+    std::vector<EndpointId> settled_;
 };
 
 } // namespace liftweir
--- a/src/request/directory.h
+++ b/src/request/directory.h
@@ -90,7 +90,7 @@
     LoadForecast forecast_at(const EndpointUse& use, const ModelShape& model,
                              const Demand& demand) const;
 
-    Registry registry_;
+    Registry registry_{false};
     std::map<EndpointId, EndpointUse> uses_;
     std::minstd_rand random_;
     double others_ = 1;
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -269,14 +269,24 @@
     EXPECT_EQ(registry.find("1")->report.phase, EndpointPhase::Gone);
 }
 
+// The address itself says which of two incarnations it is: until then the newer one is shown to
+// nobody, and after that the older one is gone for good.
 TEST(Registry, ANewIncarnationAtAnAddressEndsTheOneBefore) {
     Registry registry;
     registry.merge(report("1", 5), Start);
     EndpointReport other = report("2", 1);
     other.address = report("1", 0).address;
     registry.merge(other, Start);
+    EXPECT_EQ(registry.find("2"), nullptr);
+    const auto questions = registry.take_questions(Start);
+    ASSERT_EQ(questions, (std::vector<Registry::Question>{{other, "1"}}));
+    EXPECT_TRUE(registry.take_questions(Start + milliseconds(100)).empty());
+    registry.confirmed(questions.front(), Start);
+    EXPECT_EQ(registry.take_settled(), (std::vector<EndpointId>{"1", "2"}));
     EXPECT_EQ(registry.find("1")->report.phase, EndpointPhase::Gone);
     EXPECT_EQ(registry.find("2")->report.phase, EndpointPhase::Serving);
+    EXPECT_FALSE(registry.merge(report("1", 9), Start));
+    EXPECT_EQ(registry.find("1")->report.phase, EndpointPhase::Gone);
 }
 
 // Reports reach every copy in another order, some twice. All copies end up the same.
--- a/tests/unit/groupplanner_test.cpp
+++ b/tests/unit/groupplanner_test.cpp
@@ -61,6 +61,17 @@
         ++e.report.sequence;
         if (registry.merge(e.report, now))
             planner.observe(registry.find(e.report.id)->report, now);
+        settle_doubts();
+    }
+
+    // The endpoint has crashed, and its host has begun anew; its disk is as it was.
+    EndpointId restart(Endpoint& old) {
+        old.dark = true;
+        const EndpointId id = add(old.report.domain);
+        Endpoint& e = endpoints.at(id);
+        e.report.address = old.report.address;
+        e.report.staged = old.report.staged;
+        return id;
     }
 
     // One step of 50 ms: endpoints move on and report, the planner plans, orders are answered.
@@ -115,6 +126,16 @@
     std::set<EndpointId> silent; // answer no order, but carry it out
 
   private:
+    // Each address answers for the start that it has.
+    void settle_doubts() {
+        for (const Registry::Question& question : registry.take_questions(now))
+            if (const auto at = endpoints.find(question.endpoint.id);
+                at != endpoints.end() && !at->second.dark)
+                registry.confirmed(question, now);
+        for (const EndpointId& id : registry.take_settled())
+            planner.observe(registry.find(id)->report, now);
+    }
+
     void advance(Endpoint& e) {
         Membership& m = e.report.membership;
         if (m.epoch != NoEpoch && m.state == MemberState::Joining && now >= e.ready_at) {
@@ -306,6 +327,33 @@
     EXPECT_TRUE(fleet_.violations.empty()) << fleet_.violations.front();
 }
 
+// A group of a start that has crashed ends as soon as the next one at its address is known: nothing
+// is ordered of the dead one, and the host serves in a group again.
+TEST_F(PlannerTest, ANewStartTakesTheHostOfADeadLead) {
+    start();
+    fleet_.planner.traffic_began();
+    Fleet::Endpoint& lead = fleet_.lead_of("small");
+    const Epoch epoch = lead.report.membership.epoch;
+    const EndpointId dead = lead.report.id;
+    const EndpointId other = lead.list[1];
+    const std::uint64_t fence = lead.fence;
+    const EndpointId next = fleet_.restart(lead);
+    fleet_.step();
+    fleet_.step();
+    EXPECT_EQ(fleet_.registry.find(dead)->report.phase, EndpointPhase::Gone);
+    EXPECT_NE(fleet_.endpoints.at(other).report.membership.epoch, epoch);
+    // What a cut held back of the dead lead comes now.
+    Fleet::Endpoint& late = fleet_.endpoints.at(dead);
+    fleet_.tell(late);
+    fleet_.run(seconds(4));
+    EXPECT_EQ(fleet_.registry.find(dead)->report.phase, EndpointPhase::Gone);
+    EXPECT_EQ(fleet_.registry.find(next)->report.phase, EndpointPhase::Serving);
+    EXPECT_TRUE(fleet_.endpoints.at(next).report.grouped());
+    EXPECT_EQ(late.fence, fence);
+    EXPECT_EQ(fleet_.open("small"), 4u);
+    EXPECT_TRUE(fleet_.violations.empty());
+}
+
 // Found by reading: a report that a cut had held back told a new leader of a start that had crashed
 // long before, as the lead of an open group. Its address belonged to a host of a group that served;
 // that host was taken for ended, its group was closed, and the dead lead's was counted in its
--- a/tests/unit/registry_test.cpp
+++ b/tests/unit/registry_test.cpp
@@ -141,5 +141,86 @@
     starts.check();
 }
 
+// The address answers for the start that lives, at one host that asks at least: no second beat is
+// needed, whatever the hosts heard first.
+RC_GTEST_PROP(LateReport, HostsAgreeAsSoonAsTheAddressHasAnswered, ()) {
+    TwoStarts starts;
+    Time now = Start;
+    starts.arrive_new(now);
+    for (int n = *rc::gen::inRange(0, 4); n > 0; --n)
+        starts.arrive_old(now);
+    starts.exchange();
+    std::size_t asked = 0;
+    for (Registry& host : starts.hosts)
+        for (const Registry::Question& question : host.take_questions(now))
+            if (question.endpoint.id == "new" && (asked++ == 0 || *rc::gen::arbitrary<bool>()))
+                host.confirmed(question, now);
+    starts.exchange();
+    starts.exchange();
+    starts.check();
+}
+
+// An entry host hears no beats: that the living one has said nothing new there for a minute means
+// nothing.
+TEST(LateReport, AnEntryHostEndsNobodyForSilence) {
+    Registry registry(false);
+    registry.merge(report_of("living", 1), Start - seconds(60));
+    for (int n = 0; n < 5; ++n)
+        registry.merge(report_of("dead", 7u + static_cast<std::uint64_t>(n)), Start + n * Beat);
+    EXPECT_TRUE(serves(registry, "living"));
+    // A control host has settled it the other way: both words come with its next message.
+    registry.mark_gone("living", Start);
+    registry.merge(report_of("dead", 12), Start);
+    EXPECT_TRUE(serves(registry, "dead"));
+}
+
+// The leaving start's own word counts where it stands, though it came through a host that doubts
+// it.
+TEST(LateReport, ADoubtedWordOfLeavingDrainsItsSenderOnly) {
+    Registry registry;
+    registry.merge(report_of("living", 1), Start);
+    EndpointReport leaving = report_of("living", 2);
+    leaving.phase = EndpointPhase::Draining;
+    EXPECT_TRUE(registry.merge(leaving, Start));
+    EXPECT_EQ(registry.find("living")->report.phase, EndpointPhase::Draining);
+    EXPECT_FALSE(registry.merge(report_of("dead", 9), Start));
+    EXPECT_FALSE(stands(registry, "dead"));
+}
+
+// Two questions cross: an answer that was asked for against an earlier start proves nothing about a
+// later one.
+TEST(LateReport, AnOldAnswerEndsNoThirdStart) {
+    Registry registry;
+    registry.merge(report_of("first", 5), Start);
+    registry.merge(report_of("second", 1), Start);
+    const auto questions = registry.take_questions(Start);
+    registry.merge(report_of("third", 1), Start);
+    for (const Registry::Question& question : registry.take_questions(Start))
+        registry.confirmed(question, Start);
+    EXPECT_TRUE(serves(registry, "third"));
+    registry.confirmed(questions.front(), Start);
+    EXPECT_TRUE(serves(registry, "third"));
+    EXPECT_FALSE(stands(registry, "second"));
+}
+
+// What was only remembered makes room at once, and is not ended: it may be the one that lives.
+TEST(LateReport, ARememberedStartMakesRoom) {
+    Registry registry;
+    ASSERT_TRUE(registry.remember(report_of("remembered", 0), Start));
+    EXPECT_TRUE(registry.merge(report_of("heard", 1), Start));
+    EXPECT_TRUE(serves(registry, "heard"));
+    EXPECT_EQ(registry.find("remembered"), nullptr);
+}
+
+// A late report is forgotten unless more of them come.
+TEST(LateReport, DoubtsEnd) {
+    Registry registry;
+    registry.merge(report_of("living", 1), Start);
+    registry.merge(report_of("dead", 7), Start);
+    registry.expire(Start + seconds(6));
+    EXPECT_TRUE(registry.take_questions(Start + seconds(6)).empty());
+    EXPECT_TRUE(serves(registry, "living"));
+}
+
 } // namespace
 } // namespace liftweir
