--- a/src/process/replica.cpp
+++ b/src/process/replica.cpp
@@ -8,13 +8,15 @@
 
 namespace {
 
-// A snapshot is written when the log has grown to this; replaying so much takes under a second.
-constexpr std::size_t CompactAfterBytes = 8u << 20;
-// Large answers fill the log with few entries; a snapshot for each handful would cost more.
-constexpr Index EntriesBetweenSnapshots = 500;
+// A snapshot is written when the log has grown to so many times the size of the last one: it costs
+// a quarter more writing at the most, and a host that has nothing is sent little more than the
+// state.
+constexpr std::size_t LogPerSnapshot = 4;
+// Below this a snapshot saves nothing: sending so much takes 50 ms at 170 Mbit/s.
+constexpr std::size_t LeastLogBytes = 1u << 20;
 // Beyond this the disk goes first: the smallest control hosts have 128 MB, and a snapshot needs
 // room beside the log that it replaces.
-constexpr std::size_t CompactAnywayBytes = 4 * CompactAfterBytes;
+constexpr std::size_t MostLogBytes = 32u << 20;
 
 } // namespace
 
@@ -182,10 +184,9 @@
 }
 
 Expected<void> Replica::maybe_compact() {
-    const std::size_t bytes = store_->bytes_since_snapshot();
-    const bool enough_entries = applied_ > raft_.snapshot().index + EntriesBetweenSnapshots;
-    if (bytes < CompactAfterBytes || (!enough_entries && bytes < CompactAnywayBytes) ||
-        applied_ == raft_.snapshot().index)
+    const std::size_t due =
+        std::clamp(LogPerSnapshot * raft_.snapshot().data.size(), LeastLogBytes, MostLogBytes);
+    if (store_->bytes_since_snapshot() < due || applied_ == raft_.snapshot().index)
         return {};
     Snapshot snapshot;
     snapshot.index = applied_;
--- a/tests/unit/replica_test.cpp
+++ b/tests/unit/replica_test.cpp
@@ -225,6 +225,28 @@
     EXPECT_GT(hosts.at(late).raft().snapshot().index, 500u);
 }
 
+// Found with the leader out of memory: 220 documents of 70 KB each had passed without a snapshot,
+// so a host that came back empty was sent 15 MB for a state of 70 KB, and no change was
+// acknowledged for 8 s meanwhile. Cause: a snapshot was due after 500 entries or 32 MB only,
+// whatever the state's size.
+TEST(Replica, ALogOfLargeDocumentsStaysAFewTimesAsLargeAsItsState) {
+    constexpr std::size_t DocumentBytes = 70000;
+    Hosts hosts(3, 14);
+    hosts.run(std::chrono::seconds(3));
+    for (Version version = 1; version <= 200; ++version) {
+        hosts.leader()->propose(ReplaceDocument{version, std::string(DocumentBytes, 'x')},
+                                [](const auto&) {});
+        hosts.step();
+    }
+    hosts.run(std::chrono::seconds(1));
+    const Raft& raft = hosts.leader()->raft();
+    std::size_t log = 0;
+    for (const LogEntry& entry : raft.log())
+        log += entry.data.size();
+    EXPECT_LT(log, 20 * DocumentBytes);
+    EXPECT_EQ(hosts.leader()->state().document().version, 200u);
+}
+
 TEST(Replica, VotersChangeOneAtATime) {
     Hosts hosts(4, 17, {1, 2, 3});
     hosts.run(std::chrono::seconds(3));
