Properties fail their tests

rc::check returns whether the property held; nine tests threw that away, so a falsified property was printed and the test passed. Found when a new property over code with a fault in it was green. Every result is now expected to be true.

Before: the nine properties could not fail.

--- a/tests/unit/call_test.cpp
+++ b/tests/unit/call_test.cpp
@@ -170,7 +170,7 @@
 // random. Whatever happens: "not run" is true, what may not be repeated runs at most once, the
 // call ends once, and a whole answer is one endpoint's whole answer.
 TEST(Call, TellsTheTruthUnderRandomEndpoints) {
-    rc::check([] {
+    EXPECT_TRUE(rc::check([] {
         Places places;
         places.count = *rc::gen::inRange<std::uint64_t>(1, 5);
         places.budget = *rc::gen::inRange(0, 4);
@@ -238,7 +238,7 @@
             RC_ASSERT(runs <= 1);
         if (whole)
             RC_ASSERT(whole->answer.body == "hello");
-    });
+    }));
 }
 
 } // namespace
--- a/tests/unit/gate_test.cpp
+++ b/tests/unit/gate_test.cpp
@@ -67,7 +67,7 @@
 // Random losses and delays: the gate is never open when the member last echoed a ping older than
 // the timeout.
 TEST(Gate, IsNeverOpenOnOldProof) {
-    rc::check([] {
+    EXPECT_TRUE(rc::check([] {
         Gate gate(pair_of_hosts(), "lead", 1, Start);
         gate.set_engine_ready(true);
         Time now = Start;
@@ -88,7 +88,7 @@
             if (gate.open(now))
                 RC_ASSERT(now - newest_proof < milliseconds(1500));
         }
-    });
+    }));
 }
 
 Vouch vouch(NodeId node, std::uint64_t sequence, Version logged) {
@@ -241,7 +241,7 @@
 
 // Counts stay right and the bound holds, whatever is offered, started, removed or finished.
 TEST(FairQueue, CountsStayRight) {
-    rc::check([] {
+    EXPECT_TRUE(rc::check([] {
         FairQueue queue(3, 5);
         std::set<std::uint64_t> waiting;
         std::size_t running = 0;
@@ -273,7 +273,7 @@
             RC_ASSERT(queue.waiting() == waiting.size());
             RC_ASSERT(queue.running() == running && running <= 3);
         }
-    });
+    }));
 }
 
 TEST(Limits, ARateIsKeptAndTheWaitIsTold) {
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -251,7 +251,7 @@
 // Random faults, for all policies and weights: no invariant breaks, no stampede on the weight
 // store, few groups are formed for each fault, and once faults stop all that can serve does.
 TEST(Placement, ConvergesAfterRandomFaults) {
-    rc::check([] {
+    EXPECT_TRUE(rc::check([] {
         PlacementSettings settings = wanting(3);
         settings.downtime_weight = *rc::gen::element(0.1, 1.0, 10.0);
         settings.stranded_weight = *rc::gen::element(0.0, 0.1, 1.0);
@@ -284,7 +284,7 @@
         const int settled = world.formed;
         world.run(seconds(60));
         RC_ASSERT(world.formed == settled);
-    });
+    }));
 }
 
 TEST(Outage, TheLongerTheSilenceTheLongerTheExpectedRest) {
--- a/tests/unit/replica_test.cpp
+++ b/tests/unit/replica_test.cpp
@@ -124,7 +124,7 @@
 // Random crashes, cuts, losses and doubled packets: hosts never apply different commands at one
 // index, and what was acknowledged is there in the end.
 TEST(Replica, KeepsWhatItAcknowledgedUnderRandomFaults) {
-    rc::check([] {
+    EXPECT_TRUE(rc::check([] {
         Hosts hosts(3, *rc::gen::arbitrary<std::uint64_t>());
         std::set<std::uint64_t> acknowledged;
         std::uint64_t sequence = 0;
@@ -161,7 +161,7 @@
             RC_ASSERT(leader->state().claim("customer", "key-" + std::to_string(s)).has_value());
         RC_ASSERT(hosts.at(1).state().save() == hosts.at(2).state().save());
         RC_ASSERT(hosts.at(2).state().save() == hosts.at(3).state().save());
-    });
+    }));
 }
 
 TEST(Replica, ALeaderCutOffInSilenceStepsDownAndAnswersNothing) {
--- a/tests/unit/state_test.cpp
+++ b/tests/unit/state_test.cpp
@@ -168,7 +168,7 @@
 // Whatever is proposed, no host is in two groups and no group crosses fabric domains; and a
 // copy that went through a snapshot is the same.
 TEST(State, NoCommandPutsAHostIntoTwoGroups) {
-    rc::check([] {
+    EXPECT_TRUE(rc::check([] {
         State state;
         Version index = 0;
         const auto commands = *rc::gen::container<std::vector<Command>>(80, any_command());
@@ -182,12 +182,12 @@
         const auto copy = State::load(state.save());
         RC_ASSERT(copy.has_value());
         RC_ASSERT(copy->save() == state.save());
-    });
+    }));
 }
 
 // Deltas of any steps lead to the table that a full copy gives, and never back.
 TEST(Table, DeltasLeadToTheSameTableAsAFullCopy) {
-    rc::check([] {
+    EXPECT_TRUE(rc::check([] {
         State state;
         TableBuilder stepwise("o/r/s");
         Version index = 0;
@@ -208,7 +208,7 @@
         const auto b = whole.build();
         RC_ASSERT(a->models.at("m").targets.size() == b->models.at("m").targets.size());
         RC_ASSERT(a->version == b->version);
-    });
+    }));
 }
 
 // A delta that continues a lease version which this process does not have must not count.
@@ -223,7 +223,7 @@
 
 // Every decoder takes any bytes: it answers with a message or a typed failure.
 TEST(Codec, AnyBytesGiveAMessageOrATypedFailure) {
-    rc::check([] {
+    EXPECT_TRUE(rc::check([] {
         const auto bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
         for (const auto& kind :
              {decode<Wire>(bytes).has_value() ? FailureKind::Decode
@@ -234,12 +234,12 @@
         (void)decode<RaftMessage>(bytes);
         (void)decode<Datagram>(bytes);
         (void)State::load(bytes);
-    });
+    }));
 }
 
 // A damaged message is refused or decodes to something; it never crashes and never hangs.
 TEST(Codec, FlippedBytesAreHarmless) {
-    rc::check([] {
+    EXPECT_TRUE(rc::check([] {
         Attempt attempt;
         attempt.body = "body";
         std::string bytes = encode(Wire(attempt));
@@ -248,7 +248,7 @@
         (void)decode<Wire>(bytes);
         bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size()));
         (void)decode<Wire>(bytes);
-    });
+    }));
 }
 
 TEST(Settings, LowerLevelsOverrideHigherOnesKeyByKey) {
