A field out of its bound is refused before anything leaves

Cause: the entry host read a request's fields leniently and passed the body on unread. max_tokens -5 counted as 'no hint', a prompt of 5 as text, stream "yes" as not streamed, a deadline of -1 as none. An engine may end on such a field: the stand-in did on max_tokens -5 ('LargestInt out of UInt range', signal 6), and its group with it: 30 of 30 ordinary completions of the next 15 s got 503 no_endpoint, where 8 of 8 had got 200 before.

Change: every known field of a completion or chat, every header that is read or passed on, and the size of any number have a type and a bound, checked before limits, routing and queues. A typed 400 with outcome not-run names the field. max_completion_tokens now counts as the length hint where max_tokens is missing.

Ruled out: to clamp instead (the caller would get another answer than asked for); to check in the agent (the claim would stand by then); a field named twice was refused before already.

--- a/src/request/callerapi.cpp
+++ b/src/request/callerapi.cpp
@@ -1,26 +1,27 @@
 #include "request/callerapi.h"
 
 #include "connection/secret.h"
+#include "request/requestcheck.h"
 #include "request/routing.h"
 #include "version/keys.h"
 
 #include <algorithm>
-#include <cstdlib>
+#include <string>
 
 namespace liftweir {
 
 namespace {
 
 constexpr std::string_view ServicePrefix = "/services/";
-constexpr std::uint32_t MostTokens = 1u << 20;
+// Of a model and its adapter; longer ones are no names.
+constexpr std::size_t MostModelBytes = 256;
 
-// A caller may ask for less time than the settings allow, never for more.
+// A caller may ask for less time than the settings allow, never for more. The header was checked.
 Time deadline_of(const HttpExchange& exchange, Duration allowed, Time now) {
     const std::string header = exchange.header("Liftweir-Deadline-Ms");
-    const long long ms = std::atoll(header.c_str());
-    if (header.empty() || ms <= 0)
+    if (header.empty())
         return now + allowed;
-    return now + std::min<Duration>(allowed, std::chrono::milliseconds(ms));
+    return now + std::min<Duration>(allowed, std::chrono::milliseconds(std::stoll(header)));
 }
 
 void fill_from_http(const HttpExchange& exchange, CallSpec& spec) {
@@ -41,19 +42,18 @@
     if (!body || !body->isObject())
         return fail(FailureKind::BadRequest,
                     body ? "the body is not an object" : body.error().detail);
-    if (!(*body)["model"].isString())
-        return fail(FailureKind::BadRequest, "model: missing; allowed is text");
+    if (!(*body)["model"].isString() || (*body)["model"].asString().empty() ||
+        (*body)["model"].asString().size() > MostModelBytes)
+        return fail(FailureKind::BadRequest,
+                    "model: allowed is text of 1 to " + std::to_string(MostModelBytes) + " bytes");
     const std::string named = (*body)["model"].asString();
     const auto colon = named.find(':');
     const auto route = table.models.find(named.substr(0, colon));
     if (route == table.models.end())
         return fail(FailureKind::NotFound, "model '" + named + "' is not known at this site");
     const bool chat = exchange.path() == "/v1/chat/completions";
-    if (!(*body)[chat ? "messages" : "prompt"].isConvertibleTo(chat ? Json::arrayValue
-                                                                    : Json::stringValue) ||
-        (*body)[chat ? "messages" : "prompt"].isNull())
-        return fail(FailureKind::BadRequest, chat ? "messages: missing; allowed is a list"
-                                                  : "prompt: missing; allowed is text");
+    if (const auto checked = check_model_body(*body, chat); !checked)
+        return tl::make_unexpected(checked.error());
     ParsedCall out;
     fill_from_http(exchange, out.spec);
     out.spec.is_model = true;
@@ -63,8 +63,9 @@
     out.spec.repeatable = true;
     out.spec.streamed = (*body)["stream"].isBool() && (*body)["stream"].asBool();
     out.spec.prefix = prefix_hash(prompt_of(*body));
-    const Json::Value& tokens = (*body)["max_tokens"];
-    out.spec.tokens_hint = tokens.isUInt() ? std::min(tokens.asUInt(), MostTokens) : 0;
+    const Json::Value& tokens =
+        (*body)[body->isMember("max_tokens") ? "max_tokens" : "max_completion_tokens"];
+    out.spec.tokens_hint = tokens.isNull() ? 0 : tokens.asUInt();
     out.spec.deadline = deadline_of(exchange, route->second.deadline, now);
     out.traffic_class = route->second.traffic_class;
     return out;
@@ -103,6 +104,8 @@
 } // namespace
 
 Expected<ParsedCall> parse_call(const HttpExchange& exchange, const Table& table, Time now) {
+    if (const auto checked = check_headers(exchange); !checked)
+        return tl::make_unexpected(checked.error());
     const std::string_view path = exchange.path();
     if (path.starts_with(ServicePrefix))
         return parse_service_call(exchange, table, now);
--- a/tests/faults/test_whole.py
+++ b/tests/faults/test_whole.py
@@ -65,6 +65,29 @@
     assert http("POST", cluster.url() + "/services/none/x", {}, head)[0] == 404
 
 
+def test_a_field_out_of_its_bound_reaches_no_engine(cluster):
+    """What users saw: one completion with `max_tokens` -5 got 503 no_endpoint, and so did every
+    ordinary one after it. The entry host passed the field on unread, and the engine ended on it:
+    "LargestInt out of UInt range" was the last line of its log."""
+    def started():
+        return sum(json.loads(http("GET", "http://%s/record" % a)[2]).get("started", 0)
+                   for a in cluster.engines.values())
+    before = started()
+    head = {"Authorization": "Bearer key-geology"}
+    for fields in [{"max_tokens": -5}, {"max_tokens": 0.5}, {"max_tokens": 10 ** 30},
+                   {"stream": "yes"}, {"n": 0}, {"temperature": 1e300}, {"prompt": 5},
+                   {"model": 5}, {"x": 10 ** 40}]:
+        body = {"model": "archive", "prompt": "p", **fields}
+        status, headers, answer = http("POST", cluster.url() + "/v1/completions", body, head)
+        assert status == 400 and headers["Liftweir-Outcome"] == "not-run", fields
+        assert json.loads(answer)["error"]["type"] == "bad_request"
+    status, headers, _ = cluster.complete("p", headers={"Liftweir-Deadline-Ms": "-1"})
+    assert status == 400 and headers["Liftweir-Outcome"] == "not-run"
+    assert cluster.save("q", "a b")[0] == 400
+    assert started() == before, "something was sent to an engine"
+    assert cluster.complete("an ordinary one")[0] == 200
+
+
 def test_settings_explain_and_typed_conflict(cluster):
     base = cluster.rpc("settings.get")["version"]
     change = [{"path": "utility", "key": "models/archive/deadline_ms", "value": 30000}]
