Digests of endpoints are kept as a sum, and groups are found by their members

Control hosts counted the digest of all endpoints anew for each question of each entry host, and the planner asked every group about every endpoint, several times a round.

Change: each change of a report changes the sum; an index from endpoint to groups, and the number of live endpoints is counted once a round. What the planner keeps of endpoints now goes with their last group.

--- a/src/process/groupformation.cpp
+++ b/src/process/groupformation.cpp
@@ -34,21 +34,21 @@
     if (ever_open_.empty() && !traffic_ && assignment_.empty())
         assignment_ = assign_models(cold_hosts(now), engine_.models);
     std::set<std::string> hopeless;
-    while (const ModelShape* model = neediest(hopeless, now))
+    while (const ModelShape* model = neediest(hopeless))
         if (!form_one(*shape(model->name), now))
             hopeless.insert(model->name);
 }
 
 // The model that has the smallest part of the groups that it should have; a larger model first
 // where two have equal parts.
-const ModelShape* GroupPlanner::neediest(const std::set<std::string>& hopeless, Time now) const {
+const ModelShape* GroupPlanner::neediest(const std::set<std::string>& hopeless) const {
     const ModelShape* found = nullptr;
     double lowest = std::numeric_limits<double>::max();
     for (const ModelShape& model : engine_.models) {
         if (hopeless.contains(model.name))
             continue;
         const double have =
-            static_cast<double>(live_groups(model.name)) / static_cast<double>(target(model, now));
+            static_cast<double>(live_groups(model.name)) / static_cast<double>(target(model));
         if (have < lowest || (found != nullptr && have == lowest && model.size > found->size)) {
             lowest = have;
             found = &model;
@@ -158,6 +158,7 @@
     Duration longest{};
     for (const EndpointReport* report : hosts) {
         group.members.push_back(report->id);
+        note_member(report->id, epoch);
         longest = std::max(longest, join_time(*report, model));
     }
     const auto slower = static_cast<int>(hosts_known_ / std::max(1u, engine_.loads_at_once) + 1);
@@ -204,7 +205,7 @@
                                    Time now) const {
     const std::size_t spares = spares_beside(report, model.name, now);
     const std::size_t here = live_groups(model.name, report.domain) * model.size;
-    const bool wanted = live_groups(model.name) < target(model, now);
+    const bool wanted = live_groups(model.name) < target(model);
     double score = static_cast<double>(here) / static_cast<double>(1 + 2 * spares);
     if (wanted && (spares + 1) % model.size == 0)
         score += 2.0 * model.size;
@@ -212,7 +213,7 @@
         score += static_cast<double>(spares + 1) / model.size;
     // A model that lacks groups everywhere goes before a local spare of one that has enough.
     const double live = std::max(LeastLiveGroups, static_cast<double>(live_groups(model.name)));
-    return score * (static_cast<double>(target(model, now)) / live);
+    return score * (static_cast<double>(target(model)) / live);
 }
 
 void GroupPlanner::stage_spares(Time now) {
@@ -257,10 +258,10 @@
         return;
     std::vector<const ModelShape*> scarce;
     for (const ModelShape& model : engine_.models)
-        if (supply(model, now) < 1)
+        if (supply(model) < 1)
             scarce.push_back(&model);
     std::stable_sort(scarce.begin(), scarce.end(), [&](const ModelShape* a, const ModelShape* b) {
-        return supply(*a, now) < supply(*b, now);
+        return supply(*a) < supply(*b);
     });
     for (const auto& [domain, free] : free_by_domain(now)) {
         // What the last loads bring is seen first: models would take hosts from each other.
@@ -273,8 +274,8 @@
 }
 
 // Groups of the model that there are, as a part of those that there should be.
-double GroupPlanner::supply(const ModelShape& model, Time now) const {
-    return static_cast<double>(live_groups(model.name)) / static_cast<double>(target(model, now));
+double GroupPlanner::supply(const ModelShape& model) const {
+    return static_cast<double>(live_groups(model.name)) / static_cast<double>(target(model));
 }
 
 bool GroupPlanner::is_restaging(const std::string& domain, Time now) const {
--- a/src/process/groupplanner.cpp
+++ b/src/process/groupplanner.cpp
@@ -50,6 +50,7 @@
     if (group.members.size() <= membership.rank)
         group.members.resize(membership.rank + 1);
     group.members[membership.rank] = report.id;
+    note_member(report.id, group.epoch);
     if (membership.state != MemberState::Joining)
         host.warm = group.model;
     if (membership.state == MemberState::Open) {
@@ -77,6 +78,12 @@
     return group;
 }
 
+void GroupPlanner::note_member(const EndpointId& id, Epoch epoch) {
+    std::vector<Epoch>& epochs = groups_of_[id];
+    if (std::find(epochs.begin(), epochs.end(), epoch) == epochs.end())
+        epochs.push_back(epoch);
+}
+
 void GroupPlanner::take_over(std::uint64_t term, Time now) {
     term_ = term;
     counter_ = 0;
@@ -184,7 +191,14 @@
     const Host& host = found->second;
     if (host.ordered || now < host.staging_until || now < host.silent_until)
         return false;
-    for (const auto& [epoch, group] : groups_) {
+    const auto epochs = groups_of_.find(report.id);
+    if (epochs == groups_of_.end())
+        return true;
+    for (const Epoch epoch : epochs->second) {
+        const auto known = groups_.find(epoch);
+        if (known == groups_.end())
+            continue;
+        const Group& group = known->second;
         const bool member =
             std::find(group.members.begin(), group.members.end(), report.id) != group.members.end();
         if (!member)
@@ -244,13 +258,14 @@
 
 std::string GroupPlanner::layout(const Registry& registry, Time now) {
     registry_ = &registry;
+    count_serving(now);
     std::string text;
     for (const ModelShape& model : engine_.models) {
         std::size_t open = 0;
         for (const auto& [epoch, group] : groups_)
             open += group.phase == Phase::Open && group.model == model.name ? 1 : 0;
         text += model.name + " open " + std::to_string(open) + " of " +
-                std::to_string(target(model, now)) + "; ";
+                std::to_string(target(model)) + "; ";
     }
     for (const auto& [domain, hosts] : free_by_domain(now)) {
         std::map<std::string, int> by_model;
@@ -264,14 +279,18 @@
     return text;
 }
 
-std::size_t GroupPlanner::target(const ModelShape& model, Time now) const {
-    std::size_t hosts = 0;
+// Asked for by every look at a model; counted once a round.
+void GroupPlanner::count_serving(Time now) {
+    serving_ = 0;
     for (const auto& [id, item] : registry_->items())
-        hosts += item.report.service == service_ && item.report.phase == EndpointPhase::Serving &&
-                         alive(id, now)
-                     ? 1
-                     : 0;
-    const double groups = model.share * static_cast<double>(hosts) / model.size;
+        serving_ += item.report.service == service_ &&
+                            item.report.phase == EndpointPhase::Serving && alive(id, now)
+                        ? 1
+                        : 0;
+}
+
+std::size_t GroupPlanner::target(const ModelShape& model) const {
+    const double groups = model.share * static_cast<double>(serving_) / model.size;
     return std::max<std::size_t>(1, static_cast<std::size_t>(std::lround(groups)));
 }
 
@@ -309,6 +328,24 @@
     group.awaited.clear();
 }
 
+// What is kept of endpoints goes with their groups, or it would grow for as long as they come and
+// go.
+void GroupPlanner::forget_old_groups(Time now) {
+    const std::size_t forgotten = std::erase_if(groups_, [&](const auto& pair) {
+        const Group& group = pair.second;
+        return group.phase == Phase::Dead && now - group.since > DeadKept;
+    });
+    if (forgotten == 0)
+        return;
+    for (auto& [id, epochs] : groups_of_)
+        std::erase_if(epochs, [&](Epoch epoch) { return !groups_.contains(epoch); });
+    std::erase_if(groups_of_, [](const auto& pair) { return pair.second.empty(); });
+    std::erase_if(hosts_, [&](const auto& pair) {
+        return registry_->find(pair.first) == nullptr && !pair.second.ordered &&
+               !groups_of_.contains(pair.first);
+    });
+}
+
 // ---- one round of planning
 
 std::vector<EndpointOrder> GroupPlanner::plan(const Registry& registry, Time now) {
@@ -318,12 +355,10 @@
         if (!first_start_ || !configured_ || now - took_over_ < SettleTime)
             return {};
     }
+    count_serving(now);
     for (auto& [epoch, group] : groups_)
         advance(group, now);
-    std::erase_if(groups_, [&](const auto& pair) {
-        const Group& group = pair.second;
-        return group.phase == Phase::Dead && now - group.since > DeadKept;
-    });
+    forget_old_groups(now);
     form_groups(now);
     stage_spares(now);
     restage_stranded(now);
--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -98,6 +98,9 @@
     };
 
     Group& group_of(const Membership& membership, Time now);
+    void note_member(const EndpointId& id, Epoch epoch);
+    void forget_old_groups(Time now);
+    void count_serving(Time now);
 
     // progress of groups
     void advance(Group& group, Time now);
@@ -117,7 +120,7 @@
 
     // formation
     void form_groups(Time now);
-    const ModelShape* neediest(const std::set<std::string>& hopeless, Time now) const;
+    const ModelShape* neediest(const std::set<std::string>& hopeless) const;
     bool form_one(const ModelShape& model, Time now);
     Hosts best_domain(const ModelShape& model, Time now) const;
     Duration join_time(const EndpointReport& report, const ModelShape& model) const;
@@ -125,7 +128,7 @@
     void form(const ModelShape& shape, const Hosts& hosts, const std::string& why, Time now);
     void stage_spares(Time now);
     void restage_stranded(Time now);
-    double supply(const ModelShape& model, Time now) const;
+    double supply(const ModelShape& model) const;
     bool is_restaging(const std::string& domain, Time now) const;
     bool restage(const ModelShape& model, const Hosts& free, Time now);
     void stage(const EndpointReport& report, const ModelShape& model, const std::string& why,
@@ -146,7 +149,7 @@
     bool is_free(const EndpointReport& report, Time now) const;
     bool staged(const EndpointReport& report, const std::string& model) const;
     std::map<std::string, Hosts> free_by_domain(Time now) const;
-    std::size_t target(const ModelShape& shape, Time now) const;
+    std::size_t target(const ModelShape& shape) const;
     static bool is_live(const Group& group, const std::string& model);
     std::size_t live_groups(const std::string& model) const;
     std::size_t live_groups(const std::string& model, const std::string& domain) const;
@@ -176,7 +179,9 @@
     Time took_over_{};
     Time hosts_changed_{};
     std::size_t hosts_known_ = 0;
-    const Registry* registry_ = nullptr; // only within plan()
+    const Registry* registry_ = nullptr;                 // only within plan()
+    std::map<EndpointId, std::vector<Epoch>> groups_of_; // groups that named an endpoint a member
+    std::size_t serving_ = 0; // live endpoints of the service, at the begin of the round
     std::map<Epoch, Group> groups_;
     std::map<EndpointId, Host> hosts_;
     std::set<std::string> ever_open_;              // models
--- a/src/process/registry.cpp
+++ b/src/process/registry.cpp
@@ -65,10 +65,41 @@
 }
 
 void Registry::forget(const EndpointId& id) {
-    items_.erase(id);
+    drop(id);
     doubts_.erase(id);
 }
 
+// ---- items and their digest
+
+// Each control host compares digests with every entry host and control host once a second. Counted
+// anew for each of 300 entry hosts, over 3,000 endpoints, the digest alone took more than the whole
+// processor share of a control host; kept as a sum, it costs one hash for each change.
+void Registry::count(Item& item) {
+    digest_ -= item.digest;
+    item.digest = 0;
+    // Endpoints that are gone are left out: each side forgets them at its own time.
+    if (item.report.phase != EndpointPhase::Gone) {
+        EndpointReport content = item.report;
+        content.sequence = 0;
+        const std::string bytes = encode_struct(content);
+        item.digest = XXH64(bytes.data(), bytes.size(), 0);
+    }
+    digest_ += item.digest;
+}
+
+void Registry::put(const EndpointId& id, Item item) {
+    drop(id);
+    count(items_.emplace(id, std::move(item)).first->second);
+}
+
+void Registry::drop(const EndpointId& id) {
+    const auto found = items_.find(id);
+    if (found == items_.end())
+        return;
+    digest_ -= found->second.digest;
+    items_.erase(found);
+}
+
 // The first word of an endpoint that is not known. A remembered one is forgotten rather than ended:
 // it may be the one that lives.
 bool Registry::meet(EndpointReport report, Time heard) {
@@ -77,10 +108,10 @@
     if (holder != nullptr && !holder->remembered)
         return doubt(std::move(report), heard, *holder);
     if (holder != nullptr)
-        items_.erase(EndpointId(holder->report.id));
+        drop(EndpointId(holder->report.id));
     doubts_.erase(report.id);
     const EndpointId id = report.id;
-    items_.emplace(id, Item{std::move(report), heard});
+    put(id, Item{std::move(report), heard});
     return true;
 }
 
@@ -103,7 +134,7 @@
     const auto found = doubts_.find(id);
     if (items_.contains(instead_of) && mark_gone(instead_of, now))
         settled_.push_back(instead_of);
-    items_.insert_or_assign(id, Item{std::move(found->second.report), found->second.heard});
+    put(id, Item{std::move(found->second.report), found->second.heard});
     doubts_.erase(found);
     settled_.push_back(id);
 }
@@ -147,6 +178,8 @@
     const bool changed = !report.same_content(item.report);
     item.report = std::move(report);
     item.remembered = false;
+    if (changed)
+        count(item);
     return changed;
 }
 
@@ -156,7 +189,7 @@
     });
     if (newer_known)
         return false;
-    items_.emplace(report.id, Item{report, now, true});
+    put(report.id, Item{report, now, true});
     return true;
 }
 
@@ -168,13 +201,14 @@
         EndpointReport unknown;
         unknown.id = id;
         unknown.phase = EndpointPhase::Gone;
-        items_.emplace(id, Item{std::move(unknown), now});
+        put(id, Item{std::move(unknown), now});
         return true;
     }
     if (found->second.report.phase == EndpointPhase::Gone)
         return false;
     found->second.report.phase = EndpointPhase::Gone;
     found->second.heard = now;
+    count(found->second);
     return true;
 }
 
@@ -193,25 +227,14 @@
 
 void Registry::expire(Time now) {
     std::erase_if(doubts_, [&](const auto& pair) { return now - pair.second.heard > DoubtKept; });
-    std::erase_if(items_, [&](const auto& pair) {
-        const Item& item = pair.second;
-        const bool gone = item.report.phase == EndpointPhase::Gone;
-        return now - item.heard > (gone ? GoneKept : SilentKept);
-    });
-}
-
-// Endpoints that are gone are left out: each side forgets them at its own time.
-std::uint64_t Registry::digest() const {
-    std::uint64_t sum = 0;
+    std::vector<EndpointId> old;
     for (const auto& [id, item] : items_) {
-        if (item.report.phase == EndpointPhase::Gone)
-            continue;
-        EndpointReport content = item.report;
-        content.sequence = 0;
-        const std::string bytes = encode_struct(content);
-        sum += XXH64(bytes.data(), bytes.size(), 0);
+        const bool gone = item.report.phase == EndpointPhase::Gone;
+        if (now - item.heard > (gone ? GoneKept : SilentKept))
+            old.push_back(id);
     }
-    return sum;
+    for (const EndpointId& id : old)
+        drop(id);
 }
 
 } // namespace liftweir
--- a/src/process/registry.h
+++ b/src/process/registry.h
@@ -83,8 +83,9 @@
   public:
     struct Item {
         EndpointReport report;
-        Time heard{};            // last sign of life, from whichever side
-        bool remembered = false; // known from before a restart only; anyone may take its place
+        Time heard{};             // last sign of life, from whichever side
+        bool remembered = false;  // known from before a restart only; anyone may take its place
+        std::uint64_t digest = 0; // of the report's content; zero where the endpoint is gone
     };
 
     // A question that the holder of the registry should put to an address.
@@ -128,7 +129,7 @@
     // The endpoint is gone, and another incarnation has its address.
     bool replaced(const EndpointReport& report) const;
     // Two registries of equal digest hold the same content.
-    std::uint64_t digest() const;
+    std::uint64_t digest() const { return digest_; }
 
   private:
     // An id that is new here, at an address where another stands.
@@ -142,11 +143,15 @@
     bool meet(EndpointReport report, Time heard);
     bool doubt(EndpointReport report, Time heard, const Item& holder);
     void admit(const EndpointId& id, const EndpointId& instead_of, Time now);
+    void put(const EndpointId& id, Item item);
+    void drop(const EndpointId& id);
+    void count(Item& item);
 
     bool hears_beats_;
     std::map<EndpointId, Item> items_;
     std::map<EndpointId, Doubt> doubts_;
     std::vector<EndpointId> settled_;
+    std::uint64_t digest_ = 0; // sum over all items
 };
 
 } // namespace liftweir
