Requests of callers that left reach no endpoint

Cause (found by reading): (1) a request was handed over before the close right behind it in the socket was read; held, waiting, repeated and just connected requests had the same gap where other events of a busy loop came first. (2) With 64 KB of later requests held, a connection was read no further, and its close was seen only after the answer. (3) An answer that was whole was cut off where its caller ended its sending side.

Change: HttpExchange::left asks the socket (poll for POLLRDHUP, one system call, no delay). RelayedCall asks before every send, and once a new connection to the endpoint is there (CallEvents::on_connected). A whole answer is written to its end after a half close; a request in work is given up, as before. Metric liftweir_caller_gone_seconds. Stand-ins can take longer over a plain call, send larger and more events, and note when their connection ended.

Ruled out: reading on before handing over (the end stands behind all pipelined bytes); asking once at the server only (misses what waits, and would refuse half-closed callers of answers that are there); reading and dropping what is pipelined (breaks large pipelined bodies); probing with 1xx.

Open: a close behind more pipelined bytes than the receive buffer takes is seen only once they are read.

--- a/src/connection/channel.cpp
+++ b/src/connection/channel.cpp
@@ -53,6 +53,10 @@
         asio::error_code ignored;
         self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
         set_silence_limit(self->socket_, SilenceLimit);
+        if (self->events_.on_connected)
+            self->events_.on_connected();
+        if (self->closed_)
+            return;
         self->write_request();
         self->read_more();
     });
--- a/src/connection/httpchannel.h
+++ b/src/connection/httpchannel.h
@@ -36,6 +36,9 @@
 
 // What a call tells whoever started it, in this order. Each may be left empty.
 struct CallEvents {
+    // A new connection is there, and nothing has left on it: a call that is cancelled here never
+    // reaches its endpoint.
+    std::function<void()> on_connected;
     std::function<void(const HttpResponseHead&)> on_head;
     std::function<void(std::string_view)> on_body;
     // Last event. `bytes_seen` tells whether any byte of an answer had arrived.
--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -72,6 +72,7 @@
         done_ = true;
         connection_->close();
     }
+    std::optional<Time> left() const override { return connection_->left(); }
     void on_gone(std::function<void()> gone) override { connection_->watch(std::move(gone)); }
 
   private:
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,6 +44,10 @@
     virtual void finish() = 0;
     // Closes the connection in the middle: an answer that was begun never looks complete.
     virtual void abort() = 0;
+    // When the caller was seen to have ended its connection, or its sending side; empty while it
+    // has not. Looks at the socket, so that it knows of a close that is not read yet. Asked before
+    // anything is sent on the caller's behalf.
+    virtual std::optional<Time> left() const = 0;
     // Told once, when the caller's connection is gone.
     virtual void on_gone(std::function<void()> gone) = 0;
 };
--- a/src/connection/serverconnection.cpp
+++ b/src/connection/serverconnection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <climits>
 #include <cstdio>
+#include <poll.h>
 #include <utility>
 
 namespace liftweir {
@@ -126,7 +127,7 @@
                                 if (self->phase_ == Phase::Closed)
                                     return;
                                 if (error) {
-                                    self->close();
+                                    self->on_read_error(error);
                                     return;
                                 }
                                 self->take({self->in_.data(), bytes});
@@ -134,6 +135,15 @@
                             });
 }
 
+// A caller that ended its sending side may still read. An answer that is whole costs nobody work
+// any more, and is sent to its end; a request in work is given up.
+void ServerConnection::on_read_error(asio::error_code error) {
+    if (error == asio::error::eof && phase_ != Phase::Working && write_active_)
+        close_when_written_ = true;
+    else
+        close();
+}
+
 void ServerConnection::take(std::string_view bytes) {
     if (phase_ == Phase::Lingering)
         return;
@@ -240,6 +250,8 @@
     if (phase_ == Phase::Closed || queue_.empty()) {
         write_active_ = false;
         write_since_ = {};
+        if (close_when_written_)
+            close();
         return;
     }
     writing_ = std::exchange(queue_, {});
@@ -286,7 +298,23 @@
     });
 }
 
+// Reading would not do: the end stands behind all bytes before it. A half close counts too. It can
+// not be told from a close until bytes are sent, and an endpoint must not work for nobody.
+std::optional<Time> ServerConnection::left() {
+    if (left_ || phase_ == Phase::Closed)
+        return left_;
+    pollfd state{socket_.native_handle(), POLLRDHUP, 0};
+    if (poll(&state, 1, 0) > 0)
+        left_ = BootClock::now();
+    return left_;
+}
+
 void ServerConnection::sweep(Time now) {
+    // Nothing else tells of a caller of whose later requests enough is held.
+    if (phase_ == Phase::Working && !reading_ && left()) {
+        close();
+        return;
+    }
     if (write_active_ && write_since_ != Time{} && now - write_since_ > WriteTimeout) {
         close();
         return;
@@ -313,6 +341,8 @@
         return;
     const auto self = shared_from_this();
     phase_ = Phase::Closed;
+    if (!left_)
+        left_ = BootClock::now();
     asio::error_code ignored;
     socket_.close(ignored);
     asio::post(core_.io, [self] {
--- a/src/connection/serverconnection.h
+++ b/src/connection/serverconnection.h
@@ -67,6 +67,9 @@
     void send_chunk(std::string bytes, std::function<void(bool)> on_written);
     // The answer is whole.
     void answered();
+    // When the caller was seen to have closed its connection or its sending side; looks at the
+    // socket, where a close may stand behind bytes that were not read yet.
+    std::optional<Time> left();
     // Told once, when the connection is gone before the answer is whole.
     void watch(std::function<void()> gone) { gone_ = std::move(gone); }
 
@@ -89,6 +92,7 @@
     int on_message_complete();
 
     void read_more();
+    void on_read_error(asio::error_code error);
     void take(std::string_view bytes);
     int refusal_of_head() const;
     void parse(std::string_view bytes);
@@ -113,13 +117,15 @@
     int refused_ = 0;       // status of the refusal; zero where nothing is wrong
     bool complete_ = false; // the request is whole
     bool close_after_ = false;
-    bool kept_ = false;     // a request was answered before
-    bool informed_ = false; // 100 Continue was sent for this request
+    bool close_when_written_ = false; // no more bytes come from the caller
+    bool kept_ = false;               // a request was answered before
+    bool informed_ = false;           // 100 Continue was sent for this request
     std::vector<PendingWrite> queue_;
     std::vector<PendingWrite> writing_;
     std::string wire_;
     bool write_active_ = false;
     Time write_since_{};
+    std::optional<Time> left_; // when the connection was seen to be gone
     std::function<void()> gone_;
 };
 
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -242,6 +242,8 @@
     }
     if (summary.sends > 1)
         metrics.counter("liftweir_sent_again").add(summary.sends - 1);
+    if (summary.caller_gone)
+        metrics.histogram("liftweir_caller_gone_seconds").add(to_seconds(*summary.caller_gone));
     if (summary.resumed > 0)
         metrics.counter("liftweir_resumed").add();
 }
--- a/src/process/metricnames.cpp
+++ b/src/process/metricnames.cpp
@@ -41,6 +41,8 @@
          "From a request's arrival to the first event of its stream."},
         {"liftweir_longest_pause_seconds", Histogram, "s", "", SiteEntry,
          "The longest pause between two events of a stream."},
+        {"liftweir_caller_gone_seconds", Histogram, "s", "", SiteEntry,
+         "From when a caller was seen to have left to when its endpoint was told to stop."},
         {"liftweir_sent_again", Counter, "sends", "", SiteEntry,
          "Sends of a request beyond its first; they come out of the budget of repeats."},
         {"liftweir_resumed", Counter, "streams", "", SiteEntry,
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -37,7 +37,7 @@
 
 void RelayedCall::start() {
     host_.budget(plan_.service->name).request(received_);
-    exchange_->on_gone([self = shared_from_this()] { self->finish(0, "the caller left"); });
+    exchange_->on_gone([self = shared_from_this()] { self->caller_left(); });
     attempt(received_);
 }
 
@@ -100,7 +100,13 @@
     return host_.budget(plan_.service->name).take(now);
 }
 
+// A caller that gave up while this process was busy or frozen has its close right behind its
+// request, and not read yet: asked here, it costs no endpoint a run.
 void RelayedCall::send(const Pick& pick, Time now) {
+    if (exchange_->left()) {
+        caller_left();
+        return;
+    }
     if (!may_send_again(now)) {
         refuse_or_cut("no attempt is left", RetryAfterFull);
         return;
@@ -166,6 +172,10 @@
 CallEvents RelayedCall::events_of_attempt() {
     const std::weak_ptr<RelayedCall> weak = weak_from_this();
     CallEvents events;
+    events.on_connected = [weak] {
+        if (const auto self = weak.lock(); self && self->exchange_->left())
+            self->caller_left();
+    };
     events.on_head = [weak](const HttpResponseHead& head) {
         if (const auto self = weak.lock())
             self->on_head(head);
@@ -247,6 +257,16 @@
     finish(0, why);
 }
 
+void RelayedCall::caller_left() {
+    if (done_)
+        return;
+    const bool at_endpoint = !endpoint_.empty();
+    release_endpoint();
+    if (const auto left = exchange_->left(); left && at_endpoint)
+        caller_gone_ = BootClock::now() - *left;
+    finish(0, "the caller left");
+}
+
 void RelayedCall::abandon() {
     if (begun_)
         cut("the process ends");
@@ -276,8 +296,8 @@
          {"longest_pause_ms", millis_text(longest_pause_)},
          {"resumed", std::to_string(resumed_)},
          {"why", why}});
-    host_.ended(
-        {plan_.route->name, status, took, first_event_took_, longest_pause_, sends_, resumed_});
+    host_.ended({plan_.route->name, status, took, first_event_took_, longest_pause_, sends_,
+                 resumed_, caller_gone_});
 }
 
 } // namespace liftweir
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -10,6 +10,7 @@
 #include "version/routetable.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -24,6 +25,9 @@
     Duration longest_pause{};
     std::uint32_t sends = 0;
     std::uint32_t resumed = 0;
+    // From when the caller's close was seen to when its endpoint was told to stop; empty where the
+    // caller stayed, or no endpoint had the request.
+    std::optional<Duration> caller_gone;
 
     auto operator<=>(const CallSummary&) const = default;
 };
@@ -122,6 +126,7 @@
     void refuse(const char* why, Duration retry_after);
     void fail(int status, const char* why);
     void cut(const char* why);
+    void caller_left();
     void finish(int status, const char* why);
 
     // A group that lost a member serves again after about this long.
@@ -161,6 +166,7 @@
     Duration longest_pause_{};
     std::uint32_t resumed_ = 0;
     std::size_t unwritten_ = 0;
+    std::optional<Duration> caller_gone_; // until its endpoint was told to stop
 };
 
 } // namespace liftweir
--- a/tests/site/sitefleet.py
+++ b/tests/site/sitefleet.py
@@ -71,7 +71,8 @@
         for n in range(entries):
             ip = "127.%d.2.%d" % (net, n + 1)
             config = self.settings(ip, "entry-%d" % (n + 1), tolerance)
-            config.update(callers="%s:%d" % (ip, CALLERS), ready="%s:%d" % (ip, READY))
+            config.update(callers="%s:%d" % (ip, CALLERS), ready="%s:%d" % (ip, READY),
+                          metrics="%s:%d" % (ip, METRICS))
             self.add(self.entries, os.path.join(build, "liftweir-site-entry"), config, proxy)
         number = 0
         for domain, count in enumerate(workers):
@@ -239,7 +240,7 @@
         return self.fleet.broken
 
     async def metric(self, process, name):
-        """The value of one metric of a control host, labels included in its name."""
+        """The value of one metric of a process, labels included in its name."""
         _, _, text = await http1.call(process.config["metrics"], "GET", "/metrics")
         return next((float(line.rsplit(" ", 1)[1]) for line in text.decode().splitlines()
                      if line.startswith(name + " ")), 0.0)
--- a/tests/site/standin.py
+++ b/tests/site/standin.py
@@ -7,7 +7,7 @@
 
 import http1
 
-BEAT_S, STALL_S, LOAD_S, WARM_S, FORM_S, EVENT_S = 0.3, 2.0, 0.4, 0.1, 0.1, 0.02
+BEAT_S, STALL_S, LOAD_S, WARM_S, FORM_S, EVENT_S, WORK_S = 0.3, 2.0, 0.4, 0.1, 0.1, 0.02, 0.01
 EVENTS = 12
 
 
@@ -23,6 +23,9 @@
         self.signatures = {}  # signature -> body that the worker sent whole
         self.keys = {}      # request id -> tenant that a worker saw
         self.event_s = EVENT_S  # between two events of a stream
+        self.events, self.event_bytes = EVENTS, 0  # of a stream; bytes beside its words
+        self.work_s = WORK_S  # that a plain call takes
+        self.stopped = {}   # request id -> when a worker saw that its connection had ended
         self.leaving = {}   # worker id -> when its leaving was acknowledged
         self.arrivals = []  # (time, worker id) of requests
         self.broken = []
@@ -202,18 +205,34 @@
             return await self.stream(int(headers.get("last-event-id", "0")), own, writer)
         if not self.domain:
             answer = b"done:" + request.encode()
-            await asyncio.sleep(0.01)
+            await self.work(request, self.fleet.work_s, writer)
             self.fleet.signatures[signature] = answer
             return self.answer(writer, 200, own, answer)
         await self.stream(int(headers.get("last-event-id", "0")), own, writer)
 
+    async def work(self, request, seconds, writer):
+        """Works until its connection is gone. One that is only half closed may still be read."""
+        end = time.monotonic() + seconds
+        while (left := end - time.monotonic()) > 0:
+            await asyncio.sleep(min(left, WORK_S))
+            if writer.transport.is_closing():
+                self.fleet.stopped[request] = time.monotonic()
+                raise EOFError
+
+    async def drain(self, request, writer):
+        try:
+            await writer.drain()
+        except OSError:
+            self.fleet.stopped[request] = time.monotonic()
+            raise
+
     async def stream(self, after, own, writer):
         group, still_since = self.group, None
         writer.write(http1.head("HTTP/1.1 200 OK", {
             **own, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}))
         number = after
-        while number < EVENTS:
-            await asyncio.sleep(self.fleet.event_s)
+        while number < self.fleet.events:
+            await self.work(own["Request-Id"], self.fleet.event_s, writer)
             if self.dark:
                 await asyncio.sleep(3600)
             if group is not self.group:
@@ -225,7 +244,7 @@
                     raise EOFError
                 continue
             number += 1
-            event = b"id: %d\ndata: word\n\n" % number
+            event = b"id: %d\ndata: word%s\n\n" % (number, b"." * self.fleet.event_bytes)
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-            await writer.drain()
+            await self.drain(own["Request-Id"], writer)
         writer.write(b"0\r\n\r\n")
--- /dev/null
+++ b/tests/site/test_leaving.py
@@ -0,0 +1,145 @@
+"""Callers that leave before their answer is whole: nothing of theirs reaches an endpoint any more, and
+endpoints stop their work on it."""
+import asyncio
+import signal
+import time
+
+import http1
+from sitefleet import CALLERS
+from test_site import play
+
+# A caller's request is off its endpoint within this time of its leaving.
+GONE_S = 0.5
+
+
+class Leaver:
+    """A caller on a connection of its own that leaves when the test says so."""
+
+    def __init__(self, site, route, body=b"body"):
+        self.site, self.request = site, "%016x" % site.fleet.random.getrandbits(64)
+        self.bytes = http1.head("POST /%s/x HTTP/1.1" % route, {
+            "Host": "site.example", "Request-Id": self.request, "Model": "m",
+            "Token-Usage": "500,80", "Deadline-Ms": "6000", "Content-Length": str(len(body)),
+            "Authorization": "Bearer key-1"}) + body
+
+    async def send(self, more=b""):
+        self.reader, self.writer = await asyncio.open_connection("127.0.2.1", CALLERS)
+        self.writer.write(self.bytes + more)
+        await self.writer.drain()
+        return self
+
+    def leave(self):
+        self.left = time.monotonic()
+        self.writer.close()
+
+    def runs(self):
+        return len(self.site.fleet.runs.get(self.request, []))
+
+    async def is_run(self):
+        return self.runs() > 0
+
+    async def check_stopped(self):
+        stopped = self.site.fleet.stopped
+        assert await self.site.until(lambda: asyncio.sleep(0, self.request in stopped), 2), \
+            "its endpoint goes on with it"
+        assert stopped[self.request] - self.left < GONE_S
+
+
+# Found by reading: an entry host closed its connection to the endpoint as a caller left. An endpoint
+# that takes this for a half close, as is custom in HTTP, went on working until it had something to
+# write: a plain call to its very end. Evidence: the stand-in, whose asyncio keeps a half-closed
+# connection open, never saw an end of it. Cause: a close without a reset looks like a half close.
+def test_an_endpoint_stops_work_when_its_caller_leaves():
+    async def scenario(site):
+        site.fleet.work_s, site.fleet.event_s = 3.0, 1.0
+        for route in ("look", "save", "feed", "chat"):
+            caller = await Leaver(site, route).send()
+            assert await site.until(caller.is_run), route
+            caller.leave()
+            await caller.check_stopped()
+            assert caller.runs() == 1
+        count, total = [await site.metric(site.entries[0], "liftweir_caller_gone_seconds_" + part)
+                        for part in ("count", "sum")]
+        assert count == 4 and total < GONE_S
+
+    play(scenario)
+
+
+# Found by reading: an entry host that was frozen for a while read requests whose callers had closed
+# long ago, and sent each to an endpoint before it read the close right behind it.
+def test_requests_whose_callers_left_unread_reach_no_endpoint():
+    async def scenario(site):
+        for route in ("look", "feed", "chat") * 2:
+            assert await site.ask(route) == 200
+        site.entries[0].send(signal.SIGSTOP)
+        callers = [await Leaver(site, route).send()
+                   for route in ("look", "save", "feed", "chat") * 10]
+        await asyncio.sleep(0.2)
+        for caller in callers:
+            caller.leave()
+        await asyncio.sleep(0.2)
+        site.entries[0].send(signal.SIGCONT)
+        await asyncio.sleep(1.0)
+        assert sum(caller.runs() for caller in callers) == 0
+        assert await site.ask("look") == 200
+
+    play(scenario)
+
+
+# Found by reading: an entry host that held 64 KB of a caller's later requests read no more of its
+# connection, and so saw its close only once the present request was answered.
+def test_a_caller_that_leaves_with_much_unread_is_seen():
+    async def scenario(site):
+        site.fleet.work_s = 3.0
+        caller = await Leaver(site, "look").send(Leaver(site, "look", b"x" * 100_000).bytes)
+        assert await site.until(caller.is_run)
+        caller.leave()
+        await caller.check_stopped()
+
+    play(scenario)
+
+
+def test_a_caller_that_leaves_while_it_does_not_read_is_seen():
+    async def scenario(site):
+        site.fleet.event_s, site.fleet.event_bytes, site.fleet.events = 0.002, 60_000, 5000
+        caller = await Leaver(site, "feed").send()
+        assert await site.until(caller.is_run)
+        await asyncio.sleep(1.0)
+        caller.leave()
+        await caller.check_stopped()
+
+    play(scenario)
+
+
+def test_a_caller_that_leaves_while_it_waits_for_a_group_is_not_sent():
+    async def scenario(site):
+        for worker in site.workers:
+            worker.dark = worker.domain is not None
+        caller = await Leaver(site, "chat").send()
+        await asyncio.sleep(0.02)
+        caller.leave()
+        await asyncio.sleep(0.1)
+        for worker in site.workers:
+            worker.dark = False
+        assert await site.until(site.serves)
+        assert caller.runs() == 0
+
+    play(scenario)
+
+
+def test_a_caller_that_leaves_before_the_first_settings_is_not_sent():
+    async def scenario(site):
+        for process in site.entries + site.controls:
+            process.kill()
+        site.entries[0].start()
+        await asyncio.sleep(0.3)
+        callers = [await Leaver(site, "look").send() for _ in range(5)]
+        await asyncio.sleep(0.1)
+        for caller in callers:
+            caller.leave()
+        for process in site.controls:
+            process.start()
+        assert await site.until(lambda: site.serves("look"))
+        assert sum(caller.runs() for caller in callers) == 0
+
+    play(scenario)
--- a/tests/unit/httpchannel_test.cpp
+++ b/tests/unit/httpchannel_test.cpp
@@ -195,5 +195,17 @@
     EXPECT_EQ(got, arrived);
 }
 
+// Found by reading: a request whose caller left while its connection was being opened was sent,
+// where the open connection was seen before the close, as after a process that was frozen goes on.
+TEST_F(ChannelTest, ACallThatIsCancelledAsItIsConnectedSendsNothing) {
+    std::unique_ptr<HttpCallHandle> handle;
+    CallEvents events;
+    events.on_connected = [&] { handle->cancel(); };
+    handle = pool_->start(address_, {"GET", "/", {{"Host", "x"}}}, "", {}, std::move(events));
+    io_.run_for(std::chrono::milliseconds(50));
+    EXPECT_EQ(accepted_, 1);
+    EXPECT_EQ(requests_, "");
+}
+
 } // namespace
 } // namespace liftweir
--- a/tests/unit/httpserver_test.cpp
+++ b/tests/unit/httpserver_test.cpp
@@ -74,6 +74,8 @@
         socket_.connect(parse_address(address).value());
     }
     void send(const std::string& bytes) { asio::write(socket_, asio::buffer(bytes)); }
+    void leave() { socket_.close(); }
+    void end_sending() { socket_.shutdown(asio::ip::tcp::socket::shutdown_send); }
     // All that comes until the connection ends or is silent for 200 ms.
     std::string read() {
         std::string got;
@@ -269,5 +271,98 @@
     EXPECT_TRUE(half.read().starts_with("HTTP/1.1 200 "));
 }
 
+// Time within which the loss of a caller has to be known.
+constexpr auto GoneWithin = std::chrono::milliseconds(500);
+
+// Keeps requests unanswered, and notes which callers are known to have left.
+class LeavingTest : public ServerTest {
+  protected:
+    void SetUp() override {
+        serve();
+        handler_ = [this](const std::shared_ptr<HttpExchange>& e) {
+            kept_.push_back(e);
+            e->on_gone([this] { ++gone_; });
+        };
+    }
+    void run(std::chrono::milliseconds time) {
+        io_.restart();
+        io_.run_for(time);
+    }
+
+    std::vector<std::shared_ptr<HttpExchange>> kept_;
+    int gone_ = 0;
+};
+
+// Found by reading: a connection with 64 KB of later requests was read no further, so that the
+// close behind them was seen only once the present request was answered; the endpoint worked on for
+// nobody.
+TEST_F(LeavingTest, ACloseBehindManyUnreadBytesIsSeen) {
+    Caller caller(io_, address_);
+    caller.send(PlainRequest + "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 900000\r\n\r\n");
+    for (int n = 0; n < 5; ++n) {
+        caller.send(std::string(20u << 10, 'x'));
+        run(std::chrono::milliseconds(10));
+    }
+    EXPECT_EQ(handled_, 1);
+    EXPECT_EQ(gone_, 0);
+    caller.leave();
+    run(GoneWithin);
+    EXPECT_EQ(gone_, 1);
+}
+
+// A close and a half close look alike on the wire until bytes are sent, so a caller that ends its
+// sending side in the middle of a request's work has left, as proxies commonly take it.
+TEST_F(LeavingTest, ACallerThatEndsItsSendingSideHasLeft) {
+    Caller caller(io_, address_);
+    caller.send(PlainRequest);
+    run(std::chrono::milliseconds(20));
+    EXPECT_EQ(gone_, 0);
+    caller.end_sending();
+    run(GoneWithin);
+    EXPECT_EQ(gone_, 1);
+}
+
+// What is answered within the call that delivers the request cost nothing, and may still be read.
+TEST_F(ServerTest, ACallerThatEndsItsSendingSideGetsAnAnswerThatIsThere) {
+    serve();
+    Caller caller(io_, address_);
+    caller.send(PlainRequest);
+    caller.end_sending();
+    EXPECT_TRUE(caller.read().starts_with("HTTP/1.1 200 "));
+}
+
+// Found by reading: requests whose callers had closed while this process was frozen were sent to
+// endpoints (40 of 40 in a site test), since the close was read after the request was handed over.
+TEST_F(LeavingTest, ACloseRightBehindARequestIsKnownWithTheRequest) {
+    int left = 0;
+    handler_ = [&](const std::shared_ptr<HttpExchange>& e) { left += e->left() ? 1 : 0; };
+    Caller closes(io_, address_);
+    closes.send(PlainRequest);
+    closes.leave();
+    Caller ends_sending(io_, address_);
+    ends_sending.send(PlainRequest);
+    ends_sending.end_sending();
+    Caller stays(io_, address_);
+    stays.send(PlainRequest + PlainRequest);
+    run(std::chrono::milliseconds(50));
+    EXPECT_EQ(handled_, 3);
+    EXPECT_EQ(left, 2);
+}
+
+// Found by reading: an answer that was whole but not read to its end yet was cut off where its
+// caller ended its sending side, though nobody works for it any more and the caller may still read.
+TEST_F(ServerTest, ACallerThatEndsItsSendingSideGetsAnAnswerToItsEnd) {
+    serve();
+    handler_ = [](const std::shared_ptr<HttpExchange>& e) {
+        e->respond(200, {}, std::string(32u << 20, 'x'));
+    };
+    Caller caller(io_, address_);
+    caller.send(PlainRequest);
+    io_.run_for(std::chrono::milliseconds(50));
+    caller.end_sending();
+    EXPECT_GT(caller.read().size(), 32u << 20);
+    EXPECT_EQ(server_->connections(), 0u);
+}
+
 } // namespace
 } // namespace liftweir
