Site tests of callers that leave while no group is there, and while a stream waits to go on

Cause: the test of a caller that waits for a group ran while the entry host still believed its silent groups to serve; it proved less than its name says.

Change: it now waits until chats are refused, and reads the entry host's own line of the call: the caller left, no endpoint. A new test lets the caller of a begun stream leave while all groups are silent; after they are back the stream has one run.

--- a/tests/site/test_leaving.py
+++ b/tests/site/test_leaving.py
@@ -1,6 +1,7 @@
 """Callers that leave before their answer is whole: nothing of theirs reaches an endpoint any more, and
 endpoints stop their work on it."""
 import asyncio
+import json
 import signal
 import time
 
@@ -38,6 +39,13 @@
     async def is_run(self):
         return self.runs() > 0
 
+    def call_line(self):
+        """What the entry host logged at the end of the call."""
+        with open(self.site.entries[0].log) as log:
+            calls = [json.loads(line) for line in log if self.request in line and "took_ms" in line]
+        assert len(calls) == 1, calls
+        return calls[0]
+
     async def check_stopped(self):
         stopped = self.site.fleet.stopped
         assert await self.site.until(lambda: asyncio.sleep(0, self.request in stopped), 2), \
@@ -113,16 +121,42 @@
 
 def test_a_caller_that_leaves_while_it_waits_for_a_group_is_not_sent():
     async def scenario(site):
-        for worker in site.workers:
-            worker.dark = worker.domain is not None
+        await _darken(site)
         caller = await Leaver(site, "chat").send()
         await asyncio.sleep(0.02)
         caller.leave()
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(GONE_S)
+        call = caller.call_line()
+        assert (call["why"], call["endpoints"]) == ("the caller left", "")
+
+    async def _darken(site):
         for worker in site.workers:
+            worker.dark = worker.domain is not None
+        assert await site.until(lambda: _refused(site))
+
+    async def _refused(site):
+        return await site.ask("chat") == 503
+
+    play(scenario)
+
+
+def test_a_stream_is_not_resumed_for_a_caller_that_left():
+    async def scenario(site):
+        site.fleet.event_s = 0.1
+        caller = await Leaver(site, "chat").send()
+        assert await site.until(caller.is_run)
+        await asyncio.sleep(0.3)
+        engines = [worker for worker in site.workers if worker.domain is not None]
+        for worker in engines:
+            worker.dark = True
+        await asyncio.sleep(0.6)
+        caller.leave()
+        for worker in engines:
             worker.dark = False
         assert await site.until(site.serves)
-        assert caller.runs() == 0
+        await asyncio.sleep(GONE_S)
+        assert caller.runs() == 1
+        assert caller.call_line()["why"] == "the caller left"
 
     play(scenario)
 
