--- a/src/connection/httpchannel.h
+++ b/src/connection/httpchannel.h
@@ -36,6 +36,9 @@
 
 // What a call tells whoever started it, in this order. Each may be left empty.
 struct CallEvents {
+    // A new connection is there, and nothing has left on it: a call that is cancelled here never
+    // reaches its endpoint.
+    std::function<void()> on_connected;
     std::function<void(const HttpResponseHead&)> on_head;
     std::function<void(std::string_view)> on_body;
     // Last event. `bytes_seen` tells whether any byte of an answer had arrived.
@@ -43,11 +46,11 @@
 };
 
 // One HTTP/1.1 call in progress. Dropping it without an end cancels the call: its connection is
-// closed, which is how an endpoint learns that nobody waits any more.
+// reset, which is how an endpoint learns that nobody waits any more.
 class HttpCallHandle {
   public:
     virtual ~HttpCallHandle() = default;
-    // Closes the connection at once. No event follows.
+    // Resets the connection at once: nothing of the request leaves any more. No event follows.
     virtual void cancel() = 0;
     // Stops and restarts reading of the answer, to hold a fast endpoint back.
     virtual void pause() = 0;
