--- a/tests/site/test_leaving.py
+++ b/tests/site/test_leaving.py
@@ -24,7 +24,8 @@
             "Authorization": "Bearer key-1"}) + body
 
     async def send(self, more=b""):
-        self.reader, self.writer = await asyncio.open_connection("127.0.2.1", CALLERS)
+        ip = self.site.entry_ip()
+        self.reader, self.writer = await asyncio.open_connection(ip, CALLERS)
         self.writer.write(self.bytes + more)
         await self.writer.drain()
         return self
