--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -17,7 +17,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "faults"))
 
 from proxy import FaultProxy  # noqa: E402
-from sitefleet import Site  # noqa: E402
+from sitefleet import Site, own_net  # noqa: E402
 from standin import Worker  # noqa: E402
 
 SHAPES = {
@@ -295,7 +295,7 @@
     if options.net >= 0:
         return asyncio.run(soak(seeds[0], options.seconds, options.shape, options.net,
                                 options.plant))
-    running, failed, free = {}, [], list(range(10, 10 + options.jobs))
+    running, failed, free = {}, [], [own_net() for _ in range(options.jobs)]
     while seeds or running:
         while seeds and free:
             seed, net = seeds.pop(0), free.pop(0)
