A request is let in by the work before it, not by its own prompt's length

Cause: where more than half of a group's places are taken, a request is refused if the forecast of its first event exceeds its goal.

Change: for admission, of a request's own tokens those of one step count. The choice among groups goes on with all.

Ruled out: the endpoints' own order of reading (all prompts that are in are read; the refusals are ours).

Test failed before.

--- a/src/request/directory.cpp
+++ b/src/request/directory.cpp
@@ -42,6 +42,14 @@
     return !(late || full) || !(demand.engine.yields || crowded);
 }
 
+// A request is let in by the work before it: reading its own prompt takes as long wherever it goes,
+// and a caller with a long one would be refused where others are served, in each try anew. Of its
+// own tokens those of one step count.
+Demand judged_by(Demand demand, const EngineCost& engine) {
+    demand.engine.prompt_tokens = std::min(demand.engine.prompt_tokens, engine.chunk);
+    return demand;
+}
+
 } // namespace
 
 void Directory::expire(Time now) {
@@ -114,9 +122,9 @@
         if (use.in_flight >= connections)
             continue;
         const ModelShape model = shape_at(report, *shape, engine);
-        const LoadForecast met = forecast_at(use, model, demand);
-        if (!lets_in(demand, met))
+        if (!lets_in(demand, forecast_at(use, model, judged_by(demand, engine))))
             continue;
+        const LoadForecast met = forecast_at(use, model, demand);
         const double noise =
             1 + ForecastNoise * std::uniform_real_distribution<double>(0, 1)(random_);
         const double score = (met.first_event_ms + met.pause_ms) * noise;
--- a/tests/unit/directory_test.cpp
+++ b/tests/unit/directory_test.cpp
@@ -1,5 +1,7 @@
 #include "request/directory.h"
 
+#include "process/groupname.h"
+
 #include <gtest/gtest.h>
 
 namespace liftweir {
@@ -35,6 +37,41 @@
     EXPECT_EQ(directory.pick(demand, {}, Start)->endpoint, "i-2");
 }
 
+// Callers with the longest prompts were refused where others were served, in each try anew: of the
+// largest tenth of a kind of request 0.29 were served and 0.88 of all (a day of 81 hosts, groups
+// with more than half of their places taken). A long prompt is late by its own reading at any group,
+// and no later after a refusal.
+TEST(Directory, ALongPromptIsLetInWhereAShortOneIs) {
+    Directory directory(7);
+    const EngineCost engine = {.slots = 48,
+                               .step_ms = 6.45,
+                               .step_ms_per_sequence = 0.0967,
+                               .read_tokens_per_ms = 56.1,
+                               .chunk = 2048,
+                               .stride = 5,
+                               .models = {{.name = "big", .size = 1}}};
+    const Service service{"llm", 400, engine};
+    EndpointReport lead = plain("i-1", "10.0.0.1:80");
+    lead.service = "llm";
+    lead.membership = {.group = group_name("big", 7, false), .epoch = 7, .rank = 0};
+    lead.membership.state = MemberState::Open;
+    directory.registry().merge(lead, Start);
+    directory.use("i-1").load = {.writing = 30, .reading = 4, .reading_tokens = 5600};
+    Demand demand;
+    demand.service = &service;
+    demand.model = "big";
+    demand.latency_goal = std::chrono::milliseconds(400);
+    for (const std::uint32_t tokens : {1400u, 2000u, 5900u}) {
+        demand.engine.prompt_tokens = tokens;
+        EXPECT_TRUE(directory.pick(demand, {}, Start)) << tokens;
+    }
+    directory.use("i-1").load.reading_tokens = 20000;
+    for (const std::uint32_t tokens : {1400u, 5900u}) {
+        demand.engine.prompt_tokens = tokens;
+        EXPECT_FALSE(directory.pick(demand, {}, Start)) << tokens;
+    }
+}
+
 // A host whose part is small now may get a crowd in the next second.
 TEST(Directory, SomeConnectionsAreAlwaysAllowed) {
     Directory directory(7);
