--- a/bench/days/plays.py
+++ b/bench/days/plays.py
@@ -72,7 +72,7 @@
         os.makedirs(self.folder, exist_ok=True)
 
     def report(self, play, log=None):
-        """The report of a play, or None where it could not be played; with `log`, its text too."""
+        """The report of a play, or None where it could not be played; with `log`, what its processes logged too."""
         path = os.path.join(self.folder, "%s.%s.%s.json" % play.key)
         if log is None and os.path.exists(path):
             with open(path) as file:
@@ -88,7 +88,7 @@
         os.replace(path + ".new", path)
         with open(path) as file:
             report = json.load(file)
-        return (report, done.stdout) if log else report
+        return (report, done.stderr) if log else report
 
     def all(self, wanted, jobs, log=None):
         with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
