--- a/src/process/groupplanner.cpp
+++ b/src/process/groupplanner.cpp
@@ -243,6 +243,12 @@
     return count;
 }
 
+bool GroupPlanner::is_closing(const std::string& model) const {
+    return std::any_of(groups_.begin(), groups_.end(), [&](const auto& pair) {
+        return pair.second.model == model && pair.second.phase == Phase::Closing;
+    });
+}
+
 std::vector<Epoch> GroupPlanner::dissolved(const Registry& registry) const {
     std::vector<Epoch> epochs;
     for (const auto& [epoch, group] : groups_) {
--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -153,6 +153,7 @@
     static bool is_live(const Group& group, const std::string& model);
     std::size_t live_groups(const std::string& model) const;
     std::size_t live_groups(const std::string& model, const std::string& domain) const;
+    bool is_closing(const std::string& model) const;
     const ModelShape* shape(const std::string& model) const;
 
     EndpointOrder& order(OrderKind kind, const EndpointReport& report, const Group* group);
--- a/tests/unit/groupplanner_test.cpp
+++ b/tests/unit/groupplanner_test.cpp
@@ -278,6 +278,32 @@
     EXPECT_TRUE(fleet.violations.empty());
 }
 
+// A model without a group in any domain was served across domains. When one domain could hold a
+// group, that one closed for it, and in the same round another one across domains was formed of the
+// hosts that were free; it closed for the first one's hosts, and so on: no group served for six
+// seconds of a played day, until the hosts happened to be free together.
+TEST(Planner, AGroupAcrossDomainsEndsForOneWithinADomain) {
+    Fleet fleet(2, 3);
+    EngineCost large = engine();
+    large.models = {{"big", 4, 1.0, 1.0, seconds(16), milliseconds(1600)}};
+    for (auto& [id, e] : fleet.endpoints)
+        e.report.staged = {"big"};
+    fleet.planner.configure(large);
+    fleet.planner.take_over(1, fleet.now);
+    fleet.planner.traffic_began();
+    fleet.run(seconds(10));
+    ASSERT_EQ(fleet.open("big"), 1u);
+    for (int i = 0; i < 2; ++i)
+        fleet.endpoints.at(fleet.add("d0")).report.staged = {"big"};
+    fleet.run(seconds(10));
+    ASSERT_EQ(fleet.open("big"), 1u);
+    std::set<std::string> domains;
+    for (const EndpointId& id : fleet.lead_of("big").list)
+        domains.insert(fleet.endpoints.at(id).report.domain);
+    EXPECT_EQ(domains.size(), 1u);
+    EXPECT_TRUE(fleet.violations.empty());
+}
+
 TEST_F(PlannerTest, FormsAllGroupsBeforeTheFirstRequest) {
     start();
     EXPECT_EQ(fleet_.open("big"), 4u);
