Only a group that closes to gather in one domain is waited for

Cause, found asking of the change before what it promises when something fails: since a group across domains is not put together while any group of its model closes, a model whose only group closes because its lead leaves had none for as long as that group finished what it had, ten seconds at the most, although other hosts could hold one across domains. Before that change they did.

Change: the planner notes why a group closes, and waits only for one that closes so that a domain can hold it. The test fleet's leads can take time to close. The new test fails on the code before (0 open after four seconds, 1 now); the test of groups that closed for each other in turn holds as it was.

Ruled out: waiting for closing groups whose hosts span domains, since those, too, close for a leaving lead.

--- a/src/process/groupformation.cpp
+++ b/src/process/groupformation.cpp
@@ -119,12 +119,14 @@
 
 // Across domains a group is several times slower, which is still better than none. Beside groups
 // that stand it does harm: it takes the spares that would mend them. It takes hosts first that are
-// of no use as spares, in domains without a group of the model. While a group closes, its hosts are
-// waited for: of the others one more group would be put together across domains, which closes in
-// turn for the first one's hosts. No group of the model served for six seconds of a played day.
+// of no use as spares, in domains without a group of the model. While one closes so that a domain
+// can hold it, its hosts are waited for: of the others one more would be put together across
+// domains, which closes in turn for the first one's hosts. No group of the model served for six
+// seconds of a played day. What closes for another reason is not waited for: that takes up to ten
+// seconds.
 GroupPlanner::Hosts GroupPlanner::across_domains(const ModelShape& model, Time now) const {
     Hosts hosts;
-    if (live_groups(model.name) > 0 || is_closing(model.name))
+    if (live_groups(model.name) > 0 || is_gathering(model.name))
         return hosts;
     for (const auto& [domain, free] : free_by_domain(now))
         for (const EndpointReport* report : free)
--- a/src/process/groupplanner.cpp
+++ b/src/process/groupplanner.cpp
@@ -243,9 +243,10 @@
     return count;
 }
 
-bool GroupPlanner::is_closing(const std::string& model) const {
+bool GroupPlanner::is_gathering(const std::string& model) const {
     return std::any_of(groups_.begin(), groups_.end(), [&](const auto& pair) {
-        return pair.second.model == model && pair.second.phase == Phase::Closing;
+        const Group& group = pair.second;
+        return group.model == model && group.phase == Phase::Closing && group.gathering;
     });
 }
 
--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -79,6 +79,7 @@
         bool ours = false;    // formed by this host in this term
         bool warm_up = false; // one host alone, only to have the weights in its memory
         bool may_have_opened = true;
+        bool gathering = false;    // closes for one within a domain
         bool closed = false;       // in service before, and the lead says that it is no more
         std::set<EndpointId> left; // members that have confirmed that they left
         Time open_due{};           // the lead is told again to open if it has not by then
@@ -153,7 +154,7 @@
     static bool is_live(const Group& group, const std::string& model);
     std::size_t live_groups(const std::string& model) const;
     std::size_t live_groups(const std::string& model, const std::string& domain) const;
-    bool is_closing(const std::string& model) const;
+    bool is_gathering(const std::string& model) const;
     const ModelShape* shape(const std::string& model) const;
 
     EndpointOrder& order(OrderKind kind, const EndpointReport& report, const Group* group);
--- a/src/process/groupprogress.cpp
+++ b/src/process/groupprogress.cpp
@@ -159,6 +159,7 @@
     const EndpointReport* lead = report_of(group.members.front());
     if (!one_is_enough || lead == nullptr || hosts_[lead->id].ordered)
         return;
+    group.gathering = true;
     close(group, *lead, "one domain can hold it now", now);
 }
 
--- a/tests/unit/groupplanner_test.cpp
+++ b/tests/unit/groupplanner_test.cpp
@@ -35,6 +35,7 @@
         std::vector<EndpointId> list; // of the present group
         Time ready_at{};
         Time open_at{};
+        Time closed_at{};
         bool dark = false; // neither reports nor answers
         std::uint64_t fence = 0;
         std::string warm;
@@ -123,6 +124,7 @@
     std::map<EndpointId, Endpoint> endpoints;
     std::vector<std::string> violations;
     int orders = 0;
+    Duration close_takes{};      // until what an open group had is finished
     std::set<EndpointId> silent; // answer no order, but carry it out
 
   private:
@@ -145,6 +147,10 @@
             e.warm = model;
             tell(e);
         }
+        if (m.state == MemberState::Closing && now >= e.closed_at) {
+            m.state = MemberState::Ready;
+            tell(e);
+        }
         if (m.state == MemberState::Ready && e.open_at != Time{} && now >= e.open_at) {
             m.state = MemberState::Open;
             e.open_at = {};
@@ -184,8 +190,9 @@
         case OrderKind::Close:
             if (!same)
                 return OrderAnswer::Unfit;
-            m.state = MemberState::Ready;
-            tell(e);
+            m.state = MemberState::Closing;
+            e.closed_at = now + close_takes;
+            advance(e);
             return OrderAnswer::Taken;
         case OrderKind::Leave:
             if (!same)
@@ -304,6 +311,30 @@
     EXPECT_TRUE(fleet.violations.empty());
 }
 
+// The only group of a model loses its lead to planned work and finishes what it has, for seconds.
+// Other hosts can hold a group across domains meanwhile: nothing is gained by waiting.
+TEST(Planner, AGroupThatClosesForItsLeavingLeadIsNotWaitedFor) {
+    Fleet fleet(3, 2);
+    for (int i = 0; i < 2; ++i)
+        fleet.add("d0");
+    EngineCost large = engine();
+    large.models = {{"big", 4, 1.0, 1.0, seconds(16), milliseconds(1600)}};
+    for (auto& [id, e] : fleet.endpoints)
+        e.report.staged = {"big"};
+    fleet.planner.configure(large);
+    fleet.planner.take_over(1, fleet.now);
+    fleet.planner.traffic_began();
+    fleet.run(seconds(10));
+    ASSERT_EQ(fleet.open("big"), 1u);
+    fleet.close_takes = seconds(8);
+    Fleet::Endpoint& lead = fleet.lead_of("big");
+    lead.report.phase = EndpointPhase::Draining;
+    fleet.tell(lead);
+    fleet.run(seconds(4));
+    EXPECT_EQ(fleet.open("big"), 1u);
+    EXPECT_TRUE(fleet.violations.empty());
+}
+
 TEST_F(PlannerTest, FormsAllGroupsBeforeTheFirstRequest) {
     start();
     EXPECT_EQ(fleet_.open("big"), 4u);
