A new leader believes what other control hosts sent after they knew of its term

Time of arrival says nothing about the time of sending.

Change: control hosts tell their term in PeerHello, at once when it changes. What comes over a host's link half a second or more after that (signs of life are gathered for so long) was sent in the term and confirms an endpoint's report; copies of ranges never do, nor does what came before.

Test: Takeover.WhatWasSentBeforeItConfirmsNothing. Ruled out: a longer wait after the takeover, since links hold words up for as long as they are full.

--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -238,7 +238,8 @@
     std::vector<NodeId> nodes;
     std::uint64_t registry = 0; // digest of the endpoints that it knows
     bool settled = false;       // it has run for long enough to have heard of all endpoints
-    MSGPACK_DEFINE(node, nodes, registry, settled)
+    std::uint64_t term = 0;     // of its log; what comes over the link later was sent in it
+    MSGPACK_DEFINE(node, nodes, registry, settled, term)
 };
 
 // Reports that the receiver may not have yet.
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -14,7 +14,6 @@
 
 // Half of the raft heartbeat: finer ticks only cost wake-ups on hosts that share a core.
 constexpr Duration TickEvery = std::chrono::milliseconds(50);
-constexpr Duration AliveEvery = std::chrono::milliseconds(500);
 constexpr Duration SecondlyEvery = std::chrono::milliseconds(1000);
 // A full or failing disk is tried again; the log is read anew from it, as after a restart.
 constexpr Duration ReopenEvery = std::chrono::milliseconds(700);
@@ -168,6 +167,8 @@
     }
     if (now >= shares_due_)
         tell_shares(now);
+    if (replica_ && replica_->raft().term() != greeted_term_)
+        greet_all();
     if (now >= second_due_) {
         second_due_ = now + SecondlyEvery;
         every_second();
@@ -185,8 +186,7 @@
         for (const NodeId voter : replica_->raft().voters())
             if (voter != node_)
                 learn(voter);
-    for (auto& [address, peer] : peers_)
-        greet(peer);
+    greet_all();
     if (leads())
         note_peers_behind();
     if (leads())
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -80,6 +80,9 @@
     // An entry host that has not renewed for so long is out of touch and not counted.
     static constexpr Duration EntrySessionKept = std::chrono::seconds(4);
 
+    // Signs of life are gathered for so long before they are passed on.
+    static constexpr Duration AliveEvery = std::chrono::milliseconds(500);
+
     // An entry host that renews here.
     struct EntrySession {
         Link::Ptr link;
@@ -98,6 +101,11 @@
         Time logged{};
         std::uint64_t since = 0; // not told in the log yet
     };
+    // The term that another control host knew when it sent what comes over its link now.
+    struct PeerTerm {
+        std::uint64_t term = 0;
+        Time since{};
+    };
     // An operator's call that waits for its document to be on enough disks.
     struct Waiting {
         Version version = 0;
@@ -129,6 +137,7 @@
     void connect_to(const std::string& address);
     void learn(NodeId node);
     void greet(Peer& peer);
+    void greet_all();
     void on_message(const Link::Ptr& link, Wire&& message);
     void on_raft(const Link::Ptr& link, const RaftPacket& packet, Time now);
     void on_suspected(const GroupSuspected& suspected, Time now);
@@ -140,7 +149,10 @@
 
     // registrations
     ReportFault fault_here(const EndpointReport& report) const;
-    void merge(const EndpointReport& report, bool first_hand, Time heard);
+    void merge(const EndpointReport& report, bool first_hand, Time heard, bool fresh);
+    void on_changes(const Link::Ptr& link, const EndpointChanges& changes, Time now);
+    void on_alive(const Link::Ptr& link, const EndpointsAlive& alive, Time now);
+    bool is_of_this_term(const Link::Ptr& link, Time now) const;
     void changed(const EndpointReport& report, bool to_peers);
     void pass_on_doubted(const EndpointReport& report);
     void pass_on_settled();
@@ -180,8 +192,10 @@
     Time reopen_due_{};
     VoterKeeper keeper_;
     std::unique_ptr<LinkListener> listener_;
-    std::map<std::string, Peer> peers_; // by link address
-    std::set<NodeId> nodes_;            // control hosts heard of, without this one
+    std::map<std::string, Peer> peers_;          // by link address
+    std::map<std::string, PeerTerm> peer_terms_; // by the host's name
+    std::uint64_t greeted_term_ = 0;
+    std::set<NodeId> nodes_; // control hosts heard of, without this one
     std::map<std::string, EntrySession> entries_;
     Registry registry_;
     RegistryRepair repair_;
--- a/src/process/coordinatorfleet.cpp
+++ b/src/process/coordinatorfleet.cpp
@@ -48,9 +48,18 @@
 }
 
 void Coordinator::greet(Peer& peer) {
-    if (node_ != NoNode)
-        peer.dialer->send(
-            PeerHello{node_, known_nodes(), registry_.digest(), settled(BootClock::now())});
+    if (node_ == NoNode)
+        return;
+    PeerHello hello{node_, known_nodes(), registry_.digest(), settled(BootClock::now())};
+    hello.term = replica_ ? replica_->raft().term() : 0;
+    peer.dialer->send(hello);
+}
+
+// At once in a new term: its leader waits for the word of all hosts.
+void Coordinator::greet_all() {
+    greeted_term_ = replica_ ? replica_->raft().term() : greeted_term_;
+    for (auto& [address, peer] : peers_)
+        greet(peer);
 }
 
 // A host has one data folder at a time: the number that it says now is the one that counts.
@@ -81,16 +90,16 @@
     if (const auto* packet = std::get_if<RaftPacket>(&message)) {
         on_raft(link, *packet, now);
     } else if (const auto* hello = std::get_if<PeerHello>(&message)) {
+        PeerTerm& known = peer_terms_[link->peer().name];
+        if (hello->term > known.term)
+            known = {hello->term, now};
         on_hello(*hello);
     } else if (const auto* renew = std::get_if<Renew>(&message)) {
         on_renew(link, *renew);
     } else if (const auto* changes = std::get_if<EndpointChanges>(&message)) {
-        for (std::size_t n = 0; n < changes->reports.size(); ++n)
-            merge(changes->reports[n], false, now - changes->silent(n));
+        on_changes(link, *changes, now);
     } else if (const auto* alive = std::get_if<EndpointsAlive>(&message)) {
-        for (std::size_t n = 0; n < alive->ids.size(); ++n)
-            registry_.heard(alive->ids[n], alive->digest(n), now);
-        pass_on_settled();
+        on_alive(link, *alive, now);
     } else if (const auto* suspected = std::get_if<GroupSuspected>(&message)) {
         on_suspected(*suspected, now);
     } else if (const auto* shares = std::get_if<GroupShares>(&message)) {
--- a/src/process/coordinatorregistry.cpp
+++ b/src/process/coordinatorregistry.cpp
@@ -42,7 +42,7 @@
 ReportFault Coordinator::report(const EndpointReport& report) {
     const ReportFault fault = fault_here(report);
     if (fault == ReportFault::None)
-        merge(report, true, BootClock::now());
+        merge(report, true, BootClock::now(), true);
     return fault;
 }
 
@@ -85,10 +85,32 @@
     flush_changes();
 }
 
-void Coordinator::merge(const EndpointReport& report, bool first_hand, Time heard) {
+// What another control host sent before it knew of this term may be seconds old: its link was full,
+// and what it heard since is behind it. Signs of life are gathered for a while before they leave.
+bool Coordinator::is_of_this_term(const Link::Ptr& link, Time now) const {
+    const auto peer = peer_terms_.find(link->peer().name);
+    return replica_ && peer != peer_terms_.end() && peer->second.term >= replica_->raft().term() &&
+           now - peer->second.since > AliveEvery;
+}
+
+// Copies of ranges tell how old they are, and not what is on its way meanwhile.
+void Coordinator::on_changes(const Link::Ptr& link, const EndpointChanges& changes, Time now) {
+    const bool fresh = changes.silent_ms.empty() && is_of_this_term(link, now);
+    for (std::size_t n = 0; n < changes.reports.size(); ++n)
+        merge(changes.reports[n], false, now - changes.silent(n), fresh);
+}
+
+void Coordinator::on_alive(const Link::Ptr& link, const EndpointsAlive& alive, Time now) {
+    const bool fresh = is_of_this_term(link, now);
+    for (std::size_t n = 0; n < alive.ids.size(); ++n)
+        registry_.heard(alive.ids[n], alive.digest(n), now, fresh);
+    pass_on_settled();
+}
+
+void Coordinator::merge(const EndpointReport& report, bool first_hand, Time heard, bool fresh) {
     const Registry::Item* before = registry_.find(report.id);
     const EndpointPhase phase = before == nullptr ? EndpointPhase::Serving : before->report.phase;
-    const bool is_change = registry_.merge(report, heard);
+    const bool is_change = registry_.merge(report, heard, fresh);
     if (first_hand)
         alive_.insert(report.id);
     pass_on_settled();
--- a/src/process/registry.cpp
+++ b/src/process/registry.cpp
@@ -184,7 +184,7 @@
 
 // The first word of an endpoint that is not known. A remembered one is forgotten rather than ended:
 // it may be the one that lives. An earlier start under its own name casts no doubt on it.
-bool Registry::meet(EndpointReport report, Time heard) {
+bool Registry::meet(EndpointReport report, Time heard, Time confirmed) {
     const Item* holder =
         report.phase == EndpointPhase::Gone ? nullptr : standing(report.address, report.id);
     if (holder != nullptr && !holder->remembered && !holder->report.id.started_before(report.id))
@@ -194,7 +194,7 @@
         drop(EndpointId(holder->report.id));
     doubts_.erase(report.id);
     const EndpointId id = report.id;
-    put(id, Item{std::move(report), heard, heard});
+    put(id, Item{std::move(report), heard, confirmed});
     return true;
 }
 
@@ -286,7 +286,7 @@
         admit(id, question.against, now);
 }
 
-bool Registry::merge(EndpointReport report, Time heard) {
+bool Registry::merge(EndpointReport report, Time heard, bool fresh) {
     if (fault_of(report) != ReportFault::None)
         return false;
     const Item* last = latest(report.id.name);
@@ -297,7 +297,7 @@
         return false;
     const auto found = items_.find(report.id);
     if (found == items_.end())
-        return meet(std::move(report), heard);
+        return meet(std::move(report), heard, fresh ? heard : Time{});
     Item& item = found->second;
     if (item.report.phase == EndpointPhase::Gone)
         return false;
@@ -307,7 +307,7 @@
         report.address != item.report.address)
         return false;
     item.heard = std::max(item.heard, heard);
-    item.confirmed = std::max(item.confirmed, heard);
+    item.confirmed = fresh ? std::max(item.confirmed, heard) : Time{};
     const bool changed = !report.same_content(item.report);
     item.report = std::move(report);
     item.remembered = false;
@@ -346,11 +346,11 @@
 }
 
 // Another host may have heard of a change that is still on its way here.
-void Registry::heard(const EndpointId& id, std::uint64_t digest, Time now) {
+void Registry::heard(const EndpointId& id, std::uint64_t digest, Time now, bool fresh) {
     const auto found = items_.find(id);
     if (found != items_.end() && found->second.report.phase != EndpointPhase::Gone) {
         found->second.heard = now;
-        if (found->second.digest == digest)
+        if (fresh && found->second.digest == digest)
             found->second.confirmed = now;
     }
     const auto doubted = doubts_.find(id);
--- a/src/process/registry.h
+++ b/src/process/registry.h
@@ -157,7 +157,8 @@
 
     // `heard` is when the endpoint showed the sign of life that the report stems from. True where
     // the content changed; the change is then to be passed on, after those of take_settled().
-    bool merge(EndpointReport report, Time heard);
+    // Where it is not `fresh`, a newer one may be on its way here for as long as this one was.
+    bool merge(EndpointReport report, Time heard, bool fresh = true);
     // Adds what was known before a restart, unless something newer is known of the endpoint or of
     // its address. True where it was added.
     bool remember(const EndpointReport& report, Time now);
@@ -165,8 +166,8 @@
     // The endpoint has ended, or will without another word. Final.
     bool mark_gone(const EndpointId& id, Time now);
     // A sign of life, without a report. `digest` is of the report that the endpoint gave, as the
-    // host that heard it holds it.
-    void heard(const EndpointId& id, std::uint64_t digest, Time now);
+    // host that heard it holds it; it tells nothing where that may have been long ago.
+    void heard(const EndpointId& id, std::uint64_t digest, Time now, bool fresh = true);
     // Endpoints in doubt whose addresses should be asked now.
     std::vector<Question> take_questions(Time now);
     // The endpoint in doubt has answered at its address, after the question was taken.
@@ -201,7 +202,7 @@
         Time ask_due{};
     };
 
-    bool meet(EndpointReport report, Time heard);
+    bool meet(EndpointReport report, Time heard, Time confirmed);
     bool is_outdated(const EndpointReport& report) const;
     bool end_unnamed_start(const EndpointReport& report, Time heard);
     void end_starts_before(const EndpointId& id, Time now);
--- a/tests/unit/registryrepair_test.cpp
+++ b/tests/unit/registryrepair_test.cpp
@@ -162,5 +162,25 @@
     EXPECT_EQ(joins(), 2);
 }
 
+// Word of a group was behind that of the hosts' registration on one full link; both arrived in the
+// new leader's term, seconds after they had been sent.
+TEST(Takeover, WhatWasSentBeforeItConfirmsNothing) {
+    Registry registry;
+    EndpointReport report = report_of(1);
+    registry.merge(report, Start, false);
+    EXPECT_EQ(registry.find(report.id)->confirmed, Time{});
+    registry.heard(report.id, registry.find(report.id)->digest, Start + seconds(1), false);
+    EXPECT_EQ(registry.find(report.id)->confirmed, Time{});
+    registry.heard(report.id, registry.find(report.id)->digest, Start + seconds(2));
+    EXPECT_EQ(registry.find(report.id)->confirmed, Start + seconds(2));
+    report.sequence = 2;
+    report.slots = 7;
+    registry.merge(report, Start + seconds(3), false);
+    EXPECT_EQ(registry.find(report.id)->confirmed, Time{});
+    report.sequence = 3;
+    registry.merge(report, Start + seconds(4));
+    EXPECT_EQ(registry.find(report.id)->confirmed, Start + seconds(4));
+}
+
 } // namespace
 } // namespace liftweir
