A remembered start that a later one replaces is forgotten, not told of as ended; entry hosts take what was settled

A start known from before a restart was first ended by a later start under its name, then dropped as remembered: its name stood among those to be told of, and whoever looked it up had nothing. Control hosts remember nobody in their registry, so none could crash by it today. Entry hosts never took the names of those that ended by another's word: the list grew with each restart, and connections to an address that nobody stands at were kept.

Test first: ARememberedStartMakesRoomForALaterOne fails on the code before (seen), passes now.

--- a/src/process/gatewaycontrol.cpp
+++ b/src/process/gatewaycontrol.cpp
@@ -241,6 +241,12 @@
             if (const auto* item = directory_.registry().find(report.id))
                 forget_connections(item->report);
     }
+    // Ended by another's word: a later start under their name, or one that told no start.
+    for (const EndpointId& id : directory_.registry().take_settled()) {
+        changed = true;
+        if (const auto* item = directory_.registry().find(id))
+            forget_connections(item->report);
+    }
     if (!changed)
         return;
     for (const auto& call : calls())
--- a/src/process/registry.cpp
+++ b/src/process/registry.cpp
@@ -132,7 +132,8 @@
 bool Registry::replaced(const EndpointReport& report) const {
     if (report.phase != EndpointPhase::Gone)
         return false;
-    return report.id.started_before(latest(report.id.name)->report.id) ||
+    const Item* last = latest(report.id.name);
+    return (last != nullptr && report.id.started_before(last->report.id)) ||
            standing(report.address, report.id) != nullptr;
 }
 
@@ -189,9 +190,9 @@
         report.phase == EndpointPhase::Gone ? nullptr : standing(report.address, report.id);
     if (holder != nullptr && !holder->remembered && !holder->report.id.started_before(report.id))
         return doubt(std::move(report), heard, *holder);
-    end_starts_before(report.id, heard);
     if (holder != nullptr && holder->remembered)
         drop(EndpointId(holder->report.id));
+    end_starts_before(report.id, heard);
     doubts_.erase(report.id);
     const EndpointId id = report.id;
     put(id, Item{std::move(report), heard, confirmed});
--- a/tests/unit/endpointstart_test.cpp
+++ b/tests/unit/endpointstart_test.cpp
@@ -199,6 +199,9 @@
     EXPECT_FALSE(registry.remember(report_of(start_of("i-1", 1), 9), Start));
     EXPECT_TRUE(stands(registry, start_of("i-1", 2)));
     EXPECT_FALSE(stands(registry, start_of("i-1", 1)));
+    // Found by reading: the remembered start was told of as ended, and was not there any more.
+    for (const EndpointId& id : registry.take_settled())
+        EXPECT_NE(registry.find(id), nullptr) << text_of(id);
 }
 
 // ---- reports of other writers
