Lines of ended attempts carry a fingerprint of what was asked

An incident could not be traced: a call has a new id in each try, and nothing said whether two calls ask the same. The fingerprint (customer, method, host, target, body) is worked out when an attempt breaks off, not before.

--- a/src/request/relayedanswer.cpp
+++ b/src/request/relayedanswer.cpp
@@ -156,6 +156,8 @@
         {{"request", request_.id},
          {"endpoint", text_of(endpoint_)},
          {"why", why},
+         {"content", text_of(fingerprint())},
+         {"begun_here", first_seen_ ? "yes" : "no"},
          {"last_event", last_event_},
          {"since_sent_ms", std::to_string(to_millis(now - sent_))},
          {"repeatable", plan_.route->repeatable() ? "yes" : "no"}});
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -81,6 +81,13 @@
     return {};
 }
 
+const Fingerprint& RelayedCall::fingerprint() {
+    if (!fingerprint_)
+        fingerprint_ = fingerprint_of({plan_.customer, exchange_->method(), plan_.route->host,
+                                       exchange_->target(), exchange_->body()});
+    return *fingerprint_;
+}
+
 std::uint32_t RelayedCall::runs_allowed() const {
     return std::max(1u, plan_.route->max_attempts);
 }
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -7,6 +7,7 @@
 #include "request/callerprotocol.h"
 #include "request/directory.h"
 #include "request/repeatbudget.h"
+#include "version/fingerprint.h"
 #include "version/routetable.h"
 
 #include <memory>
@@ -98,6 +99,8 @@
         return uses_engine() ? "all groups are full" : "all endpoints are full";
     }
     bool uses_engine() const { return plan_.service->engine && !request_.model.empty(); }
+    // Of what the caller asks; worked out when it is first needed.
+    const Fingerprint& fingerprint();
 
     // the endpoint's answer
     void on_head(const HttpResponseHead& head);
@@ -168,6 +171,7 @@
     std::uint32_t resumed_ = 0;
     std::size_t unwritten_ = 0;
     std::optional<Duration> caller_gone_; // until its endpoint was told to stop
+    std::optional<Fingerprint> fingerprint_;
 };
 
 } // namespace liftweir
