--- a/tests/site/sitefleet.py
+++ b/tests/site/sitefleet.py
@@ -214,7 +214,7 @@
 
     # ---- callers
 
-    async def ask(self, route, entry=0, key="key-1", timeout=6.0):
+    async def ask(self, route, entry=0, key="key-1", timeout=6.0, body=b"body"):
         """One request and the check of what came back. Returns its status; 0 for no answer."""
         request = "%016x" % self.fleet.random.getrandbits(64)
         headers = {"Host": "site.example", "Request-Id": request, "Model": "m",
@@ -225,13 +225,13 @@
         sent = time.monotonic()
         address = "127.%d.2.%d:%d" % (self.net, entry + 1, CALLERS)
         try:
-            status, got, body = await http1.call(address, "POST", "/%s/x" % route, headers,
-                                                 b"body", timeout)
+            status, got, answer = await http1.call(address, "POST", "/%s/x" % route, headers, body,
+                                                   timeout)
         except http1.Broken as broken:
             if isinstance(broken, http1.Cut):
                 self.cut.append(request)
             return 0
-        self.check(route, request, key, sent, status, got, body)
+        self.check(route, request, key, sent, status, got, answer)
         return status
 
     def check(self, route, request, key, sent, status, headers, body):
--- a/tests/site/standin.py
+++ b/tests/site/standin.py
@@ -9,6 +9,7 @@
 
 BEAT_S, STALL_S, LOAD_S, WARM_S, FORM_S, EVENT_S, WORK_S = 0.3, 2.0, 0.4, 0.1, 0.1, 0.02, 0.01
 EVENTS = 12
+POISON_READ_S, BACK_S = 0.04, 1.5  # until a poisonous request ends its worker; until that is back
 
 
 class Fleet:
@@ -27,6 +28,9 @@
         self.work_s = WORK_S  # that a plain call takes
         self.stopped = {}   # request id -> when a worker saw that its connection had ended
         self.leaving = {}   # worker id -> when its leaving was acknowledged
+        self.poison = None  # a body that ends whoever begins to run it
+        self.poison_runs = []  # when it reached a worker
+        self.ended = []     # when a worker was ended by it
         self.arrivals = []  # (time, worker id) of requests
         self.broken = []
 
@@ -47,6 +51,7 @@
         self.dark = False      # takes nothing and says nothing
         self.delay_orders = 0  # seconds by which orders are carried out late, unanswered
         self.tasks = []
+        self.writers = set()  # of its connections
         fleet.workers[self.id] = self
 
     async def start(self):
@@ -71,6 +76,20 @@
         if not under_its_name:
             self.ready_under = set()  # kept otherwise: a member that was ready and is lost excuses
 
+    def crash(self, seconds):
+        """Ends with all that it has under way, and starts again under a new name after so long."""
+        self.dark = True
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers.clear()
+        self.soon(self.start_again(seconds))
+
+    async def start_again(self, seconds):
+        await asyncio.sleep(seconds)
+        self.restart()
+        self.server = await http1.serve(self.address, self.handle)
+
     # ---- registration
 
     async def beat(self):
@@ -110,6 +129,7 @@
     async def handle(self, method, path, headers, body, writer):
         if self.dark:
             await asyncio.sleep(3600)
+        self.writers = {w for w in self.writers if not w.transport.is_closing()} | {writer}
         if headers.get("target-instance", self.id) != self.id:
             return self.answer(writer, 421, {"Instance-Id": self.id})
         if path == "/report":
@@ -209,6 +229,8 @@
                     self.fleet.break_rule("partial group", "%s was never ready" % member)
         self.fleet.runs.setdefault(request, []).append((time.monotonic(), self.id))
         self.fleet.keys[request] = headers.get("tenant-id")
+        if self.fleet.poison is not None and body == self.fleet.poison:
+            await self.run_poison()
         signature = "%s.%s.%d" % (self.id, request, len(self.fleet.runs[request]))
         own = {"Request-Id": request, "Response-Signature": signature}
         if path.startswith("/feed/"):
@@ -220,6 +242,15 @@
             return self.answer(writer, 200, own, answer)
         await self.stream(int(headers.get("last-event-id", "0")), own, writer)
 
+    async def run_poison(self):
+        """Its prompt is read for a moment; its first token ends the worker."""
+        self.fleet.poison_runs.append(time.monotonic())
+        await asyncio.sleep(POISON_READ_S)
+        if not self.dark:
+            self.fleet.ended.append(time.monotonic())
+            self.crash(BACK_S)
+        raise EOFError
+
     async def work(self, request, seconds, writer):
         """Works until its connection is gone. One that is only half closed may still be read."""
         end = time.monotonic() + seconds
