A request that has ended three endpoints goes to no more of them, wherever it comes again

Cause of the incident: what a request had done to its endpoints was known within one try at one entry host only. Its caller came again under a new id, at any entry host, and each try was sent to two more endpoints (max-attempts 2). Class: a bound that has to hold over tries and processes was kept by each of them alone.

Ruled out: that second sends alone did it (the same test with max-attempts 1 was not needed: the record shows different request ids that each end an endpoint at their first send); that orders did it (runs end with a crash some 0.1 s after they begin, between orders).

Change: `process/quarantine`. A request is known by a fingerprint of what is asked and by whom. Entry hosts tell all control hosts which requests an endpoint broke off; a request that three endpoints in a row broke off is refused at once everywhere, with the time left as Retry-After; copies that wait or are not begun are taken back. One whole answer clears it. The verdict is in the log, so a loss of power on all hosts does not forget it.

--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -1,6 +1,7 @@
 #ifndef WIRE_H_INCLUDED
 #define WIRE_H_INCLUDED
 
+#include "process/quarantine.h"
 #include "process/raft.h"
 #include "process/registry.h"
 #include "request/groupload.h"
@@ -310,11 +311,26 @@
     MSGPACK_DEFINE(ranges)
 };
 
+// An endpoint broke these requests off. From who saw it, and from one control host to another.
+struct RequestsCutOff {
+    EndpointId endpoint;
+    std::vector<CutOff> requests;
+    MSGPACK_DEFINE(endpoint, requests)
+};
+
+// What the sender knows of requests that end endpoints, and which ones were answered after all.
+struct Suspicions {
+    std::vector<Suspicion> known;
+    std::vector<Fingerprint> cleared;
+    MSGPACK_DEFINE(known, cleared)
+};
+
 using Wire =
     std::variant<RaftPacket, AgentStatus, AgentOrder, NotLeaderReply, Renew, Vouch, CommandRequest,
                  CommandReply, Attempt, CancelAttempt, Credit, GateState, Refused, Head, Chunk, End,
                  Broken, PeerHello, EndpointChanges, EndpointsAlive, DocumentPush, GroupSuspected,
-                 GroupsDissolved, EndpointsRemembered, GroupShares, RegistryDigests, RangesWanted>;
+                 GroupsDissolved, EndpointsRemembered, GroupShares, RegistryDigests, RangesWanted,
+                 RequestsCutOff, Suspicions>;
 
 // Names of the alternatives, in their order, for metrics.
 constexpr std::array<std::string_view, std::variant_size_v<Wire>> WireNames = {"raft",
@@ -343,7 +359,9 @@
                                                                                "remembered",
                                                                                "group_shares",
                                                                                "registry_digests",
-                                                                               "ranges_wanted"};
+                                                                               "ranges_wanted",
+                                                                               "requests_cut_off",
+                                                                               "suspicions"};
 
 // ---- member to member, by UDP
 
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -141,6 +141,9 @@
     Metrics::instance().gauge("liftweir_voters", [this] {
         return replica_ ? static_cast<double>(replica_->raft().voters().size()) : 0.0;
     });
+    Metrics::instance().gauge("liftweir_requests_quarantined", [this] {
+        return static_cast<double>(quarantine_.held(BootClock::now()));
+    });
     ticker_.start();
 }
 
@@ -181,6 +184,8 @@
 void Coordinator::every_second() {
     const Time now = BootClock::now();
     registry_.expire(now);
+    quarantine_.expire(now);
+    keep_quarantine();
     keep_roster(now);
     if (replica_)
         for (const NodeId voter : replica_->raft().voters())
@@ -235,6 +240,7 @@
     send_raft(*messages);
     note_leadership();
     document_applied();
+    quarantine_applied();
     keep_voters();
     settle_waiting();
 }
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -4,6 +4,7 @@
 #include "connection/link.h"
 #include "process/fleetconfig.h"
 #include "process/groupplanner.h"
+#include "process/quarantine.h"
 #include "process/registry.h"
 #include "process/registryrepair.h"
 #include "process/replica.h"
@@ -172,6 +173,16 @@
     GroupPlanner* planner_of(const std::string& service);
     void give(GroupPlanner& planner, const EndpointOrder& order);
 
+    // requests that end endpoints
+    void on_cut_off(const Link::Ptr& link, const RequestsCutOff& cut_off, Time now);
+    void on_suspicions(const Link::Ptr& link, const Suspicions& told, Time now);
+    void clear(const std::vector<Fingerprint>& contents);
+    void note_quarantined(const Fingerprint& content, Time now);
+    void tell_entries(const Suspicions& news);
+    void keep_quarantine();
+    void quarantine_applied();
+    void propose_quarantine(const Suspicion& held);
+
     // what entry hosts have under way
     void on_shares(const GroupShares& shares, Time now);
     void tell_shares(Time now);
@@ -220,6 +231,8 @@
     bool pump_posted_ = false;
     bool plan_posted_ = false;
     bool flush_posted_ = false;
+    Quarantine quarantine_;
+    std::map<Fingerprint, QuarantineRecord> applied_quarantine_; // of the log
     WorkBoard work_;
     Time shares_due_{};
     Time second_due_{};
--- a/src/process/coordinatorfleet.cpp
+++ b/src/process/coordinatorfleet.cpp
@@ -102,6 +102,10 @@
         on_alive(link, *alive, now);
     } else if (const auto* suspected = std::get_if<GroupSuspected>(&message)) {
         on_suspected(*suspected, now);
+    } else if (const auto* cut_off = std::get_if<RequestsCutOff>(&message)) {
+        on_cut_off(link, *cut_off, now);
+    } else if (const auto* suspicions = std::get_if<Suspicions>(&message)) {
+        on_suspicions(link, *suspicions, now);
     } else if (const auto* shares = std::get_if<GroupShares>(&message)) {
         on_shares(*shares, now);
     } else if (const auto* digests = std::get_if<RegistryDigests>(&message)) {
@@ -174,6 +178,8 @@
         link->send(EndpointsRemembered{remembered_});
     if (new_link && leads())
         tell_dissolved(link);
+    if (const auto known = quarantine_.worth_telling(session.heard); new_link && !known.empty())
+        link->send(Suspicions{known, {}});
     if (replica_)
         push_document_to(session);
     const Time now = BootClock::now();
--- /dev/null
+++ b/src/process/coordinatorquarantine.cpp
@@ -0,0 +1,124 @@
+// The side of Coordinator that joins what entry hosts saw of requests which end endpoints. Each
+// control host counts for itself and tells its entry hosts at once; the log keeps what was decided
+// for the time after a loss of power on all hosts.
+
+#include "process/coordinator.h"
+#include "process/logging.h"
+
+#include <utility>
+
+namespace liftweir {
+
+void Coordinator::on_cut_off(const Link::Ptr& link, const RequestsCutOff& cut_off, Time now) {
+    // An entry host may reach some control hosts only.
+    if (link->peer().role == ProcessRole::Entry)
+        for (auto& [address, peer] : peers_)
+            peer.dialer->send(cut_off);
+    Suspicions news;
+    for (const CutOff& request : cut_off.requests) {
+        if (quarantine_.cut_off(request, cut_off.endpoint, now))
+            note_quarantined(request.content, now);
+        const Suspicion known = quarantine_.suspicion(request.content, now);
+        if (known.ends > 1)
+            news.known.push_back(known);
+    }
+    if (!news.known.empty())
+        tell_entries(news);
+}
+
+void Coordinator::on_suspicions(const Link::Ptr& link, const Suspicions& told, Time now) {
+    if (link->peer().role == ProcessRole::Entry && !told.cleared.empty())
+        for (auto& [address, peer] : peers_)
+            peer.dialer->send(Suspicions{{}, told.cleared});
+    clear(told.cleared);
+    Suspicions news;
+    for (const Suspicion& suspicion : told.known) {
+        if (!quarantine_.merge(suspicion, now))
+            continue;
+        note_quarantined(suspicion.content, now);
+        news.known.push_back(quarantine_.suspicion(suspicion.content, now));
+    }
+    if (!news.known.empty())
+        tell_entries(news);
+}
+
+// An endpoint ran them to their end. Where the log holds them back, it is told as well.
+void Coordinator::clear(const std::vector<Fingerprint>& contents) {
+    Suspicions news;
+    for (const Fingerprint& content : contents) {
+        if (!quarantine_.clear(content))
+            continue;
+        news.cleared.push_back(content);
+        if (leads() && replica_->state().quarantined().contains(content)) {
+            replica_->propose(QuarantineRequest{content, 0, 0, wall_millis()},
+                              [](const Expected<ApplyResult>&) {});
+            pump_soon();
+        }
+    }
+    if (!news.cleared.empty())
+        tell_entries(news);
+}
+
+void Coordinator::note_quarantined(const Fingerprint& content, Time now) {
+    const Suspicion held = quarantine_.suspicion(content, now);
+    std::string endpoints;
+    for (const EndpointId& endpoint : held.endpoints)
+        endpoints += (endpoints.empty() ? "" : ",") + text_of(endpoint);
+    log(LogLevel::Warning, "request under quarantine",
+        {{"content", text_of(content)},
+         {"ends", std::to_string(held.ends)},
+         {"endpoints", endpoints},
+         {"left_ms", std::to_string(held.left_ms)}});
+    if (leads())
+        propose_quarantine(held);
+}
+
+void Coordinator::tell_entries(const Suspicions& news) {
+    for (auto& [name, session] : entries_)
+        if (session.link)
+            session.link->send(news);
+}
+
+void Coordinator::propose_quarantine(const Suspicion& held) {
+    const std::int64_t now_ms = wall_millis();
+    replica_->propose(QuarantineRequest{held.content, held.ends, now_ms + held.left_ms, now_ms},
+                      [](const Expected<ApplyResult>&) {});
+    pump_soon();
+}
+
+// Once a second: what a control host knew that leads no more, or that has more ends by now.
+void Coordinator::keep_quarantine() {
+    if (!leads())
+        return;
+    const auto& logged = replica_->state().quarantined();
+    for (const Suspicion& known : quarantine_.worth_telling(BootClock::now())) {
+        const auto found = logged.find(known.content);
+        if (known.left_ms > 0 && (found == logged.end() || found->second.ends < known.ends))
+            propose_quarantine(known);
+    }
+}
+
+// What the log decided while this host, or all hosts, were down.
+void Coordinator::quarantine_applied() {
+    const auto& logged = replica_->state().quarantined();
+    if (logged == applied_quarantine_)
+        return;
+    const Time now = BootClock::now();
+    const std::int64_t now_ms = wall_millis();
+    Suspicions news;
+    for (const auto& [content, record] : logged) {
+        const std::int64_t left_ms = record.until_ms - now_ms;
+        if (left_ms <= 0)
+            continue;
+        const Suspicion told{content, record.ends, {}, static_cast<std::uint32_t>(left_ms)};
+        if (quarantine_.merge(told, now))
+            news.known.push_back(quarantine_.suspicion(content, now));
+    }
+    for (const auto& [content, record] : applied_quarantine_)
+        if (!logged.contains(content) && record.until_ms > now_ms && quarantine_.clear(content))
+            news.cleared.push_back(content);
+    applied_quarantine_ = logged;
+    tell_entries(news);
+}
+
+} // namespace liftweir
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -74,6 +74,8 @@
     metrics.gauge("liftweir_calls_in_flight",
                   [this] { return static_cast<double>(calls_.size()); });
     metrics.gauge("liftweir_requests_held", [this] { return static_cast<double>(held_.size()); });
+    metrics.gauge("liftweir_requests_quarantined",
+                  [this] { return static_cast<double>(quarantine_.held(BootClock::now())); });
     metrics.gauge("liftweir_document_version",
                   [this] { return static_cast<double>(document_.version); });
     metrics.gauge("liftweir_connections_opened",
@@ -258,6 +260,7 @@
     if (now >= second_due_) {
         second_due_ = now + SecondlyEvery;
         directory_.expire(now);
+        quarantine_.expire(now);
     }
     settle_held(now);
     forget_unconfirmed(now);
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -4,6 +4,7 @@
 #include "connection/link.h"
 #include "process/fleetconfig.h"
 #include "process/leasekeeper.h"
+#include "process/quarantine.h"
 #include "process/registryrepair.h"
 #include "process/ticker.h"
 #include "request/arrivalhold.h"
@@ -46,6 +47,9 @@
     RepeatBudget& budget(const std::string& service) override;
     bool learns_endpoints(Time now) const override;
     void unreachable(const EndpointId& id) override;
+    const Quarantine& quarantine() const override { return quarantine_; }
+    void cut_off(const CutOff& request, const EndpointId& id) override;
+    void cleared(const Fingerprint& content) override;
     void ended(const CallSummary& summary) override;
 
     // control
@@ -71,6 +75,12 @@
     void on_remembered(const EndpointsRemembered& remembered);
     void forget_unconfirmed(Time now);
 
+    // requests that end endpoints
+    void tell_cut_off();
+    void tell_suspicions(const std::string& address);
+    void on_suspicions(const Suspicions& told);
+    void note_quarantined(const Fingerprint& content, Time now);
+
     // calls
     void put_in_force(Deployment deployment);
     void on_request(const std::shared_ptr<HttpExchange>& exchange);
@@ -122,7 +132,9 @@
     std::set<std::shared_ptr<RelayedCall>> calls_;
     RegistryRepair repair_;
     std::map<EndpointId, Time> suspected_; // told control
-    std::set<EndpointId> unconfirmed_;     // known from before a restart, and not heard of since
+    Quarantine quarantine_;
+    std::map<EndpointId, std::vector<CutOff>> cut_off_; // not told control yet
+    std::set<EndpointId> unconfirmed_; // known from before a restart, and not heard of since
     std::uint64_t calls_taken_ = 0;
     double share_ = 0.1; // this host's part of all calls under way
     std::minstd_rand random_;
--- a/src/process/gatewaycontrol.cpp
+++ b/src/process/gatewaycontrol.cpp
@@ -33,6 +33,7 @@
         [this, address](const Link::Ptr&) {
             renew_due_ = {};
             repair_.forget(address);
+            tell_suspicions(address);
         },
         [this, address](const Link::Ptr&, Wire&& m) { on_message(address, std::move(m)); },
         [](const Link::Ptr&) {});
@@ -110,6 +111,8 @@
         on_remembered(*remembered);
     } else if (const auto* digests = std::get_if<RegistryDigests>(&message)) {
         on_digests(address, *digests);
+    } else if (const auto* suspicions = std::get_if<Suspicions>(&message)) {
+        on_suspicions(*suspicions);
     } else if (const auto* shares = std::get_if<GroupShares>(&message)) {
         tell_every_ = std::chrono::milliseconds(shares->every_ms);
         directory_.learn_others(shares->shares, tell_every_, BootClock::now());
--- a/src/request/relayedanswer.cpp
+++ b/src/request/relayedanswer.cpp
@@ -65,8 +65,7 @@
 void RelayedCall::pass_events() {
     const Time now = BootClock::now();
     for (std::string event = splitter_.next(); !event.empty(); event = splitter_.next()) {
-        if (uses_engine())
-            note_progress(now);
+        note_progress(now);
         pass_event(std::move(event));
     }
 }
@@ -74,7 +73,8 @@
 // Plain services may stream too, but no engine's passes move their streams.
 void RelayedCall::note_progress(Time now) {
     const bool first = !std::exchange(first_seen_, true);
-    host_.directory().use(endpoint_).moved(engine_demand(), first, now);
+    if (uses_engine())
+        host_.directory().use(endpoint_).moved(engine_demand(), first, now);
 }
 
 void RelayedCall::pass_event(std::string event) {
@@ -114,6 +114,8 @@
         on_no_connection();
         return;
     }
+    if (how == CallEnd::Broken)
+        note_cut_off();
     if (how != CallEnd::Complete) {
         host_.directory().failed(endpoint_, BootClock::now());
         on_broken(how == CallEnd::Broken ? "the endpoint broke off" : "not an answer");
@@ -148,6 +150,18 @@
     attempt(now);
 }
 
+// The endpoint may have ended, and because of this request: the host knows more than one call does.
+void RelayedCall::note_cut_off() {
+    const auto age = static_cast<std::uint32_t>(to_millis(BootClock::now() - sent_));
+    host_.cut_off({fingerprint(), age}, endpoint_);
+}
+
+// A success, or a failure that the endpoint lived to tell of.
+void RelayedCall::note_answered() {
+    if (!host_.quarantine().empty() && host_.quarantine().suspects(fingerprint()))
+        host_.cleared(fingerprint());
+}
+
 // The request may have run. Only what may run twice is sent again; a stream goes on behind the
 // last event that the caller has.
 void RelayedCall::on_broken(const char* why) {
@@ -181,6 +195,7 @@
 }
 
 void RelayedCall::complete_stream() {
+    note_answered();
     std::string rest = splitter_.rest();
     if (!rest.empty() && begun_)
         pass_bytes(std::move(rest));
@@ -195,6 +210,7 @@
 // An endpoint's own failure is passed on only where no other endpoint may be asked.
 void RelayedCall::complete_whole() {
     const Time now = BootClock::now();
+    note_answered();
     const bool failure = status_class(head_.status) == 5;
     if (failure)
         host_.directory().failed(endpoint_, now);
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -1,6 +1,7 @@
 #include "request/relayedcall.h"
 
 #include "process/logging.h"
+#include "process/metrics.h"
 #include "request/precedence.h"
 
 #include <algorithm>
@@ -58,7 +59,7 @@
 // ---- sending
 
 void RelayedCall::attempt(Time now) {
-    if (done_)
+    if (done_ || refused_by_quarantine(now))
         return;
     const auto sent = send_to_best(now);
     if (sent)
@@ -92,6 +93,30 @@
     return std::max(1u, plan_.route->max_attempts);
 }
 
+// The fingerprint is worked out only while there is anything to compare it with.
+bool RelayedCall::refused_by_quarantine(Time now) {
+    const Quarantine& quarantine = host_.quarantine();
+    if (quarantine.empty())
+        return false;
+    const Duration left = quarantine.left(fingerprint(), now);
+    if (left <= Duration::zero())
+        return false;
+    Metrics::instance().counter("liftweir_quarantine_refused").add();
+    refuse_or_cut("under quarantine", left);
+    return true;
+}
+
+// A copy that an endpoint has not begun yet is taken back before it ends that one too.
+void RelayedCall::check_quarantine(Time now) {
+    if (done_ || first_seen_ || host_.quarantine().left(fingerprint(), now) <= Duration::zero())
+        return;
+    if (!endpoint_.empty()) {
+        release_endpoint();
+        ++runs_;
+    }
+    refused_by_quarantine(now);
+}
+
 bool RelayedCall::takes_another(Time now) {
     return host_.budget(plan_.service->name).has_left(now) &&
            host_.directory().pick(demand(now), tried_, now).has_value();
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -4,6 +4,7 @@
 #include "connection/eventsplitter.h"
 #include "connection/httpchannel.h"
 #include "connection/httpserver.h"
+#include "process/quarantine.h"
 #include "request/callerprotocol.h"
 #include "request/directory.h"
 #include "request/repeatbudget.h"
@@ -43,6 +44,11 @@
     virtual RepeatBudget& budget(const std::string& service) = 0;
     // This host began a moment ago, and may not have heard of all endpoints yet.
     virtual bool learns_endpoints(Time now) const = 0;
+    virtual const Quarantine& quarantine() const = 0;
+    // The endpoint broke the request off.
+    virtual void cut_off(const CutOff& request, const EndpointId& id) = 0;
+    // An endpoint answered whole what it, or another one, had broken off before.
+    virtual void cleared(const Fingerprint& content) = 0;
     // An endpoint took no connection.
     virtual void unreachable(const EndpointId& id) = 0;
     // The call has ended and is forgotten; it may be destroyed from here on.
@@ -69,6 +75,8 @@
     void start();
     // Checks time limits, and tries again for a call that waits for an endpoint.
     void tick(Time now);
+    // Ends the call where its request is held back by now, unless it runs and has begun to answer.
+    void check_quarantine(Time now);
     // All streams of the group that `lead` leads stand still.
     void stalled(const EndpointId& lead, Time now);
     // Ends the call at once, since the process ends.
@@ -81,6 +89,7 @@
     // Fails where no endpoint takes the request now.
     tl::expected<void, PickFailure> send_to_best(Time now);
     bool may_send_again(Time now);
+    bool refused_by_quarantine(Time now);
     void send(const Pick& pick, Time now);
     void note_sent_again(const Pick& pick, Time now) const;
     void begin_attempt(const Pick& pick, Time now);
@@ -114,6 +123,8 @@
     void pass_event(std::string event);
     void pass_bytes(std::string bytes);
     void on_complete();
+    void note_cut_off();
+    void note_answered();
     void complete_stream();
     void complete_whole();
 
--- a/src/request/relayedwait.cpp
+++ b/src/request/relayedwait.cpp
@@ -44,6 +44,8 @@
 }
 
 void RelayedCall::wait_on(Time now) {
+    if (refused_by_quarantine(now))
+        return;
     const auto sent = send_to_best(now);
     if (sent)
         return;
--- a/src/version/state.cpp
+++ b/src/version/state.cpp
@@ -15,6 +15,8 @@
 // At 300 restarts a day a process may miss more than a week before it needs everything anew.
 constexpr std::size_t RemovedKept = 4096;
 constexpr std::size_t DroppedKept = 4096;
+// Each has ended three endpoints; that many are under attack.
+constexpr std::size_t QuarantinedKept = 1024;
 constexpr std::size_t MaxIdempotencyKeyBytes = 256;
 
 ApplyResult refuse(FailureKind kind, std::string detail) {
@@ -149,6 +151,23 @@
     return done(document_.version);
 }
 
+// Those whose time is over make room; of the others, the one whose time is over first.
+ApplyResult State::on(Version index, const QuarantineRequest& c) {
+    std::erase_if(quarantined_, [&](const auto& item) { return item.second.until_ms <= c.now_ms; });
+    if (c.until_ms <= c.now_ms) {
+        quarantined_.erase(c.content);
+        return done(index);
+    }
+    QuarantineRecord& record = quarantined_[c.content];
+    record.ends = std::max(record.ends, c.ends);
+    record.until_ms = std::max(record.until_ms, c.until_ms);
+    if (quarantined_.size() > QuarantinedKept)
+        quarantined_.erase(std::min_element(
+            quarantined_.begin(), quarantined_.end(),
+            [](const auto& a, const auto& b) { return a.second.until_ms < b.second.until_ms; }));
+    return done(index);
+}
+
 ApplyResult State::on(Version index, const RegisterEntry& c) {
     EntryRecord& entry = entries_[c.entry.name];
     if (c.entry.incarnation < entry.incarnation)
--- a/src/version/state.h
+++ b/src/version/state.h
@@ -2,6 +2,7 @@
 #define STATE_H_INCLUDED
 
 #include "process/failure.h"
+#include "version/fingerprint.h"
 #include "version/settings.h"
 
 #include <compare>
@@ -263,6 +264,22 @@
     MSGPACK_DEFINE(version, body)
 };
 
+// No endpoint gets the request until then: it ends those that run it. Wall times, of the leader.
+struct QuarantineRequest {
+    Fingerprint content;
+    std::uint32_t ends = 0;    // endpoints that it has ended
+    std::int64_t until_ms = 0; // 0: it may run again
+    std::int64_t now_ms = 0;   // when this was decided
+    MSGPACK_DEFINE(content, ends, until_ms, now_ms)
+};
+
+struct QuarantineRecord {
+    std::uint32_t ends = 0;
+    std::int64_t until_ms = 0;
+    auto operator<=>(const QuarantineRecord&) const = default;
+    MSGPACK_DEFINE(ends, until_ms)
+};
+
 // The document in force, with the log index that put it there.
 struct StoredDocument {
     Version version = 0;
@@ -272,9 +289,10 @@
     MSGPACK_DEFINE(version, index, body)
 };
 
-using Command = std::variant<RegisterHost, RegisterEntry, ReleaseHost, FormGroup, DissolveGroup,
-                             DrainGroup, SetHostMode, ChangeSettings, ClaimOnce, CloseClaim,
-                             DropClaim, ExpireClaims, ResolveClaim, RetireEntry, ReplaceDocument>;
+using Command =
+    std::variant<RegisterHost, RegisterEntry, ReleaseHost, FormGroup, DissolveGroup, DrainGroup,
+                 SetHostMode, ChangeSettings, ClaimOnce, CloseClaim, DropClaim, ExpireClaims,
+                 ResolveClaim, RetireEntry, ReplaceDocument, QuarantineRequest>;
 
 // What applying a command answered. Equal on every replica.
 struct ApplyResult {
@@ -375,6 +393,8 @@
     Version lease_version() const { return lease_version_; }
     Version table_version() const { return table_version_; }
     const StoredDocument& document() const { return document_; }
+    // Requests that no endpoint gets.
+    const std::map<Fingerprint, QuarantineRecord>& quarantined() const { return quarantined_; }
     std::optional<ClaimRecord> claim(const std::string& customer, const std::string& key) const;
     std::vector<std::pair<std::string, ClaimRecord>> claims_of(const std::string& customer,
                                                                std::size_t limit) const;
@@ -389,7 +409,7 @@
 
     MSGPACK_DEFINE(hosts_, groups_, entries_, settings_, history_, settings_version_,
                    table_version_, claims_, orders_, order_queue_, lease_version_, removed_,
-                   removed_floor_, dropped_, dropped_queue_, document_)
+                   removed_floor_, dropped_, dropped_queue_, document_, quarantined_)
 
   private:
     using Claims = std::map<std::string, ClaimRecord>;
@@ -409,6 +429,7 @@
     ApplyResult on(Version index, const ResolveClaim& c);
     ApplyResult on(Version index, const RetireEntry& c);
     ApplyResult on(Version index, const ReplaceDocument& c);
+    ApplyResult on(Version index, const QuarantineRequest& c);
 
     void disown_claims(Incarnation entry);
     void unbind(Version index, Host& host);
@@ -435,6 +456,7 @@
     std::set<AttemptId> dropped_; // claims that were given up; a delayed copy must not claim
     std::deque<AttemptId> dropped_queue_;
     StoredDocument document_;
+    std::map<Fingerprint, QuarantineRecord> quarantined_;
 };
 
 // True for commands that raise the lease version if they succeed.
--- a/tests/site/standin.py
+++ b/tests/site/standin.py
@@ -9,7 +9,7 @@
 
 BEAT_S, STALL_S, LOAD_S, WARM_S, FORM_S, EVENT_S, WORK_S = 0.3, 2.0, 0.4, 0.1, 0.1, 0.02, 0.01
 EVENTS = 12
-POISON_READ_S, BACK_S = 0.04, 1.5  # until a poisonous request ends its worker; until that is back
+BACK_S = 1.5  # until a worker that a poisonous request has ended is back
 
 
 class Fleet:
@@ -29,6 +29,7 @@
         self.stopped = {}   # request id -> when a worker saw that its connection had ended
         self.leaving = {}   # worker id -> when its leaving was acknowledged
         self.poison = None  # a body that ends whoever begins to run it
+        self.poison_read_s = 0.04  # until it does
         self.poison_runs = []  # when it reached a worker
         self.ended = []     # when a worker was ended by it
         self.arrivals = []  # (time, worker id) of requests
@@ -230,7 +231,7 @@
         self.fleet.runs.setdefault(request, []).append((time.monotonic(), self.id))
         self.fleet.keys[request] = headers.get("tenant-id")
         if self.fleet.poison is not None and body == self.fleet.poison:
-            await self.run_poison()
+            await self.run_poison(request, writer)
         signature = "%s.%s.%d" % (self.id, request, len(self.fleet.runs[request]))
         own = {"Request-Id": request, "Response-Signature": signature}
         if path.startswith("/feed/"):
@@ -242,10 +243,10 @@
             return self.answer(writer, 200, own, answer)
         await self.stream(int(headers.get("last-event-id", "0")), own, writer)
 
-    async def run_poison(self):
+    async def run_poison(self, request, writer):
         """Its prompt is read for a moment; its first token ends the worker."""
         self.fleet.poison_runs.append(time.monotonic())
-        await asyncio.sleep(POISON_READ_S)
+        await self.work(request, self.fleet.poison_read_s, writer)
         if not self.dark:
             self.fleet.ended.append(time.monotonic())
             self.crash(BACK_S)
--- a/tests/site/test_poisonous.py
+++ b/tests/site/test_poisonous.py
@@ -59,5 +59,72 @@
         await asyncio.gather(*load)
         assert await site.until(site.serves)
         assert statuses.count(200) > len(statuses) / 2, "others are served meanwhile"
+        assert set(await held(site)) == {1}, "others are held back"
 
     play(scenario, workers=(8, 8), entries=3)
+
+
+async def held(site):
+    """How many different requests each process holds back."""
+    name = "liftweir_requests_quarantined"
+    return [await site.metric(process, name) for process in site.controls + site.entries]
+
+
+# The same cause after a loss of power: who has ended three endpoints is kept in the log, so that
+# hosts which forgot everything do not pay for the knowledge again.
+def test_what_ended_endpoints_is_known_after_a_restart_of_all():
+    async def scenario(site):
+        site.fleet.poison = POISON
+        await insist(site, 3)
+        everyone = len(site.controls + site.entries)
+        assert await site.until(lambda: _all_hold(site, [1] * everyone), 5), await held(site)
+        for process in site.controls + site.entries:
+            process.kill()
+        for process in site.controls + site.entries:
+            process.start()
+        before = len(site.fleet.poison_runs)
+        assert await site.until(site.serves)
+        await insist(site, 3)
+        assert len(site.fleet.poison_runs) == before
+        assert await held(site) == [1] * everyone
+
+    async def _all_hold(site, numbers):
+        return await held(site) == numbers
+
+    play(scenario, workers=(8, 8))
+
+
+# Found while the mend was written: copies that wait at other endpoints when a request is put under
+# quarantine are taken back, and would have been told "not run", though they may have run.
+def test_a_call_that_may_run_once_is_not_called_refused_where_it_was_taken_back():
+    async def scenario(site):
+        site.fleet.poison, site.fleet.poison_read_s = POISON, 0.15
+        asked = []
+        for n in range(20):
+            asked.append(asyncio.ensure_future(site.ask("save", n % 2, timeout=2, body=POISON)))
+            await asyncio.sleep(0.07)
+        statuses = await asyncio.gather(*asked)
+        assert 503 in statuses and 200 not in statuses
+        assert statuses.count(502) > len(site.fleet.ended), "none was taken back"
+        assert len(site.fleet.ended) == 3
+
+    play(scenario, plain=12)
+
+
+# A request that is asked all the time is at whatever endpoint ends for another reason.
+def test_a_request_that_endpoints_answer_is_not_held_back_for_their_ends():
+    async def scenario(site):
+        stop, statuses = asyncio.Event(), []
+        load = [asyncio.ensure_future(others(site, stop, statuses)) for _ in range(4)]
+        for _ in range(8):
+            lead = next((w for w in site.workers if w.group and w.group["state"] == "open" and
+                         w.group["rank"] == 0 and not w.dark), None)
+            if lead is not None:
+                lead.crash(1.0)
+            await asyncio.sleep(0.4)
+        stop.set()
+        await asyncio.gather(*load)
+        assert await held(site) == [0] * len(site.controls + site.entries)
+        assert await site.until(site.serves)
+
+    play(scenario, workers=(8, 8))
