Gauges end with the object that they read from

The page of metrics read gauges of destroyed objects; in the unit tests one of them walks a map now, and the run crashed. Programs end their objects last, so none of them was affected.

--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -135,15 +135,14 @@
                      [this](const Link::Ptr& link, Wire&& m) { on_message(link, std::move(m)); },
                      [this](const Link::Ptr& link) { on_down(link); });
     reconfigure(config_);
-    Metrics::instance().gauge("liftweir_endpoints",
-                              [this] { return static_cast<double>(registry_.items().size()); });
-    Metrics::instance().gauge("liftweir_leads", [this] { return leads() ? 1.0 : 0.0; });
-    Metrics::instance().gauge("liftweir_voters", [this] {
+    gauges_.add("liftweir_endpoints",
+                [this] { return static_cast<double>(registry_.items().size()); });
+    gauges_.add("liftweir_leads", [this] { return leads() ? 1.0 : 0.0; });
+    gauges_.add("liftweir_voters", [this] {
         return replica_ ? static_cast<double>(replica_->raft().voters().size()) : 0.0;
     });
-    Metrics::instance().gauge("liftweir_requests_quarantined", [this] {
-        return static_cast<double>(quarantine_.held(BootClock::now()));
-    });
+    gauges_.add("liftweir_requests_quarantined",
+                [this] { return static_cast<double>(quarantine_.held(BootClock::now())); });
     ticker_.start();
 }
 
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -4,6 +4,7 @@
 #include "connection/link.h"
 #include "process/fleetconfig.h"
 #include "process/groupplanner.h"
+#include "process/metrics.h"
 #include "process/quarantine.h"
 #include "process/registry.h"
 #include "process/registryrepair.h"
@@ -244,6 +245,7 @@
     Time alive_due_{};
     Time plan_due_{};
     Ticker ticker_;
+    OwnedGauges gauges_;
 };
 
 } // namespace liftweir
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -70,18 +70,16 @@
         e->respond(ready() ? 200 : 503, {}, ready() ? "ready\n" : "not ready\n");
     });
     metrics_ = serve_metrics(io_, config_.metrics);
-    Metrics& metrics = Metrics::instance();
-    metrics.gauge("liftweir_calls_in_flight",
-                  [this] { return static_cast<double>(calls_.size()); });
-    metrics.gauge("liftweir_requests_held", [this] { return static_cast<double>(held_.size()); });
-    metrics.gauge("liftweir_requests_quarantined",
-                  [this] { return static_cast<double>(quarantine_.held(BootClock::now())); });
-    metrics.gauge("liftweir_document_version",
-                  [this] { return static_cast<double>(document_.version); });
-    metrics.gauge("liftweir_connections_opened",
-                  [this] { return static_cast<double>(pool_->opened()); });
-    metrics.gauge("liftweir_lease_left_seconds",
-                  [this] { return to_seconds(lease_.valid_until() - BootClock::now()); });
+    gauges_.add("liftweir_calls_in_flight", [this] { return static_cast<double>(calls_.size()); });
+    gauges_.add("liftweir_requests_held", [this] { return static_cast<double>(held_.size()); });
+    gauges_.add("liftweir_requests_quarantined",
+                [this] { return static_cast<double>(quarantine_.held(BootClock::now())); });
+    gauges_.add("liftweir_document_version",
+                [this] { return static_cast<double>(document_.version); });
+    gauges_.add("liftweir_connections_opened",
+                [this] { return static_cast<double>(pool_->opened()); });
+    gauges_.add("liftweir_lease_left_seconds",
+                [this] { return to_seconds(lease_.valid_until() - BootClock::now()); });
     ticker_.start();
 }
 
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -4,6 +4,7 @@
 #include "connection/link.h"
 #include "process/fleetconfig.h"
 #include "process/leasekeeper.h"
+#include "process/metrics.h"
 #include "process/quarantine.h"
 #include "process/registryrepair.h"
 #include "process/ticker.h"
@@ -148,6 +149,7 @@
     Time drained_since_{};
     bool stopped_ = false; // the last answers are leaving; nothing is taken any more
     Ticker ticker_;
+    OwnedGauges gauges_;
 };
 
 } // namespace liftweir
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -108,9 +108,14 @@
     return histograms_[{name, labels}];
 }
 
-void Metrics::gauge(const std::string& name, std::function<double()> read) {
+void Metrics::gauge(const std::string& name, std::function<double()> read, const void* owner) {
     const std::lock_guard lock(mutex_);
-    gauges_[name] = std::move(read);
+    gauges_[name] = {std::move(read), owner};
+}
+
+void Metrics::drop_gauges(const void* owner) {
+    const std::lock_guard lock(mutex_);
+    std::erase_if(gauges_, [&](const auto& item) { return item.second.owner == owner; });
 }
 
 std::string Metrics::text() const {
@@ -128,9 +133,9 @@
         header(key.first, "counter");
         out << with_labels(key.first, key.second) << " " << counter.value() << "\n";
     }
-    for (const auto& [name, read] : gauges_) {
+    for (const auto& [name, gauge] : gauges_) {
         header(name, "gauge");
-        out << name << " " << read() << "\n";
+        out << name << " " << gauge.read() << "\n";
     }
     for (const auto& [key, histogram] : histograms_) {
         header(key.first, "histogram");
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -44,7 +44,9 @@
     // `labels` in Prometheus form, e.g. class="standard".
     Counter& counter(const std::string& name, const std::string& labels = "");
     LatencyHistogram& histogram(const std::string& name, const std::string& labels = "");
-    void gauge(const std::string& name, std::function<double()> read);
+    void gauge(const std::string& name, std::function<double()> read, const void* owner = nullptr);
+    // What the owner registered is read no more.
+    void drop_gauges(const void* owner);
     // Prometheus text format.
     std::string text() const;
 
@@ -54,7 +56,23 @@
     mutable std::mutex mutex_;
     std::map<Key, Counter> counters_;
     std::map<Key, LatencyHistogram> histograms_;
-    std::map<std::string, std::function<double()>> gauges_;
+    struct Gauge {
+        std::function<double()> read;
+        const void* owner = nullptr;
+    };
+    std::map<std::string, Gauge> gauges_;
+};
+
+// Gauges that read from an object, for as long as it lives: its last member.
+class OwnedGauges {
+  public:
+    OwnedGauges() = default;
+    ~OwnedGauges() { Metrics::instance().drop_gauges(this); }
+    OwnedGauges(const OwnedGauges&) = delete;
+    OwnedGauges& operator=(const OwnedGauges&) = delete;
+    void add(const std::string& name, std::function<double()> read) {
+        Metrics::instance().gauge(name, std::move(read), this);
+    }
 };
 
 // Processor seconds and resident bytes of this process.
--- a/tests/unit/metrics_test.cpp
+++ b/tests/unit/metrics_test.cpp
@@ -26,5 +26,17 @@
               std::string::npos);
 }
 
+// The page read gauges of objects that tests had destroyed: a crash once one of them walked a map.
+TEST(MetricTable, GaugesOfAnObjectEndWithIt) {
+    Metrics::instance().gauge("liftweir_voters", [] { return 7.0; });
+    {
+        OwnedGauges gauges;
+        gauges.add("liftweir_leads", [] { return 1.0; });
+        EXPECT_NE(Metrics::instance().text().find("liftweir_leads 1"), std::string::npos);
+    }
+    EXPECT_EQ(Metrics::instance().text().find("liftweir_leads 1"), std::string::npos);
+    EXPECT_NE(Metrics::instance().text().find("liftweir_voters 7"), std::string::npos);
+}
+
 } // namespace
 } // namespace liftweir
