--- a/tests/site/standin.py
+++ b/tests/site/standin.py
@@ -72,7 +72,7 @@
             self.id = "i-%08x" % self.fleet.random.getrandbits(32)
         self.born = max(self.born + 1, int(time.time() * 1000))
         self.fleet.workers[self.id] = self
-        self.state, self.sequence, self.fence = "ready", 0, 0
+        self.state, self.sequence, self.orders, self.fence = "ready", 0, 0, 0
         self.group, self.warm, self.dark = None, None, False
         if not under_its_name:
             self.ready_under = set()  # kept otherwise: a member that was ready and is lost excuses
@@ -134,7 +134,10 @@
         if headers.get("target-instance", self.id) != self.id:
             return self.answer(writer, 421, {"Instance-Id": self.id})
         if path == "/report":
-            return self.answer(writer, 200, {}, json.dumps({"born": self.born}).encode())
+            state = {"born": self.born, "sequence": self.orders}
+            if self.group:
+                state["group"] = {k: self.group[k] for k in ("name", "epoch", "rank", "state")}
+            return self.answer(writer, 200, {}, json.dumps(state).encode())
         if path == "/order":
             order = json.loads(body)
             if self.delay_orders:
@@ -151,6 +154,13 @@
         if order["fence"] < self.fence:
             return 412
         self.fence = order["fence"]
+        if order.get("expected-revision", self.orders) != self.orders:
+            return 409
+        status = self.carry_out(order)
+        self.orders += status == 202
+        return status
+
+    def carry_out(self, order):
         op, same = order["op"], self.group and self.group["epoch"] == order.get("epoch")
         if op == "join":
             return self.join(order)
