--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -18,7 +18,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -33,9 +32,6 @@
     // Asks an endpoint for a sign of life; false where it gave none in time, or another incarnation
     // has its address.
     virtual void probe(const EndpointReport& endpoint, std::function<void(bool)> answered) = 0;
-    // Asks an endpoint for its state; empty where the same would be no sign of life.
-    virtual void read(const EndpointReport& endpoint,
-                      std::function<void(const std::optional<EndpointReading>&)> answered) = 0;
 };
 
 // Reads the operators' document. Fails with BadSettings, never with a part of it.
@@ -174,7 +170,6 @@
     void plan();
     void plan_soon();
     void probe(GroupPlanner& planner, const EndpointId& id, Time now);
-    void read(GroupPlanner& planner, const EndpointId& id, Time now);
     void tell_dissolved(const Link::Ptr& only);
     GroupPlanner* planner_of(const std::string& service);
     void give(GroupPlanner& planner, const EndpointOrder& order);
--- a/src/process/coordinatorfleet.cpp
+++ b/src/process/coordinatorfleet.cpp
@@ -234,8 +234,6 @@
             give(planner, order);
         for (const EndpointId& id : planner.take_probes())
             probe(planner, id, now);
-        for (const EndpointId& id : planner.take_readings())
-            read(planner, id, now);
         for (const PlanEvent& event : planner.take_events())
             log(LogLevel::Info, "group " + event.what,
                 {{"group", event.group},
@@ -258,21 +256,6 @@
     });
 }
 
-// Planned with at the next round: a round for each answer would walk all endpoints as often.
-void Coordinator::read(GroupPlanner& planner, const EndpointId& id, Time now) {
-    Metrics::instance().counter("liftweir_endpoints_read").add();
-    const Registry::Item* item = registry_.find(id);
-    if (item == nullptr) {
-        planner.was_read(id, std::nullopt, now);
-        return;
-    }
-    orders_.read(item->report, [this, &planner, id](const std::optional<EndpointReading>& reading) {
-        planner.was_read(id, reading, BootClock::now());
-        if (planner.readings_under_way() == 0)
-            plan_soon();
-    });
-}
-
 // Entry hosts believe a lead's own report. A lost lead can not take back its last one.
 void Coordinator::tell_dissolved(const Link::Ptr& only) {
     std::set<Epoch> all;
--- a/src/process/endpointorder.h
+++ b/src/process/endpointorder.h
@@ -5,7 +5,6 @@
 
 #include <compare>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,20 +34,10 @@
     std::string model;
     std::vector<EndpointId> members; // the lead first
     std::uint64_t fence = 0;
-    // Carried out only where the endpoint has taken so many orders; empty: whatever it has taken.
-    std::optional<std::uint64_t> orders_before;
 
     auto operator<=>(const EndpointOrder&) const = default;
 };
 
-// What an endpoint answers when it is asked for its state: both are of one moment.
-struct EndpointReading {
-    Membership membership;
-    std::optional<std::uint64_t> orders; // that it has taken since its start; empty: it tells none
-
-    auto operator<=>(const EndpointReading&) const = default;
-};
-
 // What became of an order, as far as the one who gave it knows.
 enum class OrderAnswer : std::uint8_t {
     Taken,     // begun, or holds already
--- a/src/process/groupplanner.cpp
+++ b/src/process/groupplanner.cpp
@@ -19,11 +19,6 @@
 // All members answer control, and yet nothing moves: they may be cut off from each other.
 constexpr int SoundRoundsBelieved = 6;
 constexpr Duration DeadKept = std::chrono::seconds(60);
-// Readings under way at once: with 3,000 endpoints of 250 bytes an answer, 16 KB.
-constexpr std::size_t MostReadings = 64;
-// An endpoint whose answer and last report tell of different groups, or that refused an order, is
-// read again after this long: answers are prepared some 200 ms before they are asked for.
-constexpr Duration ReadAgain = std::chrono::milliseconds(250);
 
 } // namespace
 
@@ -98,13 +93,8 @@
     counter_ = 0;
     took_over_ = now;
     loads_.assume_full(now);
-    reading_now_ = 0;
-    readings_.clear();
-    for (auto& [id, host] : hosts_) {
+    for (auto& [id, host] : hosts_)
         host.ordered = false;
-        host.asked_term = 0;
-        host.read_due = {};
-    }
     for (auto& [epoch, group] : groups_) {
         group.ours = false;
         group.may_have_opened = !group.warm_up;
@@ -126,12 +116,6 @@
         host.silent_until = now + SilentFor;
     if (answer != OrderAnswer::Taken && order.kind == OrderKind::Stage)
         host.staging_until = {};
-    if (answer == OrderAnswer::Taken && is_of_this_term(order.fence)) {
-        host.fenced_term = term_;
-    } else if (host.fenced_term != term_) {
-        host.read_term = 0;
-        host.read_due = now + ReadAgain;
-    }
     const auto found = groups_.find(order.epoch);
     if (found == groups_.end())
         return;
@@ -159,22 +143,6 @@
     }
 }
 
-void GroupPlanner::was_read(const EndpointId& id, const std::optional<EndpointReading>& reading,
-                            Time now) {
-    Host& host = hosts_[id];
-    if (host.asked_term != term_)
-        return;
-    host.asked_term = 0;
-    reading_now_ -= reading_now_ > 0 ? 1 : 0;
-    host.read_due = now + ReadAgain;
-    if (!reading) {
-        host.silent_until = now + SilentFor;
-        return;
-    }
-    host.read_term = term_;
-    host.reading = *reading;
-}
-
 std::vector<EndpointId> GroupPlanner::take_probes() {
     return std::exchange(probes_, {});
 }
@@ -219,41 +187,6 @@
 }
 
 bool GroupPlanner::is_free(const EndpointReport& report, Time now) const {
-    if (!seems_free(report, now))
-        return false;
-    const auto host = hosts_.find(report.id);
-    return host != hosts_.end() && is_certain(report, host->second);
-}
-
-// That a host seems to be free rests on words, and no bound holds for how long a link or a busy
-// host holds one up: an order of the leader before may have been carried out since. So this leader
-// reads the host's state and gives its first order on the condition that no other order came in
-// between. Once one was taken, the host refuses all orders of earlier terms. Without it a host was
-// taken from a group that served within 41 random cases of two leaders and words up to 4 s late, and
-// 17 times in a played day of 300 hosts with 3,000 endpoints.
-bool GroupPlanner::is_certain(const EndpointReport& report, const Host& host) const {
-    if (host.fenced_term == term_)
-        return true;
-    return host.read_term == term_ && host.reading.membership.epoch == report.membership.epoch;
-}
-
-// A host that told of another group than its answer is read again: one of the two is on its way.
-void GroupPlanner::ask_for_readings(Time now) {
-    for (const auto& [id, item] : registry_->items()) {
-        if (reading_now_ >= MostReadings)
-            return;
-        if (!seems_free(item.report, now))
-            continue;
-        Host& host = hosts_[id];
-        if (host.asked_term == term_ || now < host.read_due || is_certain(item.report, host))
-            continue;
-        host.asked_term = term_;
-        ++reading_now_;
-        readings_.push_back(id);
-    }
-}
-
-bool GroupPlanner::seems_free(const EndpointReport& report, Time now) const {
     if (report.phase != EndpointPhase::Serving || report.service != service_ ||
         !alive(report.id, now) || !known_since_takeover(report.id))
         return false;
@@ -390,10 +323,6 @@
     order.endpoint = report.id;
     order.address = report.address;
     order.fence = next_number();
-    const Host& host = hosts_[report.id];
-    const bool takes_the_host = kind == OrderKind::Join || kind == OrderKind::Stage;
-    if (takes_the_host && host.fenced_term != term_)
-        order.orders_before = host.reading.orders;
     if (group != nullptr) {
         order.group = group->name;
         order.epoch = group->epoch;
@@ -450,7 +379,6 @@
     for (auto& [epoch, group] : groups_)
         advance(group, now);
     forget_old_groups(now);
-    ask_for_readings(now);
     form_groups(now);
     stage_spares(now);
     restage_stranded(now);
--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -8,7 +8,6 @@
 #include "version/deployment.h"
 
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -58,11 +57,6 @@
     // What became of an order, and of a probe.
     void answered(const EndpointOrder& order, OrderAnswer answer, Time now);
     void probed(const EndpointId& id, bool alive, Time now);
-    // Endpoints whose state should be read now, before this leader orders them anything.
-    std::vector<EndpointId> take_readings() { return std::exchange(readings_, {}); }
-    std::size_t readings_under_way() const { return reading_now_; }
-    // What was read; empty where the endpoint did not answer.
-    void was_read(const EndpointId& id, const std::optional<EndpointReading>& reading, Time now);
     // Decisions since the last call.
     std::vector<PlanEvent> take_events() { return std::exchange(events_, {}); }
 
@@ -101,12 +95,7 @@
         Time silent_until{}; // did not answer an order or a probe
         Time staging_until{};
         std::string staging;
-        bool ordered = false;          // an order is under way
-        std::uint64_t fenced_term = 0; // it took an order of this term, so it refuses older ones
-        std::uint64_t read_term = 0;   // in which `reading` was asked for
-        std::uint64_t asked_term = 0;  // of a reading under way; 0 where there is none
-        Time read_due{};               // not to be read again before
-        EndpointReading reading;
+        bool ordered = false; // an order is under way
     };
 
     Group& group_of(const Membership& membership, Time now);
@@ -159,11 +148,7 @@
     bool binds(const Group& group, const EndpointReport& member) const;
     bool alive(const EndpointId& id, Time now) const;
     bool is_free(const EndpointReport& report, Time now) const;
-    bool seems_free(const EndpointReport& report, Time now) const;
     bool known_since_takeover(const EndpointId& id) const;
-    bool is_certain(const EndpointReport& report, const Host& host) const;
-    void ask_for_readings(Time now);
-    bool is_of_this_term(std::uint64_t number) const { return number >> CounterBits == term_; }
     bool staged(const EndpointReport& report, const std::string& model) const;
     std::map<std::string, Hosts> free_by_domain(Time now) const;
     std::size_t target(const ModelShape& shape) const;
@@ -207,8 +192,6 @@
     LoadBudget loads_;
     std::vector<EndpointOrder> orders_;
     std::vector<EndpointId> probes_;
-    std::vector<EndpointId> readings_;
-    std::size_t reading_now_ = 0; // readings under way
     std::vector<PlanEvent> events_;
 };
 
--- a/src/process/groupprogress.cpp
+++ b/src/process/groupprogress.cpp
@@ -67,12 +67,6 @@
         all_ready = all_ready && report->membership.epoch == group.epoch &&
                     report->membership.state == MemberState::Ready;
     }
-    // The leader that formed it may not know yet that it leads no more, and go on deciding about
-    // members of a group that another one has put into service.
-    if (all_ready && !group.warm_up && !is_of_this_term(group.epoch)) {
-        bury(group, "formed by another leader", now);
-        return;
-    }
     if (all_ready && group.warm_up) {
         bury(group, "warm", now);
         return;
--- a/src/process/metricnames.cpp
+++ b/src/process/metricnames.cpp
@@ -67,8 +67,6 @@
         {"liftweir_orders", Counter, "orders", "kind", SiteControl, "Orders given to endpoints."},
         {"liftweir_reports_refused", Counter, "reports", "why", SiteControl,
          "Reports under an endpoint's name that no endpoint of ours would write."},
-        {"liftweir_endpoints_read", Counter, "questions", "", SiteControl,
-         "Endpoints asked for their state by a new leader, before its first order to them."},
         {"liftweir_order_seconds", Histogram, "s", "", SiteControl,
          "From an order to its answer, or to being given up."},
         {"liftweir_document_seconds", Histogram, "s", "", SiteControl,
