What one control host puts under quarantine, its peers are told of

Cause: each control host counts the ends by when it hears of them. Two that are heard of late and together may count as one cause, so hosts may decide differently, and only the leader's own decision went into the log.

Change: a control or entry host that decides tells the control hosts, which take it over; the leader logs it.

--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -180,6 +180,7 @@
     void clear(const std::vector<Fingerprint>& contents);
     void note_quarantined(const Fingerprint& content, Time now);
     void tell_entries(const Suspicions& news);
+    void tell_peers(const Suspicion& held);
     void keep_quarantine();
     void quarantine_applied();
     void propose_quarantine(const Suspicion& held);
--- a/src/process/coordinatorquarantine.cpp
+++ b/src/process/coordinatorquarantine.cpp
@@ -16,8 +16,10 @@
             peer.dialer->send(cut_off);
     Suspicions news;
     for (const CutOff& request : cut_off.requests) {
-        if (quarantine_.cut_off(request, cut_off.endpoint, now))
+        if (quarantine_.cut_off(request, cut_off.endpoint, now)) {
             note_quarantined(request.content, now);
+            tell_peers(quarantine_.suspicion(request.content, now));
+        }
         const Suspicion known = quarantine_.suspicion(request.content, now);
         if (known.ends > 1)
             news.known.push_back(known);
@@ -73,6 +75,14 @@
         propose_quarantine(held);
 }
 
+// Whoever hears of two ends late may count them as one. Told of what another host decided, the
+// leader puts it into the log: on a busy machine one control host of three held a request back, and
+// neither the leader nor the log knew.
+void Coordinator::tell_peers(const Suspicion& held) {
+    for (auto& [address, peer] : peers_)
+        peer.dialer->send(Suspicions{{held}, {}});
+}
+
 void Coordinator::tell_entries(const Suspicions& news) {
     for (auto& [name, session] : entries_)
         if (session.link)
--- a/src/process/gatewayquarantine.cpp
+++ b/src/process/gatewayquarantine.cpp
@@ -14,8 +14,10 @@
         asio::post(io_, [this] { tell_cut_off(); });
     cut_off_[id].push_back(request);
     const Time now = BootClock::now();
-    if (quarantine_.cut_off(request, id, now))
-        note_quarantined(request.content, now);
+    if (!quarantine_.cut_off(request, id, now))
+        return;
+    note_quarantined(request.content, now);
+    send_to_control(Suspicions{{quarantine_.suspicion(request.content, now)}, {}});
 }
 
 void Gateway::tell_cut_off() {
