--- a/src/request/callerwait.h
+++ b/src/request/callerwait.h
@@ -14,6 +14,9 @@
 // have one limit, whoever names less has tried before. Pure.
 class CallerWaits {
   public:
+    // Nobody who was refused here, and comes back as told, has waited for less.
+    static constexpr Duration SoonestReturn = std::chrono::milliseconds(1000);
+
     // Zero where nothing can be told. `timeout` is the route's, believed to be the callers' limit
     // until enough of them were seen.
     Duration waited(const std::string& route, Duration patience, Duration timeout, Time now);
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -6,6 +6,7 @@
 #include "connection/httpserver.h"
 #include "process/quarantine.h"
 #include "request/callerprotocol.h"
+#include "request/callerwait.h"
 #include "request/directory.h"
 #include "request/repeatbudget.h"
 #include "version/fingerprint.h"
@@ -147,7 +148,7 @@
     // A group that lost a member serves again after about this long.
     static constexpr Duration RetryAfterNoGroup = std::chrono::milliseconds(1600);
     // A full group frees places as streams end.
-    static constexpr Duration RetryAfterFull = std::chrono::milliseconds(1000);
+    static constexpr Duration RetryAfterFull = CallerWaits::SoonestReturn;
 
     RelayHost& host_;
     std::shared_ptr<HttpExchange> exchange_;
--- a/tests/unit/callerwait_test.cpp
+++ b/tests/unit/callerwait_test.cpp
@@ -39,6 +39,23 @@
                   Duration::zero());
 }
 
+// Callers of a deployment name limits of their own, up to a seventh below the route's timeout. 80
+// of 100 first tries were taken for later ones until a window of calls was known, and for good on
+// routes that bring one call a second to a host: they were put behind, refused with groups at half
+// load, and served a second late when they came back. Evidence: of 1,676 calls within eight seconds
+// of a played day 1,189 were logged to have waited for up to 0.9 s, with 31 refusals before.
+TEST(CallerWaits, WhoWouldHaveComeBackSoonerThanAnyoneIsToldToHasNotWaited) {
+    CallerWaits waits;
+    for (int i = 0; i < 200; ++i) {
+        const auto patience = milliseconds(5150 + (i * 7919) % 850);
+        EXPECT_EQ(waits.waited("often", patience, Limit, Start + milliseconds(i * 40)),
+                  Duration::zero());
+        EXPECT_EQ(waits.waited("seldom", patience, Limit, Start + seconds(i)), Duration::zero());
+    }
+    // They return after the second that they were told, and are known by it.
+    EXPECT_GE(waits.waited("new", milliseconds(4500), Limit, Start), CallerWaits::SoonestReturn);
+}
+
 TEST(CallerWaits, CallersOfAShorterLimitThanTheRoutesAreLearned) {
     CallerWaits waits;
     for (int i = 0; i < 100; ++i)
