--- a/tests/unit/plannerrounds_test.cpp
+++ b/tests/unit/plannerrounds_test.cpp
@@ -109,24 +109,23 @@
     std::size_t orders_ = 0;
 };
 
+void expect_short_rounds(LargeFleet fleet) {
+    const Duration longest = fleet.longest_round(20);
+    testing::Test::RecordProperty("longest_ms", std::to_string(to_millis(longest)));
+    EXPECT_GT(fleet.orders(), 3000u);
+    EXPECT_LT(longest, MostOfOneRound);
+}
+
 // Three terms led before a day of 300 hosts and 3,000 endpoints began: the first layout walked all
 // endpoints once for each group that it formed. The longest round took 969 ms of a core before that
 // was counted once a round, and 9 ms since; in three large domains 843 and 14 ms.
 TEST(PlannerRounds, TheFirstLayoutOfThreeThousandEndpointsTakesLessThanAnElection) {
-    LargeFleet fleet(30, 100);
-    const Duration longest = fleet.longest_round(20);
-    RecordProperty("longest_ms", std::to_string(to_millis(longest)));
-    EXPECT_GT(fleet.orders(), 3000u);
-    EXPECT_LT(longest, MostOfOneRound);
+    expect_short_rounds({30, 100});
 }
 
 // The same with few, large domains.
 TEST(PlannerRounds, NorDoesItInThreeLargeDomains) {
-    LargeFleet fleet(3, 1000);
-    const Duration longest = fleet.longest_round(20);
-    RecordProperty("longest_ms", std::to_string(to_millis(longest)));
-    EXPECT_GT(fleet.orders(), 3000u);
-    EXPECT_LT(longest, MostOfOneRound);
+    expect_short_rounds({3, 1000});
 }
 
 // A thousand small groups, two to four in a domain: 211 ms while live groups were counted anew for
@@ -134,11 +133,7 @@
 // the leader lost its office in the first layout, and the next one ordered the loads again under
 // the day's traffic.
 TEST(PlannerRounds, NorDoesItWithAThousandGroups) {
-    LargeFleet fleet(375, 8, engine(4, 2));
-    const Duration longest = fleet.longest_round(20);
-    RecordProperty("longest_ms", std::to_string(to_millis(longest)));
-    EXPECT_GT(fleet.orders(), 3000u);
-    EXPECT_LT(longest, MostOfOneRound);
+    expect_short_rounds({375, 8, engine(4, 2)});
 }
 
 } // namespace
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -61,26 +61,26 @@
     EXPECT_GT(quarantine.left(Poison, Start + seconds(3)), Duration::zero());
 }
 
-TEST(Quarantine, EndpointsThatEndTogetherHaveOneCause) {
+// Whether the request is held back after so many endpoints ended because of it, `apart` from each
+// other.
+bool is_held_after(std::size_t ends, const CutOff& what, Duration apart) {
     Quarantine quarantine;
-    for (std::size_t n = 0; n < 6; ++n)
-        quarantine.cut_off(old(Poison), endpoint(n), Start + milliseconds(3 * n));
-    EXPECT_EQ(quarantine.left(Poison, Start + seconds(1)), Duration::zero());
+    for (std::size_t n = 0; n < ends; ++n)
+        quarantine.cut_off(what, endpoint(n), Start + static_cast<int>(n) * apart);
+    return quarantine.left(Poison, Start + seconds(1)) > Duration::zero();
+}
+
+TEST(Quarantine, EndpointsThatEndTogetherHaveOneCause) {
+    EXPECT_FALSE(is_held_after(6, old(Poison), milliseconds(3)));
 }
 
 // Sent again within a try: the second endpoint got it when the first had ended because of it.
 TEST(Quarantine, AnEndAfterItWasSentAgainIsAnotherOneHoweverSoon) {
-    Quarantine quarantine;
-    for (std::size_t n = 0; n < 3; ++n)
-        quarantine.cut_off({Poison, 9}, endpoint(n), Start + milliseconds(10 * n));
-    EXPECT_GT(quarantine.left(Poison, Start + seconds(1)), Duration::zero());
+    EXPECT_TRUE(is_held_after(3, {Poison, 9}, milliseconds(10)));
 }
 
 TEST(Quarantine, CopiesThatEndOneEndpointAfterTheOtherAreNotOneCause) {
-    Quarantine quarantine;
-    for (std::size_t n = 0; n < 10; ++n)
-        quarantine.cut_off(old(Poison), endpoint(n), Start + milliseconds(20 * n));
-    EXPECT_GT(quarantine.left(Poison, Start + seconds(1)), Duration::zero());
+    EXPECT_TRUE(is_held_after(10, old(Poison), milliseconds(20)));
 }
 
 TEST(Quarantine, AWholeAnswerClears) {
--- a/tests/unit/registryrepair_test.cpp
+++ b/tests/unit/registryrepair_test.cpp
@@ -114,18 +114,23 @@
 
 // ---- a new leader
 
+GroupPlanner planner_of_pairs() {
+    EngineCost engine;
+    engine.loads_per_second = 3;
+    engine.models = {{"small", 2, 1.0, 1.0, seconds(12), milliseconds(1100)}};
+    GroupPlanner planner("llm", PlannerBounds{}, false);
+    planner.configure(engine);
+    return planner;
+}
+
 // Found by the same sweep: the new leader of control took 953 hosts for new groups while the leads
 // of their old ones were open. Word of those groups had reached other control hosts, and was still
 // on its way to the new leader, which knew that the hosts lived and took them for free. The log
 // tells it of the group; neither the signs of life that came meanwhile nor late words of before it
 // free a member, but the lead's answer that it has left does.
 TEST(Takeover, HostsOfARecordedGroupAreNotFreeWhateverWordIsMissing) {
-    EngineCost engine;
-    engine.loads_per_second = 3;
-    engine.models = {{"small", 2, 1.0, 1.0, seconds(12), milliseconds(1100)}};
     Registry behind;
-    GroupPlanner planner("llm", PlannerBounds{}, false);
-    planner.configure(engine);
+    GroupPlanner planner = planner_of_pairs();
     planner.traffic_began();
     PlannedGroups log;
     log[7].name = "small.7";
@@ -181,12 +186,8 @@
 // A control host that was just started knows no endpoint yet, only the log. Nothing is ended in the
 // log for that: the group may serve.
 TEST(Takeover, AGroupOfWhichNothingWasHeardStaysInTheLog) {
-    EngineCost engine;
-    engine.loads_per_second = 3;
-    engine.models = {{"small", 2, 1.0, 1.0, seconds(12), milliseconds(1100)}};
     Registry empty;
-    GroupPlanner planner("llm", PlannerBounds{}, false);
-    planner.configure(engine);
+    GroupPlanner planner = planner_of_pairs();
     PlannedGroups log;
     log[7] = {"small.7", {report_of(1).id, report_of(2).id}};
     planner.take_over(2, Start, log);
--- a/tests/unit/replica_test.cpp
+++ b/tests/unit/replica_test.cpp
@@ -258,15 +258,21 @@
     EXPECT_GT(hosts.at(late).raft().snapshot().index, 500u);
 }
 
+// Host 2 of three, with nothing on its disk.
+std::unique_ptr<Replica> open_follower(MemStorage& storage) {
+    auto opened = Replica::open(storage, 2, {1, 2, 3}, RaftTuning{}, 7, Time{});
+    EXPECT_TRUE(opened);
+    return std::move(*opened);
+}
+
 // An acknowledged document was read back older after all control hosts had been killed, in a played
 // day of 300 hosts with full links; the logs of that day were not kept. Found by reading for it: a
 // copy of a snapshot that came late, behind entries which this host had synced and answered for,
 // dropped them, though the leader had counted them. The host knew them only as not yet committed.
 TEST(Replica, ASnapshotThatComesLateDropsNoEntryThatWasAnsweredFor) {
     MemStorage storage;
-    auto opened = Replica::open(storage, 2, {1, 2, 3}, RaftTuning{}, 7, Time{});
-    ASSERT_TRUE(opened);
-    Replica& host = **opened;
+    const auto opened = open_follower(storage);
+    Replica& host = *opened;
     AppendRequest entries;
     entries.term = 1;
     entries.commit = 10;
@@ -293,9 +299,8 @@
 // Entries that differ from the leader's go, and so do those behind them.
 TEST(Replica, ASnapshotReplacesALogThatDiffers) {
     MemStorage storage;
-    auto opened = Replica::open(storage, 2, {1, 2, 3}, RaftTuning{}, 7, Time{});
-    ASSERT_TRUE(opened);
-    Replica& host = **opened;
+    const auto opened = open_follower(storage);
+    Replica& host = *opened;
     AppendRequest entries;
     entries.term = 1;
     for (Index index = 1; index <= 20; ++index)
