Callers of seldom routes are learned too: a window goes on until it has enough calls

Cause (by reading the change before): with limits spread over a seventh of 8 s, one in six first tries still seemed to have come back, and on routes of one call a second to an entry host a window of 10 s never held the 20 calls that tell.

Change: a window ends after 10 s and not before it has 20 calls.

Test: CallersOfSeldomRoutesAreLearnedToo failed before. Ruled out: a higher threshold than the second that callers are told to stay away (it would fit one limit).

--- a/src/request/callerwait.cpp
+++ b/src/request/callerwait.cpp
@@ -9,7 +9,7 @@
 
 // Long enough for a few hundred calls, short enough to follow callers that change.
 constexpr Duration WindowLength = std::chrono::seconds(10);
-// Fewer calls than this say nothing about the others.
+// Fewer calls than this say nothing about the others: a window goes on until it has as many.
 constexpr std::uint32_t EnoughCalls = 20;
 // Callers count their time down in steps, and a request takes some of it on its way.
 constexpr double Tolerance = 0.97;
@@ -37,7 +37,7 @@
 Duration CallerWaits::waited(const std::string& route, Duration patience, Duration timeout,
                              Time now) {
     RouteWindows& windows = routes_[route];
-    if (now - windows.begun > WindowLength) {
+    if (now - windows.begun > WindowLength && windows.now.total >= EnoughCalls) {
         windows.before = std::exchange(windows.now, {});
         windows.begun = now;
     }
--- a/tests/unit/callerwait_test.cpp
+++ b/tests/unit/callerwait_test.cpp
@@ -56,6 +56,17 @@
     EXPECT_GE(waits.waited("new", milliseconds(4500), Limit, Start), CallerWaits::SoonestReturn);
 }
 
+// The same callers on a route of one call a second, with 8 s and limits of their own: a window of
+// 10 s never held enough calls to tell, so one in six of them was put behind all day.
+TEST(CallerWaits, CallersOfSeldomRoutesAreLearnedToo) {
+    CallerWaits waits;
+    const auto limit_of = [](int i) { return milliseconds(6800 + (i * 7919) % 1200); };
+    for (int i = 0; i < 45; ++i)
+        (void)waits.waited("r", limit_of(i), seconds(8), Start + seconds(i));
+    for (int i = 45; i < 145; ++i)
+        EXPECT_EQ(waits.waited("r", limit_of(i), seconds(8), Start + seconds(i)), Duration::zero());
+}
+
 TEST(CallerWaits, CallersOfAShorterLimitThanTheRoutesAreLearned) {
     CallerWaits waits;
     for (int i = 0; i < 100; ++i)
