What a control host has for groups is a class of its own, GroupLeader

Cause: the step from a planner's round over the log to the orders, and from one leader to the next, stood in four files of Coordinator, between sockets and timers. So no test could play it with the product's own log and order queue; takeover_test has a stand-in for both.

Change: planners, changes that wait for the log, and the order queue move to process/groupleader, which does no I/O but through the replica. Coordinator sends what it is given. Changes that the log holds are taken after each pump instead of within it, and only in the term in which they were asked for. A host whose disk fails forgets its queue at once, and no longer at its next term.

--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -38,8 +38,9 @@
       decode_(std::move(decode)),
       identity_{ProcessRole::Control, config_.name, new_incarnation()},
       keeper_(2 * config_.tolerated_hosts + 1),
-      plan_timer_(io),
-      flush_timer_(io),
+      groups_({config_.bounds.beat, config_.bounds.load_window}, config_.first_start),
+      planning_(io, [this] { plan(); }),
+      telling_(io, [this] { send_changes(); }),
       ticker_(io, TickEvery, [this] { tick(); }) {}
 
 Coordinator::~Coordinator() = default;
@@ -129,6 +130,7 @@
     asio::post(io_,
                [this, old = std::shared_ptr<Replica>(std::move(replica_))] { settle_waiting(); });
     led_ = false;
+    groups_.step_down();
 }
 
 void Coordinator::start() {
@@ -177,7 +179,7 @@
     }
     settle_doubts(now);
     if (now >= plan_due_)
-        plan();
+        planning_.run();
 }
 
 void Coordinator::every_second() {
@@ -194,9 +196,8 @@
     if (leads())
         note_peers_behind();
     if (leads())
-        for (auto& [service, planner] : planners_)
-            log(LogLevel::Info, "layout",
-                {{"service", service}, {"groups", planner.layout(registry_, now)}});
+        for (const auto& [service, line] : groups_.layouts(registry_, now))
+            log(LogLevel::Info, "layout", {{"service", service}, {"groups", line}});
     std::erase_if(entries_, [&](const auto& item) {
         return now - item.second.heard > EntrySessionKept && !item.second.link;
     });
@@ -238,10 +239,12 @@
     }
     send_raft(*messages);
     note_leadership();
+    groups_.settle(registry_, BootClock::now());
     document_applied();
     quarantine_applied();
     keep_voters();
     settle_waiting();
+    send_orders();
 }
 
 void Coordinator::send_raft(const std::vector<RaftEnvelope>& messages) {
@@ -263,28 +266,21 @@
     term_began_ = BootClock::now();
 }
 
-void Coordinator::take_over(const std::string& service, GroupPlanner& planner) const {
-    const bool several_before = leads_since_ - last_term_began_ < config_.bounds.load_window;
-    planner.take_over(known_term_, leads_since_, replica_->state().planned_groups(service),
-                      several_before);
-}
-
 void Coordinator::note_leadership() {
     note_term();
     const bool leads = replica_->raft().leads_with_commit();
     if (leads == led_)
         return;
     led_ = leads;
-    const Time now = BootClock::now();
-    leads_since_ = now;
-    queued_orders_.clear();
+    leads_since_ = BootClock::now();
     proposed_document_ = 0;
     log(LogLevel::Info, leads ? "leads" : "leads no more",
         {{"term", std::to_string(replica_->raft().term())}, {"node", text_of(node_)}});
-    if (!leads)
-        return;
-    for (auto& [service, planner] : planners_)
-        take_over(service, planner);
+    const bool several_before = leads_since_ - last_term_began_ < config_.bounds.load_window;
+    if (leads)
+        groups_.take_over({known_term_, leads_since_, several_before}, replica_->state());
+    else
+        groups_.step_down();
 }
 
 // Control hosts that are no voters but could become some: heard of, and known by their own word.
@@ -426,37 +422,18 @@
     for (const Service& service : deployment->services) {
         services_.insert(service.name);
         if (service.engine)
-            planner_for(service).configure(*service.engine);
+            groups_.configure(service.name, *service.engine, replica_->state(), registry_,
+                              BootClock::now());
     }
     push_document();
     plan_soon();
 }
 
-// A planner that begins later than the endpoints is told of them, and of the leadership.
-GroupPlanner& Coordinator::planner_for(const Service& service) {
-    const auto found = planners_.find(service.name);
-    if (found != planners_.end())
-        return found->second;
-    const PlannerBounds bounds{config_.bounds.beat, config_.bounds.load_window};
-    GroupPlanner& planner =
-        planners_.emplace(service.name, GroupPlanner(service.name, bounds, config_.first_start))
-            .first->second;
-    for (const auto& [id, item] : registry_.items())
-        if (item.report.service == service.name)
-            planner.observe(item.report, BootClock::now());
-    if (leads())
-        take_over(service.name, planner);
-    return planner;
-}
-
 void Coordinator::push_document() {
-    const EncodedWire notice(make_vouch(0));
-    for (auto& [name, session] : entries_) {
-        if (!session.link)
-            continue;
-        push_document_to(session);
-        session.link->send(notice);
-    }
+    for (auto& [name, session] : entries_)
+        if (session.link)
+            push_document_to(session);
+    send_to_entries(make_vouch(0));
 }
 
 // Once over each link: what was sent arrives, or the link ends. An entry host that lacks the
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -3,14 +3,12 @@
 
 #include "connection/link.h"
 #include "process/fleetconfig.h"
-#include "process/groupplanner.h"
+#include "process/groupleader.h"
 #include "process/metrics.h"
-#include "process/orderqueue.h"
-#include "process/pace.h"
+#include "process/pacedwork.h"
 #include "process/quarantine.h"
 #include "process/registry.h"
 #include "process/registryrepair.h"
-#include "process/replica.h"
 #include "process/rosterfile.h"
 #include "process/ticker.h"
 #include "process/voterkeeper.h"
@@ -123,7 +121,6 @@
     void send_raft(const std::vector<RaftEnvelope>& messages);
     void note_term();
     void note_leadership();
-    void take_over(const std::string& service, GroupPlanner& planner) const;
     void keep_voters();
     Voters learners() const;
     std::vector<NodeView> views_of(Voters nodes) const;
@@ -131,8 +128,9 @@
     static void acknowledge(const Waiting& item);
     bool durable(const StoredDocument& document) const;
     void document_applied();
-    GroupPlanner& planner_for(const Service& service);
     void push_document();
+    void send_to_entries(const Wire& message);
+    void send_to_peers(const Wire& message);
     void push_document_to(EntrySession& session);
 
     // links
@@ -158,8 +156,7 @@
     void pass_on_doubted(const EndpointReport& report);
     void pass_on_settled();
     void settle_doubts(Time now);
-    void flush_soon();
-    void flush_changes();
+    void send_changes();
     void flush_alive();
     bool settled(Time now) const;
     void keep_roster(Time now);
@@ -168,23 +165,17 @@
 
     // groups
     void plan();
-    void plan_round(Time now);
     void plan_soon();
-    void probe(GroupPlanner& planner, const EndpointId& id, Time now);
+    void probe(const GroupLeader::Probe& asked, Time now);
     void tell_dissolved(const Link::Ptr& only);
-    GroupPlanner* planner_of(const std::string& service);
-    void record(const std::string& service, GroupPlanner& planner);
-    void recorded(const std::string& service, const GroupChanges& changes);
-    void queue(const std::string& service, const std::vector<EndpointOrder>& given);
     void send_orders();
-    void give(GroupPlanner& planner, const EndpointOrder& order);
+    void give(const OrderQueue::Item& item);
 
     // requests that end endpoints
     void on_cut_off(const Link::Ptr& link, const RequestsCutOff& cut_off, Time now);
     void on_suspicions(const Link::Ptr& link, const Suspicions& told, Time now);
     void clear(const std::vector<Fingerprint>& contents);
     void note_quarantined(const Fingerprint& content, Time now);
-    void tell_entries(const Suspicions& news);
     void tell_peers(const Suspicion& held);
     void keep_quarantine();
     void quarantine_applied();
@@ -226,8 +217,7 @@
     std::vector<EndpointReport> entry_changes_;     // to entry hosts only
     std::set<Epoch> dissolved_;                     // told to entry hosts
     std::set<EndpointId> alive_;                    // heard since the last flush
-    std::map<std::string, GroupPlanner> planners_;
-    OrderQueue queued_orders_;
+    GroupLeader groups_;
     std::vector<Waiting> waiting_;
     Version applied_document_ = 0;
     Version proposed_document_ = 0;
@@ -238,8 +228,6 @@
     Time term_began_{};
     Time last_term_began_{}; // of the term before; not before this process
     bool pump_posted_ = false;
-    bool plan_posted_ = false;
-    bool flush_posted_ = false;
     Quarantine quarantine_;
     std::map<Fingerprint, QuarantineRecord> applied_quarantine_; // of the log
     WorkBoard work_;
@@ -247,10 +235,8 @@
     Time second_due_{};
     Time alive_due_{};
     Time plan_due_{};
-    Pace plan_pace_;
-    asio::steady_timer plan_timer_;
-    Pace flush_pace_;
-    asio::steady_timer flush_timer_;
+    PacedWork planning_;
+    PacedWork telling_; // changes of endpoints, to peers and entry hosts
     Ticker ticker_;
     OwnedGauges gauges_;
 };
--- a/src/process/coordinatorfleet.cpp
+++ b/src/process/coordinatorfleet.cpp
@@ -20,6 +20,20 @@
 
 // ---- links
 
+// Encoded once for all links.
+void Coordinator::send_to_entries(const Wire& message) {
+    const EncodedWire encoded(message);
+    for (auto& [name, session] : entries_)
+        if (session.link)
+            session.link->send(encoded);
+}
+
+void Coordinator::send_to_peers(const Wire& message) {
+    const EncodedWire encoded(message);
+    for (auto& [address, peer] : peers_)
+        peer.dialer->send(encoded);
+}
+
 // Heartbeats and votes take a connection of their own: behind copies of the registry, digests and
 // reports they came later than an election timeout, where 3,000 endpoints registered in a few
 // seconds.
@@ -57,9 +71,8 @@
 void Coordinator::greet(Peer& peer) {
     if (node_ == NoNode)
         return;
-    PeerHello hello{node_, known_nodes(), registry_.digest(), settled(BootClock::now())};
-    hello.term = replica_ ? replica_->raft().term() : 0;
-    peer.dialer->send(hello);
+    peer.dialer->send(
+        PeerHello{node_, known_nodes(), registry_.digest(), settled(BootClock::now())});
 }
 
 void Coordinator::greet_all() {
@@ -127,8 +140,7 @@
 }
 
 void Coordinator::on_suspected(const GroupSuspected& suspected, Time now) {
-    for (auto& [service, planner] : planners_)
-        planner.suspect(suspected.epoch, now);
+    groups_.suspect(suspected.epoch, now);
     plan_soon();
 }
 
@@ -172,8 +184,7 @@
     session.renew = renew;
     session.heard = BootClock::now();
     if (renew.calls > 0)
-        for (auto& [service, planner] : planners_)
-            planner.traffic_began();
+        groups_.traffic_began();
     // A closed log can vouch for nothing.
     if (replica_)
         link->send(make_vouch(renew.sequence));
@@ -213,91 +224,47 @@
 
 // ---- groups
 
-GroupPlanner* Coordinator::planner_of(const std::string& service) {
-    const auto found = planners_.find(service);
-    return found == planners_.end() ? nullptr : &found->second;
-}
-
 // Each change asks for a round. Where thousands of endpoints tell of changes, rounds follow each
 // other no faster than leaves most of the time to what else this process does.
 void Coordinator::plan_soon() {
-    if (!leads() || std::exchange(plan_posted_, true))
-        return;
-    const Time now = BootClock::now();
-    plan_timer_.expires_after(plan_pace_.due(now) - now);
-    plan_timer_.async_wait([this](asio::error_code error) {
-        plan_posted_ = false;
-        if (!error)
-            plan();
-    });
+    if (leads())
+        planning_.soon();
 }
 
 void Coordinator::plan() {
-    const Time begun = BootClock::now();
-    plan_round(begun);
-    plan_pace_.worked(begun, BootClock::now());
-    plan_due_ = plan_pace_.due(begun + PlanEvery);
-}
-
-void Coordinator::plan_round(Time now) {
+    const Time now = BootClock::now();
+    plan_due_ = planning_.due(now + PlanEvery);
     if (!replica_ || !replica_->ready())
         return;
-    for (auto& [service, planner] : planners_) {
-        queue(service, planner.plan(registry_, now));
-        record(service, planner);
-        for (const EndpointId& id : planner.take_probes())
-            probe(planner, id, now);
-        for (const PlanEvent& event : planner.take_events())
-            log(LogLevel::Info, "group " + event.what,
-                {{"group", event.group},
-                 {"endpoint", text_of(event.endpoint)},
-                 {"why", event.why},
-                 {"term", std::to_string(replica_->raft().term())}});
-    }
+    if (groups_.plan(*replica_, registry_, now))
+        pump_soon();
+    for (const GroupLeader::Probe& asked : groups_.take_probes())
+        probe(asked, now);
+    for (const PlanEvent& event : groups_.take_events())
+        log(LogLevel::Info, "group " + event.what,
+            {{"group", event.group},
+             {"endpoint", text_of(event.endpoint)},
+             {"why", event.why},
+             {"term", std::to_string(replica_->raft().term())}});
     send_orders();
     tell_dissolved(nullptr);
 }
 
-// Groups are in the log before any of their members is ordered.
-void Coordinator::record(const std::string& service, GroupPlanner& planner) {
-    const GroupChanges changes = planner.take_changes();
-    if (changes.empty())
-        return;
-    Metrics::instance().counter("liftweir_groups_recorded").add(changes.formed.size());
-    replica_->propose(RecordGroups{service, changes.formed, changes.ended},
-                      [this, service, changes](const Expected<ApplyResult>& committed) {
-                          // Where it is not, the next leader finds them in the log, or none was
-                          // ordered.
-                          if (committed && leads())
-                              recorded(service, changes);
-                      });
-    pump_soon();
-}
-
-void Coordinator::recorded(const std::string& service, const GroupChanges& changes) {
-    if (GroupPlanner* planner = planner_of(service))
-        queue(service, planner->recorded(changes, registry_, BootClock::now()));
-    send_orders();
-}
-
-void Coordinator::probe(GroupPlanner& planner, const EndpointId& id, Time now) {
-    const Registry::Item* item = registry_.find(id);
+void Coordinator::probe(const GroupLeader::Probe& asked, Time now) {
+    const Registry::Item* item = registry_.find(asked.endpoint);
     if (item == nullptr) {
-        planner.probed(id, false, now);
+        groups_.probed(asked, false, now);
         return;
     }
-    orders_.probe(item->report, [this, &planner, id](bool alive) {
-        planner.probed(id, alive, BootClock::now());
+    orders_.probe(item->report, [this, asked](bool alive) {
+        groups_.probed(asked, alive, BootClock::now());
         plan_soon();
     });
 }
 
 // Entry hosts believe a lead's own report. A lost lead can not take back its last one.
 void Coordinator::tell_dissolved(const Link::Ptr& only) {
-    std::set<Epoch> all;
-    for (const auto& [service, planner] : planners_)
-        for (const Epoch epoch : planner.dissolved(registry_))
-            all.insert(epoch);
+    const std::set<Epoch> all = groups_.dissolved(registry_);
     const bool news = !std::includes(dissolved_.begin(), dissolved_.end(), all.begin(), all.end());
     dissolved_ = all;
     if (all.empty())
@@ -306,40 +273,29 @@
     if (only)
         only->send(message);
     else if (news)
-        for (auto& [name, session] : entries_)
-            if (session.link)
-                session.link->send(message);
-}
-
-void Coordinator::queue(const std::string& service, const std::vector<EndpointOrder>& given) {
-    for (const EndpointOrder& order : given)
-        queued_orders_.add({service, order});
+        send_to_entries(message);
 }
 
 void Coordinator::send_orders() {
-    while (const auto item = queued_orders_.next())
-        if (GroupPlanner* planner = planner_of(item->service))
-            give(*planner, item->order);
-        else
-            queued_orders_.ended();
+    while (const auto item = groups_.next_order())
+        give(*item);
 }
 
-void Coordinator::give(GroupPlanner& planner, const EndpointOrder& order) {
+void Coordinator::give(const OrderQueue::Item& item) {
     Metrics::instance()
-        .counter("liftweir_orders", "kind=\"" + std::string(name_of(order.kind)) + "\"")
+        .counter("liftweir_orders", "kind=\"" + std::string(name_of(item.order.kind)) + "\"")
         .add();
     const Time sent = BootClock::now();
-    orders_.send(order, [this, &planner, order, sent](OrderAnswer answer) {
+    orders_.send(item.order, [this, item, sent](OrderAnswer answer) {
         const Time now = BootClock::now();
         Metrics::instance().histogram("liftweir_order_seconds").add(to_seconds(now - sent));
         log(LogLevel::Info, "order",
-            {{"kind", std::string(name_of(order.kind))},
-             {"endpoint", text_of(order.endpoint)},
-             {"group", order.group},
+            {{"kind", std::string(name_of(item.order.kind))},
+             {"endpoint", text_of(item.order.endpoint)},
+             {"group", item.order.group},
              {"answer", std::string(name_of(answer))},
              {"took_ms", std::to_string(to_millis(now - sent))}});
-        planner.answered(order, answer, now);
-        queued_orders_.ended();
+        groups_.answered(item, answer, now);
         send_orders();
         plan_soon();
     });
--- a/src/process/coordinatorquarantine.cpp
+++ b/src/process/coordinatorquarantine.cpp
@@ -12,8 +12,7 @@
 void Coordinator::on_cut_off(const Link::Ptr& link, const RequestsCutOff& cut_off, Time now) {
     // An entry host may reach some control hosts only.
     if (link->peer().role == ProcessRole::Entry)
-        for (auto& [address, peer] : peers_)
-            peer.dialer->send(cut_off);
+        send_to_peers(cut_off);
     Suspicions news;
     for (const CutOff& request : cut_off.requests) {
         if (quarantine_.cut_off(request, cut_off.endpoint, now)) {
@@ -25,13 +24,12 @@
             news.known.push_back(known);
     }
     if (!news.known.empty())
-        tell_entries(news);
+        send_to_entries(news);
 }
 
 void Coordinator::on_suspicions(const Link::Ptr& link, const Suspicions& told, Time now) {
     if (link->peer().role == ProcessRole::Entry && !told.cleared.empty())
-        for (auto& [address, peer] : peers_)
-            peer.dialer->send(Suspicions{{}, told.cleared});
+        send_to_peers(Suspicions{{}, told.cleared});
     clear(told.cleared);
     Suspicions news;
     for (const Suspicion& suspicion : told.known) {
@@ -41,7 +39,7 @@
         news.known.push_back(quarantine_.suspicion(suspicion.content, now));
     }
     if (!news.known.empty())
-        tell_entries(news);
+        send_to_entries(news);
 }
 
 // An endpoint ran them to their end. Where the log holds them back, it is told as well.
@@ -58,7 +56,7 @@
         }
     }
     if (!news.cleared.empty())
-        tell_entries(news);
+        send_to_entries(news);
 }
 
 void Coordinator::note_quarantined(const Fingerprint& content, Time now) {
@@ -79,14 +77,7 @@
 // leader puts it into the log: on a busy machine one control host of three held a request back, and
 // neither the leader nor the log knew.
 void Coordinator::tell_peers(const Suspicion& held) {
-    for (auto& [address, peer] : peers_)
-        peer.dialer->send(Suspicions{{held}, {}});
-}
-
-void Coordinator::tell_entries(const Suspicions& news) {
-    for (auto& [name, session] : entries_)
-        if (session.link)
-            session.link->send(news);
+    send_to_peers(Suspicions{{held}, {}});
 }
 
 void Coordinator::propose_quarantine(const Suspicion& held) {
@@ -128,7 +119,7 @@
         if (!logged.contains(content) && record.until_ms > now_ms && quarantine_.clear(content))
             news.cleared.push_back(content);
     applied_quarantine_ = logged;
-    tell_entries(news);
+    send_to_entries(news);
 }
 
 } // namespace liftweir
--- a/src/process/coordinatorregistry.cpp
+++ b/src/process/coordinatorregistry.cpp
@@ -82,7 +82,7 @@
     if (!registry_.mark_gone(id, BootClock::now()))
         return;
     changed(registry_.find(id)->report, true);
-    flush_changes();
+    telling_.run();
 }
 
 // Copies of ranges tell how old they are.
@@ -114,11 +114,11 @@
         changed(current, true);
     else if (current.phase != phase)
         changed(current, false);
-    else if (GroupPlanner* planner = planner_of(current.service))
-        planner->observe(current, BootClock::now());
+    else
+        groups_.observe(current, BootClock::now());
     // The one who registers is answered after this: nobody may still send it work then.
     if (first_hand && current.phase != EndpointPhase::Serving)
-        flush_changes();
+        telling_.run();
     plan_soon();
 }
 
@@ -128,7 +128,7 @@
     if (report.phase == EndpointPhase::Serving)
         return;
     changes_.push_back(report);
-    flush_changes();
+    telling_.run();
 }
 
 // Those that ended go first: hosts that hear of a newer start alone would doubt it.
@@ -156,8 +156,7 @@
 }
 
 void Coordinator::changed(const EndpointReport& report, bool to_peers) {
-    if (GroupPlanner* planner = planner_of(report.service))
-        planner->observe(report, BootClock::now());
+    groups_.observe(report, BootClock::now());
     const Membership& membership = report.membership;
     log(LogLevel::Info, "endpoint",
         {{"id", text_of(report.id)},
@@ -168,42 +167,22 @@
          {"rank", std::to_string(membership.rank)},
          {"sequence", std::to_string(report.sequence)}});
     (to_peers ? changes_ : entry_changes_).push_back(report);
-    flush_soon();
+    telling_.soon();
 }
 
 // Where hundreds of entry hosts are told of thousands of endpoints that register, a message to each
-// of them for each turn of the loop took all of the processor share.
-void Coordinator::flush_soon() {
-    if (std::exchange(flush_posted_, true))
-        return;
-    const Time now = BootClock::now();
-    flush_timer_.expires_after(flush_pace_.due(now) - now);
-    flush_timer_.async_wait([this](asio::error_code error) {
-        flush_posted_ = false;
-        if (!error)
-            flush_changes();
-    });
-}
-
-void Coordinator::flush_changes() {
-    const Time begun = BootClock::now();
+// of them for each turn of the loop took all of the processor share: so this is work at a pace.
+void Coordinator::send_changes() {
     if (changes_.empty() && entry_changes_.empty())
         return;
-    EndpointChanges to_peers{std::exchange(changes_, {}), {}};
+    const EndpointChanges to_peers{std::exchange(changes_, {}), {}};
     // What peers told goes first: it may have ended whose place another has taken since.
     EndpointChanges to_entries{std::exchange(entry_changes_, {}), {}};
     to_entries.reports.insert(to_entries.reports.end(), to_peers.reports.begin(),
                               to_peers.reports.end());
-    const EncodedWire entries_news(std::move(to_entries));
-    for (auto& [name, session] : entries_)
-        if (session.link)
-            session.link->send(entries_news);
-    if (!to_peers.reports.empty()) {
-        const EncodedWire peers_news(std::move(to_peers));
-        for (auto& [address, peer] : peers_)
-            peer.dialer->send(peers_news);
-    }
-    flush_pace_.worked(begun, BootClock::now());
+    send_to_entries(to_entries);
+    if (!to_peers.reports.empty())
+        send_to_peers(to_peers);
 }
 
 void Coordinator::flush_alive() {
@@ -212,8 +191,7 @@
     EndpointsAlive message;
     const std::set<EndpointId> heard = std::exchange(alive_, {});
     message.ids.assign(heard.begin(), heard.end());
-    for (auto& [address, peer] : peers_)
-        peer.dialer->send(message);
+    send_to_peers(message);
 }
 
 // ---- kept for the next start
--- /dev/null
+++ b/src/process/groupleader.cpp
@@ -0,0 +1,142 @@
+#include "process/groupleader.h"
+
+#include "process/metrics.h"
+
+namespace liftweir {
+
+GroupPlanner* GroupLeader::planner_of(const std::string& service) {
+    const auto found = planners_.find(service);
+    return found == planners_.end() ? nullptr : &found->second;
+}
+
+void GroupLeader::configure(const std::string& service, const EngineCost& engine,
+                            const State& state, const Registry& registry, Time now) {
+    const auto [planner, is_new] = planners_.try_emplace(service, service, bounds_, first_start_);
+    planner->second.configure(engine);
+    if (!is_new)
+        return;
+    for (const auto& [id, item] : registry.items())
+        if (item.report.service == service)
+            planner->second.observe(item.report, now);
+    if (leadership_)
+        planner->second.take_over(leadership_->term, leadership_->since,
+                                  state.planned_groups(service), leadership_->several_before);
+}
+
+void GroupLeader::observe(const EndpointReport& report, Time now) {
+    if (GroupPlanner* planner = planner_of(report.service))
+        planner->observe(report, now);
+}
+
+void GroupLeader::traffic_began() {
+    for (auto& [service, planner] : planners_)
+        planner.traffic_began();
+}
+
+void GroupLeader::suspect(Epoch epoch, Time now) {
+    for (auto& [service, planner] : planners_)
+        planner.suspect(epoch, now);
+}
+
+// ---- leadership
+
+void GroupLeader::take_over(const Leadership& leadership, const State& state) {
+    step_down();
+    leadership_ = leadership;
+    for (auto& [service, planner] : planners_)
+        planner.take_over(leadership.term, leadership.since, state.planned_groups(service),
+                          leadership.several_before);
+}
+
+void GroupLeader::step_down() {
+    leadership_.reset();
+    recorded_.clear();
+    queued_.clear();
+}
+
+// ---- one round
+
+bool GroupLeader::plan(Replica& replica, const Registry& registry, Time now) {
+    bool asked = false;
+    for (auto& [service, planner] : planners_) {
+        queue(service, planner.plan(registry, now));
+        asked = record(replica, service, planner) || asked;
+    }
+    return asked;
+}
+
+// Groups are in the log before any of their members is ordered. Where they do not get there, the
+// next leader finds them in the log, or none was ordered.
+bool GroupLeader::record(Replica& replica, const std::string& service, GroupPlanner& planner) {
+    const GroupChanges changes = planner.take_changes();
+    if (changes.empty())
+        return false;
+    Metrics::instance().counter("liftweir_groups_recorded").add(changes.formed.size());
+    replica.propose(RecordGroups{service, changes.formed, changes.ended},
+                    [this, service, changes,
+                     term = replica.raft().term()](const Expected<ApplyResult>& committed) {
+                        if (committed)
+                            recorded_.push_back({service, term, changes});
+                    });
+    return true;
+}
+
+// What was asked for in an earlier term the takeover has read from the log already.
+void GroupLeader::settle(const Registry& registry, Time now) {
+    for (const Recorded& item : std::exchange(recorded_, {})) {
+        GroupPlanner* planner = planner_of(item.service);
+        if (planner != nullptr && leadership_ && leadership_->term == item.term)
+            queue(item.service, planner->recorded(item.changes, registry, now));
+    }
+}
+
+void GroupLeader::queue(const std::string& service, const std::vector<EndpointOrder>& orders) {
+    for (const EndpointOrder& order : orders)
+        queued_.add({service, order});
+}
+
+void GroupLeader::answered(const OrderQueue::Item& item, OrderAnswer answer, Time now) {
+    queued_.ended();
+    if (GroupPlanner* planner = planner_of(item.service))
+        planner->answered(item.order, answer, now);
+}
+
+std::vector<GroupLeader::Probe> GroupLeader::take_probes() {
+    std::vector<Probe> probes;
+    for (auto& [service, planner] : planners_)
+        for (const EndpointId& id : planner.take_probes())
+            probes.push_back({service, id});
+    return probes;
+}
+
+void GroupLeader::probed(const Probe& probe, bool alive, Time now) {
+    if (GroupPlanner* planner = planner_of(probe.service))
+        planner->probed(probe.endpoint, alive, now);
+}
+
+std::vector<PlanEvent> GroupLeader::take_events() {
+    std::vector<PlanEvent> events;
+    for (auto& [service, planner] : planners_)
+        for (PlanEvent& event : planner.take_events())
+            events.push_back(std::move(event));
+    return events;
+}
+
+// ---- what others are told
+
+std::set<Epoch> GroupLeader::dissolved(const Registry& registry) const {
+    std::set<Epoch> all;
+    for (const auto& [service, planner] : planners_)
+        for (const Epoch epoch : planner.dissolved(registry))
+            all.insert(epoch);
+    return all;
+}
+
+std::map<std::string, std::string> GroupLeader::layouts(const Registry& registry, Time now) {
+    std::map<std::string, std::string> lines;
+    for (auto& [service, planner] : planners_)
+        lines[service] = planner.layout(registry, now);
+    return lines;
+}
+
+} // namespace liftweir
