Entry hosts send cold endpoints no more than they bear together

Callers saw: answers lost at groups that had just come back.

Cause: endpoints tell that they are cold, and the operators how much a cold one bears; nobody decoded either. The choice of a group prefers who has least work, so 16 entry hosts chose the newcomer at once.

Change: a report says whether its endpoint is cold (a field more, at the end). An entry host sends a cold one a request at a pace, by its part of the work of all entry hosts, beginning at a moment that chance decides (request/coldpace). Ruled out: places lent by control (a round trip in a spell of 3 s), a subset of entry hosts by hash (unequal shares).

Test: ColdEndpoint plays 1 to 30 entry hosts in virtual time and counts each second.

--- a/src/process/registry.h
+++ b/src/process/registry.h
@@ -56,9 +56,11 @@
     std::vector<std::string> staged; // models whose weights lie on its host
     Membership membership;           // epoch NoEpoch: in no group
     std::uint64_t sequence = 0;
+    bool cold = false; // slow since its start, and bears less than later
 
     auto operator<=>(const EndpointReport&) const = default;
-    MSGPACK_DEFINE(id, service, address, zone, domain, phase, slots, staged, membership, sequence)
+    MSGPACK_DEFINE(id, service, address, zone, domain, phase, slots, staged, membership, sequence,
+                   cold)
 
     bool grouped() const { return membership.epoch != NoEpoch; }
     // Its group serves, and requests for it go to this endpoint.
--- a/src/request/directory.cpp
+++ b/src/request/directory.cpp
@@ -162,6 +162,22 @@
     return forecast(engine, model, load, demand, 1);
 }
 
+// All entry hosts together send a cold endpoint what it bears, each by its part of their work.
+Duration Directory::cold_every(const EndpointReport& report, const Service& service) const {
+    if (!report.cold || service.cold_calls_per_second <= 0)
+        return Duration::zero();
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(others_ / service.cold_calls_per_second));
+}
+
+bool Directory::is_warm_enough(EndpointUse& use, Duration every, Time now) {
+    if (every == Duration::zero()) {
+        use.cold = {};
+        return true;
+    }
+    return use.cold.allows(every, std::uniform_real_distribution<double>(0, 1)(random_), now);
+}
+
 const Directory::Candidate& Directory::lowest_of(const std::vector<Candidate>& candidates) {
     std::uniform_real_distribution<double> noise(1, 1 + ForecastNoise);
     const Candidate* lowest = nullptr;
@@ -196,7 +212,7 @@
                                           Time now) {
     Leads leads;
     for (const auto& [id, report] : registry_.index().open_leads(demand.model)) {
-        const EndpointUse& use = uses_[id];
+        EndpointUse& use = uses_[id];
         if (report->service == demand.service->name && !use.avoided(now) && !tried.contains(id) &&
             !dissolved_.contains(report->membership.epoch))
             leads.push_back({report, &use});
@@ -217,7 +233,8 @@
     const bool with_others = counts_others(leads, now);
     std::vector<Candidate> candidates;
     for (const Lead& lead : leads) {
-        if (lead.use->in_flight >= connections)
+        const Duration every = cold_every(*lead.report, *demand.service);
+        if (lead.use->in_flight >= connections || !is_warm_enough(*lead.use, every, now))
             continue;
         const ModelShape model = shape_at(*lead.report, *shape, engine);
         const LoadForecast met = forecast_at(lead, model, engine, demand.engine, with_others);
@@ -228,7 +245,8 @@
         candidates.push_back(
             {{lead.report->id, lead.report->address, met, longest_pass(engine, model),
               std::chrono::duration_cast<Duration>(
-                  std::chrono::duration<double, std::milli>(met.first_event_ms))},
+                  std::chrono::duration<double, std::milli>(met.first_event_ms)),
+              every},
              (met.first_event_ms + met.pause_ms) / 2});
     }
     if (candidates.empty())
@@ -245,8 +263,9 @@
     for (const auto& [id, report] : registry_.index().of_service(demand.service->name)) {
         if (report->phase != EndpointPhase::Serving || tried.contains(id))
             continue;
-        const EndpointUse& use = uses_[id];
-        if (use.in_flight >= connections) {
+        EndpointUse& use = uses_[id];
+        const Duration every = cold_every(*report, *demand.service);
+        if (use.in_flight >= connections || !is_warm_enough(use, every, now)) {
             any_full = true;
             continue;
         }
@@ -257,7 +276,7 @@
         if (best && score >= best_score)
             continue;
         best_score = score;
-        best = Pick{id, report->address, {}, {}, {}};
+        best = Pick{id, report->address, {}, {}, {}, every};
     }
     if (best)
         return *best;
--- a/src/request/directory.h
+++ b/src/request/directory.h
@@ -2,6 +2,7 @@
 #define DIRECTORY_H_INCLUDED
 
 #include "process/registry.h"
+#include "request/coldpace.h"
 #include "request/groupload.h"
 #include "request/leveling.h"
 #include "request/stallwatch.h"
@@ -22,6 +23,7 @@
     std::uint32_t in_flight = 0;
     std::uint32_t failures = 0; // in a row
     Time avoid_until{};         // failed or stood still lately
+    ColdPace cold;
 
     bool avoided(Time now) const { return now < avoid_until; }
 
@@ -55,6 +57,7 @@
     LoadForecast forecast;   // all zero for plain services
     Duration longest_pass{}; // of the group's engine
     Duration first_event{};  // until the first event, by the forecast
+    Duration cold_every{};   // between two requests of this host, while the endpoint is cold
 };
 
 // The endpoints as one entry host sees them, and the choice among them.
@@ -110,7 +113,7 @@
     // A lead, and what is known of it here.
     struct Lead {
         const EndpointReport* report = nullptr;
-        const EndpointUse* use = nullptr;
+        EndpointUse* use = nullptr;
     };
     using Leads = std::vector<Lead>;
 
@@ -118,6 +121,10 @@
     Leads serving_leads(const Demand& demand, const std::set<EndpointId>& tried, Time now);
     // Whether the groups are judged by what the other hosts have there, too.
     bool counts_others(const Leads& leads, Time now) const;
+    // How long this host waits between two requests to the endpoint; zero where it is not cold.
+    Duration cold_every(const EndpointReport& report, const Service& service) const;
+    // Whether the endpoint may get a request now, by what a cold one bears.
+    bool is_warm_enough(EndpointUse& use, Duration every, Time now);
     // What the request would meet at the group.
     LoadForecast forecast_at(const Lead& lead, const ModelShape& model, const EngineCost& engine,
                              const EngineDemand& demand, bool with_others) const;
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -181,6 +181,8 @@
 void RelayedCall::occupy_endpoint(const Pick& pick, Time now) {
     EndpointUse& use = host_.directory().use(endpoint_);
     ++use.in_flight;
+    if (pick.cold_every > Duration::zero())
+        use.cold.sent(pick.cold_every, now);
     if (!uses_engine())
         return;
     use.sent(engine_demand(), pick.longest_pass, pick.first_event, now);
--- a/src/version/deployment.h
+++ b/src/version/deployment.h
@@ -91,6 +91,8 @@
     std::string name;
     std::uint32_t max_connections = 1; // one endpoint accepts so many from all entry hosts
     std::optional<EngineCost> engine;  // nothing for a plain service
+    // An endpoint that has just started bears so many from all entry hosts; zero: no bound.
+    double cold_calls_per_second = 0;
 
     auto operator<=>(const Service&) const = default;
 };
