A control host that is slow for good steps down once it is cut off

Callers would see: settings that are never acknowledged at a host that thinks for ever that it leads; a slow host that follows never asks for votes.

Cause: a tick that comes late puts the check of the quorum and the election off by a heartbeat, so that answers which wait are read first. Where every tick is late, each puts it off once more.

Change: a late tick is excused only where the one before was in time. Why it holds: what waited has been read in the turn between two ticks.

Test: Replica.ALeaderThatIsSlowForGoodAndCutOffStepsDown, ticks every 300 ms; it failed on the untouched code (still a leader after 3 s), and ALeaderThatWasBusyReadsItsAnswersBeforeItStepsDown holds as before.

--- a/src/process/raft.cpp
+++ b/src/process/raft.cpp
@@ -114,8 +114,9 @@
 // by rounds, so a leader that stays in office for this long answers nothing stale.
 void Raft::excuse_late_tick(Time now) {
     const bool late = now - ticked_ > tuning_.election_min / 2;
+    const bool excused = std::exchange(ticked_late_, late);
     ticked_ = now;
-    if (!late)
+    if (!late || excused)
         return;
     quorum_due_ = std::max(quorum_due_, now + tuning_.heartbeat);
     election_deadline_ = std::max(election_deadline_, now + tuning_.heartbeat);
--- a/src/process/raft.h
+++ b/src/process/raft.h
@@ -258,6 +258,7 @@
     std::uint64_t next_read_ = 1;
     Time now_;
     Time ticked_;
+    bool ticked_late_ = false;
     Time election_deadline_{};
     Time heartbeat_due_{};
     Time quorum_due_{};
--- a/tests/unit/replica_test.cpp
+++ b/tests/unit/replica_test.cpp
@@ -236,6 +236,25 @@
     EXPECT_GT(uncontested, 10);
 }
 
+// Found by reading: a control host that is slow for good and cut off thought for ever that it led,
+// and one that follows and is slow never asked for votes. A late tick puts the next check off, so
+// that what waits is read first; where every tick is late, each of them put it off once more.
+TEST(Replica, ALeaderThatIsSlowForGoodAndCutOffStepsDown) {
+    Hosts hosts(3, 5);
+    hosts.run(std::chrono::seconds(3));
+    Replica* leader = hosts.leader();
+    ASSERT_NE(leader, nullptr);
+    const NodeId self = leader->raft().self();
+    hosts.cut(self, true);
+    for (int turn = 0; turn < 10; ++turn) {
+        hosts.busy(self, true);
+        hosts.run(std::chrono::milliseconds(300));
+        hosts.busy(self, false);
+        hosts.step();
+    }
+    EXPECT_FALSE(leader->raft().leads());
+}
+
 TEST(Replica, AHostThatHundredsOfChangesPassedByCatchesUpFromASnapshot) {
     Hosts hosts(3, 13);
     hosts.run(std::chrono::seconds(3));
