A roster that a full disk refused is written again, though nothing changes

Callers would see: after a loss of power on all hosts, entry hosts that do not know who serves. Found by reading.

Cause: the bytes were noted as kept before the write, and a write that failed was tried again only once the endpoints changed. Change: the writer keeps what was refused and tries it again after 0.5 s, unless newer bytes came. Why it holds: the writer alone knows whether the disk took it.

Test: RosterFile.AWriteThatFailsIsTriedAgainThoughNothingChanges; on the untouched code nothing was kept in 2 s.

--- a/src/process/rosterfile.cpp
+++ b/src/process/rosterfile.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr const char* RosterName = "endpoints";
+// A full disk is tried again: whoever has the last word on disk is believed after a loss of power.
+constexpr Duration RetryEvery = std::chrono::milliseconds(500);
 
 struct Roster {
     std::vector<EndpointReport> reports;
@@ -58,19 +60,29 @@
             wake_.wait(lock, [this] { return next_.has_value() || stopped_; });
             if (stopped_)
                 return;
-            const std::string bytes = *std::exchange(next_, std::nullopt);
+            std::string bytes = *std::exchange(next_, std::nullopt);
             lock.unlock();
-            write(bytes);
+            const bool kept = write(bytes);
             lock.lock();
+            if (!kept)
+                retry(std::move(bytes), lock);
         }
     }
 
-    void write(const std::string& bytes) {
+    // Endpoints may not change for long, and nothing else would write them again.
+    void retry(std::string bytes, std::unique_lock<std::mutex>& lock) {
+        wake_.wait_for(lock, RetryEvery, [this] { return next_.has_value() || stopped_; });
+        if (!next_)
+            next_ = std::move(bytes);
+    }
+
+    bool write(const std::string& bytes) {
         const auto kept = storage_->replace(RosterName, bytes);
         const std::lock_guard lock(mutex_);
         if (!kept && !stopped_)
             log(LogLevel::Warning, "known endpoints could not be kept on disk",
                 {{"detail", kept.error().detail}});
+        return kept.has_value();
     }
 
     std::shared_ptr<Storage> storage_;
--- a/tests/unit/memstorage.h
+++ b/tests/unit/memstorage.h
@@ -9,7 +9,7 @@
 namespace liftweir {
 
 // Storage in memory that keeps apart what is synced and what a crash loses.
-class MemStorage final : public Storage {
+class MemStorage : public Storage {
   public:
     Expected<std::vector<std::string>> list() override {
         std::vector<std::string> names;
--- a/tests/unit/rosterfile_test.cpp
+++ b/tests/unit/rosterfile_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <thread>
 
 namespace liftweir {
@@ -55,5 +56,31 @@
     EXPECT_TRUE(RosterFile(storage).load().empty());
 }
 
+// Refuses the first writes, as a full disk does for a while.
+class FullForAWhile final : public MemStorage {
+  public:
+    explicit FullForAWhile(int writes) : left_(writes) {}
+    Expected<void> replace(const std::string& name, std::string_view bytes) override {
+        return left_-- > 0 ? fail(FailureKind::Storage, "full") : MemStorage::replace(name, bytes);
+    }
+
+  private:
+    std::atomic<int> left_;
+};
+
+// Found by reading: after a loss of power on all hosts, entry hosts serve by what was kept. A write
+// that failed was tried again only once the endpoints changed, so what a disk refused while it was
+// full for a second was missing for as long as nothing changed.
+TEST(RosterFile, AWriteThatFailsIsTriedAgainThoughNothingChanges) {
+    const auto storage = std::make_shared<FullForAWhile>(2);
+    RosterFile roster(storage);
+    Registry registry;
+    registry.merge(endpoint("heard"), Start);
+    roster.keep(registry, Start);
+    const auto reports = kept(storage);
+    ASSERT_EQ(reports.size(), 1u);
+    EXPECT_EQ(reports.front().id, "heard");
+}
+
 } // namespace
 } // namespace liftweir
