What a server's connections share lives until their last work in the loop

Seen in a unit test, never in a program (they end their loop first): a server that is destroyed while its loop runs touches freed memory. Cause: each open connection notes its end in what all share, from the loop; that, the acceptor and the sweeper were parts of the server. Change: the connections own what they share, and who listens is held by its own work in the loop. Why it holds: nothing in the loop refers to the server any more.

Test: ServerTest.WhatConnectionsShareLivesUntilTheirLastWorkInTheLoop; on the untouched code it fails and the process crashes after that.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -82,18 +82,12 @@
     bool done_ = false;
 };
 
-// Accepts connections, and checks their time limits.
-class AsioServer final : public HttpServer {
+// Accepts connections, and checks their time limits. The loop holds it for as long as it has work
+// for it, which may be after the server is gone.
+class Listener : public std::enable_shared_from_this<Listener> {
   public:
-    AsioServer(asio::io_context& io, const std::string& address, const HttpServerLimits& limits,
-               HttpHandler handler, AddressUse use)
-        : core_{io, limits,
-                [handler = std::move(handler)](const ConnectionPtr& connection,
-                                               RequestMessage&& message) {
-                    handler(std::make_shared<Exchange>(connection, std::move(message)));
-                }},
-          acceptor_(io),
-          sweeper_(io) {
+    Listener(std::shared_ptr<ServerCore> core, const std::string& address, AddressUse use)
+        : core_(std::move(core)), acceptor_(core_->io), sweeper_(core_->io) {
         const auto endpoint = parse_address(address).value();
         acceptor_.open(endpoint.protocol());
         acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true));
@@ -103,67 +97,97 @@
             acceptor_.set_option(ReusePort(true));
         acceptor_.bind(endpoint);
         acceptor_.listen(ListenBacklog);
+    }
+
+    void start() {
         accept();
         sweep_later();
     }
-    ~AsioServer() override {
-        for (const ConnectionPtr& connection : ServerConnections(core_.connections))
-            connection->close();
-    }
-    AsioServer(const AsioServer&) = delete;
-    AsioServer& operator=(const AsioServer&) = delete;
-
-    void stop_accepting() override {
+    void stop_accepting() {
         asio::error_code ignored;
         acceptor_.close(ignored);
     }
-    void close_after_answers() override { core_.closing = true; }
-    void close_resting() override {
-        for (const ConnectionPtr& connection : ServerConnections(core_.connections))
-            if (connection->resting())
-                connection->close();
-    }
-    std::size_t busy() const override {
-        return static_cast<std::size_t>(
-            std::count_if(core_.connections.begin(), core_.connections.end(),
-                          [](const ConnectionPtr& connection) { return connection->busy(); }));
+    void end() {
+        stop_accepting();
+        sweeper_.cancel();
+        for (const ConnectionPtr& connection : ServerConnections(core_->connections))
+            connection->close();
     }
-    void set_limits(const HttpServerLimits& limits) override { core_.limits = limits; }
-    std::size_t connections() const override { return core_.connections.size(); }
 
   private:
     void accept() {
-        acceptor_.async_accept([this](asio::error_code error, asio::ip::tcp::socket socket) {
-            if (error == asio::error::operation_aborted || !acceptor_.is_open())
-                return;
-            // Beyond the bound a new connection is closed at once: its caller tries another host.
-            if (!error && core_.connections.size() < core_.limits.connections) {
-                // cppcheck-suppress accessMoved
-                const auto connection =
-                    std::make_shared<ServerConnection>(std::move(socket), core_);
-                core_.connections.insert(connection);
-                connection->start();
-            }
-            accept();
-        });
+        acceptor_.async_accept(
+            [self = shared_from_this()](asio::error_code error, asio::ip::tcp::socket socket) {
+                if (error == asio::error::operation_aborted || !self->acceptor_.is_open())
+                    return;
+                if (!error)
+                    self->take(std::move(socket));
+                self->accept();
+            });
+    }
+    // Beyond the bound a new connection is closed at once: its caller tries another host.
+    void take(asio::ip::tcp::socket socket) {
+        if (core_->connections.size() >= core_->limits.connections)
+            return;
+        const auto connection = std::make_shared<ServerConnection>(std::move(socket), core_);
+        core_->connections.insert(connection);
+        connection->start();
     }
     void sweep_later() {
         sweeper_.expires_after(SweepEvery);
-        sweeper_.async_wait([this](asio::error_code error) {
+        sweeper_.async_wait([self = shared_from_this()](asio::error_code error) {
             if (error)
                 return;
             const Time now = BootClock::now();
-            for (const ConnectionPtr& connection : ServerConnections(core_.connections))
+            for (const ConnectionPtr& connection : ServerConnections(self->core_->connections))
                 connection->sweep(now);
-            sweep_later();
+            self->sweep_later();
         });
     }
 
-    ServerCore core_;
+    std::shared_ptr<ServerCore> core_;
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer sweeper_;
 };
 
+class AsioServer final : public HttpServer {
+  public:
+    AsioServer(asio::io_context& io, const std::string& address, const HttpServerLimits& limits,
+               HttpHandler handler, AddressUse use)
+        : core_(std::make_shared<ServerCore>(
+              ServerCore{io, limits,
+                         [handler = std::move(handler)](const ConnectionPtr& connection,
+                                                        RequestMessage&& message) {
+                             handler(std::make_shared<Exchange>(connection, std::move(message)));
+                         }})),
+          listener_(std::make_shared<Listener>(core_, address, use)) {
+        listener_->start();
+    }
+    // What the connections share was freed here, while the loop still had their ends to note in it.
+    ~AsioServer() override { listener_->end(); }
+    AsioServer(const AsioServer&) = delete;
+    AsioServer& operator=(const AsioServer&) = delete;
+
+    void stop_accepting() override { listener_->stop_accepting(); }
+    void close_after_answers() override { core_->closing = true; }
+    void close_resting() override {
+        for (const ConnectionPtr& connection : ServerConnections(core_->connections))
+            if (connection->resting())
+                connection->close();
+    }
+    std::size_t busy() const override {
+        return static_cast<std::size_t>(
+            std::count_if(core_->connections.begin(), core_->connections.end(),
+                          [](const ConnectionPtr& connection) { return connection->busy(); }));
+    }
+    void set_limits(const HttpServerLimits& limits) override { core_->limits = limits; }
+    std::size_t connections() const override { return core_->connections.size(); }
+
+  private:
+    std::shared_ptr<ServerCore> core_;
+    std::shared_ptr<Listener> listener_;
+};
+
 } // namespace
 
 std::unique_ptr<HttpServer> serve_http(asio::io_context& io, const std::string& address,
--- a/src/connection/serverconnection.cpp
+++ b/src/connection/serverconnection.cpp
@@ -21,8 +21,8 @@
 
 } // namespace
 
-ServerConnection::ServerConnection(asio::ip::tcp::socket socket, ServerCore& core)
-    : socket_(std::move(socket)), core_(core) {
+ServerConnection::ServerConnection(asio::ip::tcp::socket socket, std::shared_ptr<ServerCore> core)
+    : socket_(std::move(socket)), core_(std::move(core)) {
     http_parser_init(&parser_, HTTP_REQUEST);
     parser_.data = this;
     asio::error_code ignored;
@@ -30,7 +30,7 @@
 }
 
 void ServerConnection::start() {
-    set_phase(Phase::Idle, BootClock::now() + core_.limits.idle_timeout);
+    set_phase(Phase::Idle, BootClock::now() + core_->limits.idle_timeout);
     read_more();
 }
 
@@ -82,7 +82,7 @@
     if (message_.headers.size() > MaxHeaderCount)
         return 431;
     if (lengths > 0 && parser_.content_length != ULLONG_MAX &&
-        parser_.content_length > core_.limits.body_bytes)
+        parser_.content_length > core_->limits.body_bytes)
         return 413;
     return 0;
 }
@@ -94,7 +94,7 @@
         return -1;
     message_.method = http_method_str(static_cast<http_method>(parser_.method));
     message_.keep_alive = http_should_keep_alive(&parser_) != 0;
-    set_phase(Phase::Body, BootClock::now() + core_.limits.header_timeout);
+    set_phase(Phase::Body, BootClock::now() + core_->limits.header_timeout);
     if (has_token(find_header(message_.headers, "expect"), "100-continue") &&
         !std::exchange(informed_, true))
         send("HTTP/1.1 100 Continue\r\n\r\n", nullptr);
@@ -102,12 +102,12 @@
 }
 
 int ServerConnection::on_body(std::string_view bytes) {
-    if (message_.body.size() + bytes.size() > core_.limits.body_bytes) {
+    if (message_.body.size() + bytes.size() > core_->limits.body_bytes) {
         refused_ = 413;
         return -1;
     }
     message_.body.append(bytes);
-    deadline_ = BootClock::now() + core_.limits.header_timeout;
+    deadline_ = BootClock::now() + core_->limits.header_timeout;
     return 0;
 }
 
@@ -163,10 +163,10 @@
 
 void ServerConnection::parse(std::string_view bytes) {
     if (phase_ == Phase::Idle)
-        set_phase(Phase::Head, BootClock::now() + core_.limits.header_timeout);
+        set_phase(Phase::Head, BootClock::now() + core_->limits.header_timeout);
     const auto parsed =
         http_parser_execute(&parser_, &parser_settings(), bytes.data(), bytes.size());
-    if (phase_ == Phase::Head && head_bytes() > core_.limits.header_bytes)
+    if (phase_ == Phase::Head && head_bytes() > core_->limits.header_bytes)
         refused_ = 431;
     if (complete_) {
         held_.assign(bytes.substr(std::min(parsed, bytes.size())));
@@ -183,7 +183,7 @@
 }
 
 void ServerConnection::request_done() {
-    if (head_bytes() > core_.limits.header_bytes) {
+    if (head_bytes() > core_->limits.header_bytes) {
         refuse(431);
         return;
     }
@@ -191,7 +191,7 @@
     close_after_ = !message_.keep_alive;
     message_.on_kept_connection = std::exchange(kept_, true);
     set_phase(Phase::Working, Time::max());
-    core_.on_request(shared_from_this(), std::exchange(message_, RequestMessage{}));
+    core_->on_request(shared_from_this(), std::exchange(message_, RequestMessage{}));
 }
 
 void ServerConnection::refuse(int status) {
@@ -218,7 +218,7 @@
         head += "Transfer-Encoding: chunked\r\n";
     else if (status != 204 && status != 304)
         head += "Content-Length: " + std::to_string(*length) + "\r\n";
-    close_after_ = close_after_ || core_.closing;
+    close_after_ = close_after_ || core_->closing;
     if (close_after_)
         head += "Connection: close\r\n";
     head += "\r\n";
@@ -236,14 +236,14 @@
 void ServerConnection::send(std::string bytes, std::function<void(bool)> on_written) {
     if (phase_ == Phase::Closed) {
         if (on_written)
-            asio::post(core_.io, [on_written = std::move(on_written)] { on_written(false); });
+            asio::post(core_->io, [on_written = std::move(on_written)] { on_written(false); });
         return;
     }
     queue_.push_back({std::move(bytes), std::move(on_written)});
     if (std::exchange(write_active_, true))
         return;
     // What one turn of the loop produces leaves in one packet.
-    asio::post(core_.io, [self = shared_from_this()] { self->write_next(); });
+    asio::post(core_->io, [self = shared_from_this()] { self->write_next(); });
 }
 
 void ServerConnection::write_next() {
@@ -283,13 +283,13 @@
     http_parser_init(&parser_, HTTP_REQUEST);
     informed_ = false;
     assembler_ = {};
-    set_phase(Phase::Idle, BootClock::now() + core_.limits.idle_timeout);
+    set_phase(Phase::Idle, BootClock::now() + core_->limits.idle_timeout);
     if (held_.empty()) {
         read_more();
         return;
     }
     // From the loop: an answer may have been given within the call that delivered the request.
-    asio::post(core_.io, [self = shared_from_this()] {
+    asio::post(core_->io, [self = shared_from_this()] {
         if (self->phase_ != Phase::Idle || self->held_.empty())
             return;
         const std::string bytes = std::exchange(self->held_, {});
@@ -345,8 +345,8 @@
         left_ = BootClock::now();
     asio::error_code ignored;
     socket_.close(ignored);
-    asio::post(core_.io, [self] {
-        self->core_.connections.erase(self);
+    asio::post(core_->io, [self] {
+        self->core_->connections.erase(self);
         for (const PendingWrite& item : std::exchange(self->queue_, {}))
             if (item.on_written)
                 item.on_written(false);
--- a/src/connection/serverconnection.h
+++ b/src/connection/serverconnection.h
@@ -47,7 +47,7 @@
 // One caller's connection: reads one request at a time and writes its answer.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
   public:
-    ServerConnection(asio::ip::tcp::socket socket, ServerCore& core);
+    ServerConnection(asio::ip::tcp::socket socket, std::shared_ptr<ServerCore> core);
 
     void start();
     // Ends what has gone on for longer than the server's limits allow.
@@ -105,7 +105,8 @@
     void set_phase(Phase phase, Time deadline);
 
     asio::ip::tcp::socket socket_;
-    ServerCore& core_;
+    // Outlives the server while a connection has work left in the loop.
+    std::shared_ptr<ServerCore> core_;
     http_parser parser_{};
     Phase phase_ = Phase::Idle;
     Time deadline_{};
--- a/tests/unit/httpserver_test.cpp
+++ b/tests/unit/httpserver_test.cpp
@@ -364,5 +364,29 @@
     EXPECT_EQ(server_->connections(), 0u);
 }
 
+// Freed memory was written to where a server ended before its loop: each open connection notes its
+// end in what the connections share, from the loop, and that had gone with the server.
+TEST_F(ServerTest, WhatConnectionsShareLivesUntilTheirLastWorkInTheLoop) {
+    auto shared = std::make_shared<int>(0);
+    const std::weak_ptr<int> watched = shared;
+    handler_ = {};
+    {
+        const asio::ip::tcp::acceptor probe(io_, {asio::ip::make_address("127.0.0.1"), 0});
+        address_ = "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+    }
+    server_ = serve_http(io_, address_, {}, [shared](const std::shared_ptr<HttpExchange>& e) {
+        e->respond(200, {}, std::to_string(*shared));
+    });
+    shared.reset();
+    Caller caller(io_, address_);
+    io_.run_for(std::chrono::milliseconds(20));
+    ASSERT_EQ(server_->connections(), 1u);
+    server_.reset();
+    EXPECT_FALSE(watched.expired());
+    io_.restart();
+    io_.run_for(std::chrono::milliseconds(600));
+    EXPECT_TRUE(watched.expired());
+}
+
 } // namespace
 } // namespace liftweir
