A request that living endpoints broke off is not held back

Callers would see: refusals for ten minutes, for all who ask the same, after three bad links in a row. Found by reading, then played with the real programs.

Cause: a connection that breaks counts as the end of its endpoint, and nobody asked the endpoint. Change: when a request is put under quarantine the leader asks the endpoints that count; who answers under the start that it had has not ended, and the verdict is taken back at all hosts and in the log. Found by the test: taken back before the log had it, it was held back again by hosts that saw both changes at once; peers are told directly now, and the log is told where the verdict is still on its way there. Why it holds: an endpoint that did end does not answer, and one that started again answers under another start.

Left: a leader that takes over between verdict and answers does not ask.

--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -180,6 +180,7 @@
     void keep_quarantine();
     void quarantine_applied();
     void propose_quarantine(const Suspicion& held);
+    void ask_whether_ended(const Suspicion& held);
 
     // what entry hosts have under way
     void on_shares(const GroupShares& shares, Time now);
--- a/src/process/coordinatorquarantine.cpp
+++ b/src/process/coordinatorquarantine.cpp
@@ -5,6 +5,7 @@
 #include "process/coordinator.h"
 #include "process/logging.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace liftweir {
@@ -42,14 +43,16 @@
         send_to_entries(news);
 }
 
-// An endpoint ran them to their end. Where the log holds them back, it is told as well.
+// An endpoint ran them to their end. Where the log holds them back, or is about to, it is told as
+// well: what is taken back before it is committed was held back again after a restart.
 void Coordinator::clear(const std::vector<Fingerprint>& contents) {
     Suspicions news;
     for (const Fingerprint& content : contents) {
+        const bool held = quarantine_.left(content, BootClock::now()) > Duration::zero();
         if (!quarantine_.clear(content))
             continue;
         news.cleared.push_back(content);
-        if (leads() && replica_->state().quarantined().contains(content)) {
+        if (leads() && (held || replica_->state().quarantined().contains(content))) {
             replica_->propose(QuarantineRequest{content, 0, 0, wall_millis()},
                               [](const Expected<ApplyResult>&) {});
             pump_soon();
@@ -69,8 +72,32 @@
          {"ends", std::to_string(held.ends)},
          {"endpoints", endpoints},
          {"left_ms", std::to_string(held.left_ms)}});
-    if (leads())
-        propose_quarantine(held);
+    if (!leads())
+        return;
+    propose_quarantine(held);
+    ask_whether_ended(held);
+}
+
+// A link may break connections off, or an endpoint that goes on. Who answers under the start that
+// it had has not ended, so the request did not end it: what three such endpoints broke off was held
+// back for ten minutes from all who asked the same. Where the request did end them, nobody answers.
+void Coordinator::ask_whether_ended(const Suspicion& held) {
+    const std::size_t counted = std::min<std::size_t>(held.ends, held.endpoints.size());
+    for (auto id = held.endpoints.end() - static_cast<std::ptrdiff_t>(counted);
+         id != held.endpoints.end(); ++id) {
+        const Registry::Item* item = registry_.find(*id);
+        if (item == nullptr)
+            continue;
+        orders_.probe(item->report, [this, content = held.content, endpoint = *id](bool alive) {
+            if (!alive)
+                return;
+            log(LogLevel::Info, "request cleared: an endpoint that broke it off has not ended",
+                {{"content", text_of(content)}, {"endpoint", text_of(endpoint)}});
+            // Not by the log alone: where it takes both at once, others never see the verdict go.
+            send_to_peers(Suspicions{{}, {content}});
+            clear({content});
+        });
+    }
 }
 
 // Whoever hears of two ends late may count them as one. Told of what another host decided, the
--- a/tests/site/standin.py
+++ b/tests/site/standin.py
@@ -31,6 +31,7 @@
         self.poison = None  # a body that ends whoever begins to run it
         self.poison_read_s = 0.04  # until it does
         self.poison_runs = []  # when it reached a worker
+        self.broken_off = None  # a body whose connection breaks, though its worker goes on
         self.ended = []     # when a worker was ended by it
         self.arrivals = []  # (time, worker id) of requests
         self.broken = []
@@ -242,6 +243,9 @@
         self.fleet.keys[request] = headers.get("tenant-id")
         if self.fleet.poison is not None and body == self.fleet.poison:
             await self.run_poison(request, writer)
+        if self.fleet.broken_off is not None and body == self.fleet.broken_off:
+            writer.transport.abort()
+            raise EOFError
         signature = "%s.%s.%d" % (self.id, request, len(self.fleet.runs[request]))
         own = {"Request-Id": request, "Response-Signature": signature}
         if path.startswith("/feed/"):
--- a/tests/site/test_poisonous.py
+++ b/tests/site/test_poisonous.py
@@ -128,3 +128,23 @@
         assert await site.until(site.serves)
 
     play(scenario, workers=(8, 8))
+
+
+# Found by reading: connections that break count as ends of endpoints, so three bad links in a row
+# held a request back for ten minutes, from all who asked the same. The endpoints themselves went on,
+# and nobody asked them.
+def test_a_request_that_bad_links_broke_off_is_not_held_back_for_long():
+    async def scenario(site):
+        site.fleet.broken_off = b"asked over bad links"
+        asked = [await site.ask("chat", n % 2, timeout=2, body=site.fleet.broken_off)
+                 for n in range(6)]
+        assert 200 not in asked
+        site.fleet.broken_off, body = None, site.fleet.broken_off
+
+        async def answered():
+            return await site.ask("chat", 1, timeout=2, body=body) == 200
+
+        assert await site.until(answered, 5)
+        assert await held(site) == [0] * len(site.controls + site.entries)
+
+    play(scenario, workers=(8, 8))
