--- a/bench/days/kinds.py
+++ b/bench/days/kinds.py
@@ -6,7 +6,7 @@
     bench/days/kinds.py BENCH SITE [--jobs N] [--only WORD] [--seed N]
 
 BENCH is their program and SITE one of their deployment files. Exits with 1 where a rule was broken,
-a day could not be played or a process ended by itself."""
+a day could not be played or a process ended by itself, and where no day was played at all."""
 import argparse
 import concurrent.futures
 import json
@@ -178,13 +178,20 @@
             concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
         results = list(pool.map(lambda n: play(options.bench, options.site, folder, n,
                                                chosen[n][2]), range(len(chosen))))
-    red = 0
     for (label, beside, _), (broken, worth) in zip(chosen, results):
-        red += 1 if broken not in ("", NOT_OFFERED) else 0
         print("%-34s %-8s %s %s" % (label, beside, "  -  " if worth is None else "%.3f" % worth,
                                     broken or "kept"))
-    print("%d days, %d red" % (len(chosen), red))
-    return 1 if red else 0
+    return verdict([broken for broken, _ in results])
+
+
+def verdict(outcomes):
+    """The exit code, from what was broken on each day. A run in which nothing was played shows
+    nothing, so it is no success."""
+    played = [broken for broken in outcomes if broken != NOT_OFFERED]
+    red = sum(1 for broken in played if broken)
+    print("%d days, %d of them not offered here, %d red" % (
+        len(outcomes), len(outcomes) - len(played), red))
+    return 1 if red or not played else 0
 
 
 if __name__ == "__main__":
--- a/tests/faults/test_harness.py
+++ b/tests/faults/test_harness.py
@@ -1,9 +1,11 @@
 """The harness itself: what it hands out and how it reads, where a slip looks like a fault of the
 system."""
+import os
 import subprocess
 import sys
 
 import cluster
+import pytest
 from test_faults import wait_repaired
 
 ASK = """
@@ -68,3 +70,15 @@
     other = {"domain": "b", "members": ["b1", "b2"]}
     told = Told([old, other], [other], [other], [other], [old, new, other], [new, other])
     assert wait_repaired(told, "a", "a1") is new
+
+
+# A run of days for each kind of trouble ended as a success though nothing had been played: days that
+# a deployment does not offer counted neither as kept nor as broken.
+@pytest.mark.parametrize("outcomes, code", [
+    (["", "", "not offered"], 0), (["", "LOST 1"], 1), (["not played: no bench"], 1),
+    (["not offered", "not offered"], 1), ([], 1)])
+def test_a_run_in_which_no_day_was_played_is_no_success(outcomes, code):
+    sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..", "bench", "days"))
+    import kinds
+    assert kinds.verdict([kinds.NOT_OFFERED if o == "not offered" else o
+                          for o in outcomes]) == code
