Loads of leaders before count though the operators' figures come later

Callers would see: loads slowed for everybody where more begin within 5 s than the weight store bears.

Cause: a control host that comes back leads before its log has given it the operators' figures. What leaders before it may have begun was counted as a part of a bound of zero, so as nothing; the bound that holds over changes of the leader held only where the figures came first. Change: the budget remembers the assumption until it is configured. In the first life of the system, before the first request, nothing is assumed: such loads do not count. Why it holds: it no longer depends on the order of the two.

--- a/src/process/groupplanner.cpp
+++ b/src/process/groupplanner.cpp
@@ -115,7 +115,9 @@
     term_ = term;
     counter_ = 0;
     took_over_ = now;
-    loads_.assume_begun(several_before, now);
+    // Loads before the first request are not counted, whoever began them.
+    if (traffic_)
+        loads_.assume_begun(several_before, now);
     changes_ = {};
     for (auto& [id, host] : hosts_)
         host.ordered = false;
--- a/src/process/loadbudget.cpp
+++ b/src/process/loadbudget.cpp
@@ -17,12 +17,19 @@
     const double seconds = std::chrono::duration<double>(window).count();
     most_ =
         std::max<std::size_t>(1, static_cast<std::size_t>(loads_per_second * seconds * UsedShare));
+    if (assumed_)
+        begun_.assign(assumed_->by_several ? most_ : most_ / 2, assumed_->at);
+    assumed_.reset();
 }
 
 // One leader before begins UsedShare of what is permitted, half as much beside it is just the
-// whole. Two changes of leader within a window would make it 1.4 times as much.
+// whole. Two changes of leader within a window would make it 1.4 times as much. A host that comes
+// back may lead before it has read the operators' figures from its log.
 void LoadBudget::assume_begun(bool by_several, Time now) {
-    begun_.assign(by_several ? most_ : most_ / 2, now);
+    if (most_ == 0)
+        assumed_ = {by_several, now};
+    else
+        begun_.assign(by_several ? most_ : most_ / 2, now);
 }
 
 bool LoadBudget::allows(Time now) {
--- a/tests/unit/groupplanner_test.cpp
+++ b/tests/unit/groupplanner_test.cpp
@@ -300,6 +300,30 @@
     EXPECT_GT(loads.size(), 0u);
 }
 
+// Found while the step from one leader to the next was made a class of its own: a control host that
+// comes back leads before it has read the operators' figures from its log. What leaders before it
+// may have begun was counted as a part of a bound that was not known yet, so as nothing, and loads
+// began at once beside theirs.
+TEST(Planner, WhatOthersMayHaveBegunCountsThoughTheFiguresComeLater) {
+    Fleet fleet(3, 27);
+    fleet.planner = GroupPlanner("llm", PlannerBounds{}, false);
+    fleet.planner.take_over(4, fleet.now, {}, true);
+    fleet.planner.configure(engine());
+    fleet.run(milliseconds(4900));
+    EXPECT_EQ(fleet.loads, 0);
+    fleet.run(seconds(4));
+    EXPECT_GT(fleet.loads, 0);
+}
+
+// In the first life of the whole system nobody can have begun loads that count.
+TEST(Planner, TheFirstLayoutWaitsForNoBound) {
+    Fleet fleet(3, 27);
+    fleet.planner.configure(engine());
+    fleet.planner.take_over(1, fleet.now, {}, true);
+    fleet.run(milliseconds(2500));
+    EXPECT_EQ(fleet.loads, 3 * 27);
+}
+
 // Leaders that follow each other within the window of the bound, each of which counts half of it as
 // begun by the one before: together they would begin 1.4 times what is permitted.
 TEST(LoadBudget, HoldsOverTwoChangesOfTheLeaderWithinOneWindow) {
