--- a/src/process/groupleader.h
+++ b/src/process/groupleader.h
@@ -61,6 +61,7 @@
     // The next order to be sent, to be followed by answered(); nothing while enough are under way.
     std::optional<OrderQueue::Item> next_order() { return queued_.next(); }
     void answered(const OrderQueue::Item& item, OrderAnswer answer, Time now);
+    std::size_t orders_waiting() const { return queued_.waiting(); }
     // Endpoints that should be asked for a sign of life, each to be followed by probed().
     std::vector<Probe> take_probes();
     void probed(const Probe& probe, bool alive, Time now);
--- a/tests/unit/leaderchange_test.cpp
+++ b/tests/unit/leaderchange_test.cpp
@@ -3,6 +3,7 @@
 // of takeover_test, with the product's own log, order queue and step from one leader to the next.
 
 #include "process/groupleader.h"
+#include "process/groupname.h"
 #include "unit/memstorage.h"
 
 #include <gtest/gtest.h>
@@ -165,6 +166,13 @@
     }
     const std::vector<std::string>& violations() const { return violations_; }
     int takeovers() const { return takeovers_; }
+    // Orders that waited in the queue of a host that led no more.
+    std::size_t held_over() const { return held_over_; }
+    // Joins that were carried out though no log names their group any more.
+    int unlogged_joins() const { return unlogged_joins_; }
+    bool was_sent_snapshot(NodeId node) const {
+        return up(node) && at(node).replica->raft().snapshot().index > 0;
+    }
 
   private:
     ControlHost& at(NodeId node) { return hosts_[node - 1]; }
@@ -238,6 +246,7 @@
                                    host.replica->state());
             ++takeovers_;
         } else if (!leads && host.groups->leads()) {
+            held_over_ += host.groups->orders_waiting();
             host.groups->step_down();
         }
         host.groups->settle(host.registry, now_);
@@ -374,6 +383,11 @@
                 violations_.push_back(text_of(e.report.id) + " joins " + order.group +
                                       " while the lead of " + old.group + " serves");
         }
+        const bool logged = std::any_of(hosts_.begin(), hosts_.end(), [&](const ControlHost& host) {
+            return host.replica != nullptr &&
+                   host.replica->state().planned_groups(Service).contains(order.epoch);
+        });
+        unlogged_joins_ += logged || names_warm_up(order.group) ? 0 : 1;
         e.seen = order.epoch;
         e.members.clear();
         for (const EndpointId& id : order.members)
@@ -397,6 +411,8 @@
     std::vector<std::string> violations_;
     Version version_ = 0;
     int takeovers_ = 0;
+    std::size_t held_over_ = 0;
+    int unlogged_joins_ = 0;
 };
 
 using Fault = void (World::*)();
@@ -466,5 +482,49 @@
     EXPECT_EQ(world.open(), Pairs);
 }
 
+TEST(LeaderChange, OrdersAreHeldOverAndComeAfterTheirRecordsHaveLeftTheLog) {
+    std::size_t held_over = 0;
+    int unlogged_joins = 0;
+    for (std::uint32_t seed = 1; seed <= 30; ++seed) {
+        World world({seed, milliseconds(3500), true, true});
+        world.run(seconds(4));
+        for (int round = 0; round < 6; ++round) {
+            world.end_some_group();
+            world.end_some_group();
+            world.run(milliseconds(100 + 37 * round));
+            if (round % 2 == 0)
+                world.cut_leader();
+            world.run(milliseconds(900));
+            world.heal();
+            world.restart_some_endpoint();
+            world.run(milliseconds(800));
+        }
+        held_over += world.held_over();
+        unlogged_joins += world.unlogged_joins();
+        EXPECT_TRUE(world.violations().empty()) << "seed " << seed;
+    }
+    EXPECT_GT(held_over, 0u);
+    EXPECT_GT(unlogged_joins, 0);
+}
+
+TEST(LeaderChange, WhoeverWasDownIsSentASnapshot) {
+    World world({.seed = 5});
+    world.run(seconds(4));
+    const NodeId down = world.leader() % ControlHosts + 1;
+    world.kill(down);
+    for (int n = 0; n < 6; ++n) {
+        world.write_big_document();
+        world.end_some_group();
+        world.run(milliseconds(600));
+    }
+    world.heal();
+    world.run(seconds(2));
+    EXPECT_TRUE(world.was_sent_snapshot(down));
+    world.kill_leader();
+    world.run(seconds(6));
+    EXPECT_EQ(world.open(), Pairs);
+    EXPECT_TRUE(world.violations().empty());
+}
+
 } // namespace
 } // namespace liftweir
