An entry host that has just begun asks for what two control hosts agree upon

Callers saw: refusals (503 for all five of a test) at an entry host that had started with all others, for over a second, though control knew every endpoint. test_requests_that_come_before_the_first_settings_are_answered_with_them had failed once, shared addresses were suspected.

Cause: it asked the control host whose link was up first, which had just begun; what others heard left over links that were not up yet, and digests come once a second and must differ twice. Why it holds: what two agree upon is no change on its way.

Test: RegistryRepair.ANewcomerIsToldBySomeWhoAgreeWhatTheFirstHostLacked.

--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -261,6 +261,7 @@
         quarantine_.expire(now);
     }
     settle_held(now);
+    ask_for_agreed(now);
     forget_unconfirmed(now);
     watch_stalls(now);
     for (const auto& call : calls())
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -73,6 +73,7 @@
     // endpoints, as control tells of them
     void on_changes(const EndpointChanges& changes);
     void on_digests(const std::string& address, const RegistryDigests& digests);
+    void ask_for_agreed(Time now);
     void forget_connections(const EndpointReport& report);
     void on_remembered(const EndpointsRemembered& remembered);
     void forget_unconfirmed(Time now);
--- a/src/process/gatewaycontrol.cpp
+++ b/src/process/gatewaycontrol.cpp
@@ -277,6 +277,15 @@
         control_[address]->send(RangesWanted{wanted});
 }
 
+// Not only at the next digests: these come once a second, and callers wait.
+void Gateway::ask_for_agreed(Time now) {
+    if (!learns_endpoints(now))
+        return;
+    const auto ask = repair_.agreed(directory_.registry().range_digests(), now);
+    if (ask)
+        control_[ask->host]->send(RangesWanted{ask->ranges});
+}
+
 // Those to a newer start at the address are as good as before.
 void Gateway::forget_connections(const EndpointReport& report) {
     if (!directory_.registry().replaced(report))
--- a/src/process/registryrepair.cpp
+++ b/src/process/registryrepair.cpp
@@ -35,12 +35,42 @@
             wanted.push_back(range);
     }
     seen_[host] = {theirs, ours};
-    if (wanted.empty() || (asked_ != Time{} && now - asked_ < AskEvery))
+    if (wanted.empty() || !may_ask(now))
         return {};
     asked_ = now;
     return wanted;
 }
 
+bool RegistryRepair::may_ask(Time now) const {
+    return asked_ == Time{} || now - asked_ >= AskEvery;
+}
+
+// Hosts whose last digest of the range was this one.
+std::size_t RegistryRepair::tellers(std::uint32_t range, std::uint64_t digest) const {
+    return static_cast<std::size_t>(
+        std::count_if(seen_.begin(), seen_.end(),
+                      [&](const auto& pair) { return pair.second.theirs[range] == digest; }));
+}
+
+// The host that it asked first may have just begun as well, and the links over which others told
+// what they heard were not up yet. Digests come once a second at the most, and must differ twice:
+// so it lacked endpoints for over a second, and refused its callers.
+std::optional<RangesToAsk> RegistryRepair::agreed(const RangeDigests& ours, Time now) {
+    if (!may_ask(now))
+        return std::nullopt;
+    for (const auto& [host, seen] : seen_) {
+        RangesToAsk ask{host, {}};
+        for (std::uint32_t range = 0; range < RegistryRanges; ++range)
+            if (seen.theirs[range] != ours[range] && tellers(range, seen.theirs[range]) > 1)
+                ask.ranges.push_back(range);
+        if (ask.ranges.empty())
+            continue;
+        asked_ = now;
+        return ask;
+    }
+    return std::nullopt;
+}
+
 std::vector<RangeCopy> copy_ranges(const Registry& registry,
                                    const std::vector<std::uint32_t>& ranges, Time now) {
     const std::set<std::size_t> wanted(ranges.begin(), ranges.end());
--- a/src/process/registryrepair.h
+++ b/src/process/registryrepair.h
@@ -4,13 +4,24 @@
 #include "process/clock.h"
 #include "process/registry.h"
 
+#include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace liftweir {
 
+// Ranges of a host's registry that should be asked for.
+struct RangesToAsk {
+    std::string host;
+    std::vector<std::uint32_t> ranges;
+
+    auto operator<=>(const RangesToAsk&) const = default;
+};
+
 // Decides which ranges of its registry a host asks others for, where theirs differ. Pure.
 class RegistryRepair {
   public:
@@ -18,6 +29,8 @@
     // the difference, or another host was asked just now. `trusted` is who is asked at first.
     std::vector<std::uint32_t> compare(const std::string& host, const RangeDigests& theirs,
                                        const RangeDigests& ours, bool trusted, Time now);
+    // For a host that has just begun: what others agree upon it asks for as soon as it may.
+    std::optional<RangesToAsk> agreed(const RangeDigests& ours, Time now);
     // The link to the host is new: what was seen of it before tells nothing.
     void forget(const std::string& host) { seen_.erase(host); }
 
@@ -27,6 +40,9 @@
         RangeDigests ours{};
     };
 
+    bool may_ask(Time now) const;
+    std::size_t tellers(std::uint32_t range, std::uint64_t digest) const;
+
     std::map<std::string, Seen> seen_; // at the last comparison
     Time asked_{};
 };
--- a/tests/unit/registryrepair_test.cpp
+++ b/tests/unit/registryrepair_test.cpp
@@ -93,6 +93,40 @@
         EXPECT_LE(part.reports.size(), 256u);
 }
 
+// All hosts had been killed. An entry host asked the control host whose link was up first, which
+// had just begun and knew 3 of 10 endpoints; what others heard five milliseconds later went over
+// links that were not up yet. Their digests were told once and differed, which may be under way:
+// callers were refused after 1.3 s, with all endpoints known to all control hosts (a trace of one
+// such start).
+TEST(RegistryRepair, ANewcomerIsToldBySomeWhoAgreeWhatTheFirstHostLacked) {
+    Registry whole;
+    Registry part;
+    Registry entry;
+    for (int n = 0; n < 10; ++n)
+        whole.merge(report_of(n), Start);
+    for (int n = 0; n < 3; ++n)
+        part.merge(report_of(n), Start);
+    RegistryRepair repair;
+    const auto told = [&](const std::string& host, const Registry& by, Time now) {
+        return repair.compare(host, by.range_digests(), entry.range_digests(), host == "first",
+                              now);
+    };
+    for (const RangeCopy& copy : copy_ranges(part, told("first", part, Start), Start))
+        for (const EndpointReport& report : copy.reports)
+            entry.merge(report, Start);
+    EXPECT_TRUE(told("second", whole, Start + milliseconds(120)).empty());
+    EXPECT_FALSE(repair.agreed(entry.range_digests(), Start + seconds(1))); // one host alone
+    EXPECT_TRUE(told("third", whole, Start + milliseconds(121)).empty());
+    EXPECT_FALSE(repair.agreed(entry.range_digests(), Start + milliseconds(130)));
+    const auto ask = repair.agreed(entry.range_digests(), Start + milliseconds(600));
+    ASSERT_TRUE(ask);
+    for (const RangeCopy& copy : copy_ranges(whole, ask->ranges, Start))
+        for (const EndpointReport& report : copy.reports)
+            entry.merge(report, Start);
+    EXPECT_EQ(entry.digest(), whole.digest());
+    EXPECT_FALSE(repair.agreed(entry.range_digests(), Start + seconds(2)));
+}
+
 // Whatever differs: as soon as nothing is under way, both are equal after a few comparisons each
 // way.
 RC_GTEST_PROP(RegistryRepair, BothSidesEndUpEqual, ()) {
