--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -2,7 +2,11 @@
 Clients go on all the time; faults come in series and overlap. Checks run while it runs; a seed that
 ever failed is kept in seeds.txt with a line on its cause.
 
-soak.py [--seeds FIRST-LAST] [--seconds N] [--jobs N] [--shape small|large] [--plant FAULT]"""
+soak.py [--seeds FIRST-LAST] [--seconds N] [--jobs N] [--shape small|large] [--plant FAULT]
+        [--held-links]
+
+With --held-links, links also hold up what they carry while control fails over. Without it a seed
+plays what it always did."""
 import argparse
 import asyncio
 import os
@@ -31,7 +35,8 @@
 class Schedule:
     """Picks faults and heals them again; everything it picks follows from the seed."""
 
-    def __init__(self, site, proxy, seed):
+    def __init__(self, site, proxy, seed, held_links=False):
+        self.held_links = held_links
         self.site, self.proxy, self.random = site, proxy, random.Random(seed)
         self.lost = set()  # control hosts that are down, wiped, paused, cut or full
         self.log = []
@@ -99,6 +104,31 @@
 
             return "%s %s" % (mode, process.name), self.lose(process, heal)
 
+    def hold_links(self):
+        """A control host is lost while the links of all of them hold up what they carry."""
+        process = self.control()
+        if process:
+            how = self.random.choice([signal.SIGKILL, signal.SIGSTOP])
+            self.proxy.delay = self.random.uniform(0.2, 2.0)
+            held = [name for name in self.proxy.names() if self.proxy.mode(name) == "pass"]
+            for name in held:
+                self.proxy.set(name, "slow")
+            process.send(how)
+            if how == signal.SIGKILL:
+                process.popen.wait()
+
+            def heal():
+                for name in held:
+                    if self.proxy.mode(name) == "slow":
+                        self.proxy.set(name, "pass")
+                if how == signal.SIGKILL:
+                    process.start()
+                else:
+                    process.send(signal.SIGCONT)
+
+            return ("links hold up for %.1f s, %s %s" % (self.proxy.delay, how.name, process.name),
+                    self.lose(process, heal))
+
     def all_controls(self):
         if self.lost:
             return None
@@ -213,6 +243,8 @@
         choices = [self.kill_control, self.wipe_control, self.pause_control, self.fill_disk,
                    self.cut_control, self.all_controls, self.entry, self.entry, self.worker,
                    self.worker, self.worker, self.operator, self.operator]
+        if self.held_links:
+            choices += [self.hold_links] * 4
         while time.monotonic() < until:
             done = self.random.choice(choices)()
             if done:
@@ -263,11 +295,11 @@
         site.check("look", "r", "k", 10, 200, {"request-id": "r"}, b"")
 
 
-async def soak(seed, seconds, shape, net, planted):
+async def soak(seed, seconds, shape, net, planted, held_links):
     proxy = FaultProxy(seed)
     site = Site(seed=seed, net=net, proxy=proxy, **SHAPES[shape])
     stop, counts = asyncio.Event(), {}
-    schedule = Schedule(site, proxy, seed)
+    schedule = Schedule(site, proxy, seed, held_links)
     try:
         await site.start()
         if not await site.until(site.serves, 20):
@@ -305,20 +337,22 @@
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--shape", default="small", choices=SHAPES)
     parser.add_argument("--plant", default="")
+    parser.add_argument("--held-links", action="store_true")
     parser.add_argument("--net", type=int, default=-1, help=argparse.SUPPRESS)
     options = parser.parse_args()
     first, _, last = options.seeds.partition("-")
     seeds = list(range(int(first), int(last or first) + 1))
     if options.net >= 0:
         return asyncio.run(soak(seeds[0], options.seconds, options.shape, options.net,
-                                options.plant))
+                                options.plant, options.held_links))
     running, failed, free = {}, [], [own_net() for _ in range(options.jobs)]
     while seeds or running:
         while seeds and free:
             seed, net = seeds.pop(0), free.pop(0)
             running[subprocess.Popen([
                 sys.executable, __file__, "--seeds", str(seed), "--seconds", str(options.seconds),
-                "--shape", options.shape, "--net", str(net), "--plant", options.plant])] = seed, net
+                "--shape", options.shape, "--net", str(net), "--plant", options.plant] +
+                ["--held-links"] * options.held_links)] = seed, net
         time.sleep(0.2)
         for child in [c for c in running if c.poll() is not None]:
             seed, net = running.pop(child)
