--- a/tests/site/sitefleet.py
+++ b/tests/site/sitefleet.py
@@ -23,10 +23,24 @@
 _kept_nets = []         # sockets whose names keep networks for this process, as long as it lives
 
 
+def is_taken(net):
+    """Whether control hosts of a run that was ended from outside still live there."""
+    for host in (1, 2, 3):
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.%d.1.%d" % (net, host), CONTROL))
+            except OSError:
+                return True
+    return False
+
+
 def own_net():
     """A network that no other test process of this machine uses: hosts that meet those of another
     run take them for their own."""
     for net in random.SystemRandom().sample(NETS, len(NETS)):
+        if is_taken(net):
+            continue
         keeper = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
         try:
             keeper.bind("\0liftweir-site-net-%d" % net)
