Entry hosts read the limit that an endpoint names, and tell of it

The logs could not tell whether an endpoint's limit reached an entry host: no line and no metric named it.

Change: the adapter decodes the limit with a typed fault for what can not be read (repeated, no decimal number, out of range); an entry host keeps the newest word of each start, ordered by when the request was sent, logs each change ('endpoint limit') and counts what it ignores (liftweir_endpoints_limited, liftweir_limits_ignored). No choice uses it yet: behaviour towards callers and endpoints is unchanged.

--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -74,6 +74,8 @@
     gauges_.add("liftweir_requests_held", [this] { return static_cast<double>(held_.size()); });
     gauges_.add("liftweir_requests_quarantined",
                 [this] { return static_cast<double>(quarantine_.held(BootClock::now())); });
+    gauges_.add("liftweir_endpoints_limited",
+                [this] { return static_cast<double>(limits_.limited()); });
     gauges_.add("liftweir_document_version",
                 [this] { return static_cast<double>(document_.version); });
     gauges_.add("liftweir_connections_opened",
@@ -259,6 +261,9 @@
         second_due_ = now + SecondlyEvery;
         directory_.expire(now);
         quarantine_.expire(now);
+        limits_.expire(
+            [this](const EndpointId& id) { return directory_.registry().find(id) != nullptr; },
+            now);
     }
     settle_held(now);
     ask_for_agreed(now);
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -4,6 +4,7 @@
 #include "connection/link.h"
 #include "process/fleetconfig.h"
 #include "process/leasekeeper.h"
+#include "process/limitbook.h"
 #include "process/metrics.h"
 #include "process/quarantine.h"
 #include "process/registryrepair.h"
@@ -47,6 +48,7 @@
     const CallerProtocol& protocol() const override { return protocol_; }
     RepeatBudget& budget(const std::string& service) override;
     bool learns_endpoints(Time now) const override;
+    void note_limit(const EndpointId& id, const AnswerNote& note, Time sent) override;
     void unreachable(const EndpointId& id) override;
     const Quarantine& quarantine() const override { return quarantine_; }
     void cut_off(const CutOff& request, const EndpointId& id) override;
@@ -84,6 +86,9 @@
     void on_suspicions(const Suspicions& told);
     void note_quarantined(const Fingerprint& content, Time now);
 
+    // limits that endpoints name
+    void log_limit(const EndpointId& id, const char* from) const;
+
     // calls
     void put_in_force(Deployment deployment);
     void on_request(const std::shared_ptr<HttpExchange>& exchange);
@@ -137,6 +142,7 @@
     std::map<EndpointId, Time> suspected_; // told control
     Quarantine quarantine_;
     std::map<EndpointId, std::vector<CutOff>> cut_off_; // not told control yet
+    LimitBook limits_;
     std::set<EndpointId> unconfirmed_; // known from before a restart, and not heard of since
     std::uint64_t calls_taken_ = 0;
     double share_ = 0.1; // this host's part of all calls under way
--- a/src/request/callerprotocol.h
+++ b/src/request/callerprotocol.h
@@ -6,8 +6,10 @@
 #include "process/failure.h"
 #include "process/registry.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace liftweir {
 
@@ -37,11 +39,26 @@
     auto operator<=>(const ForwardNote&) const = default;
 };
 
+// What is wrong with a number that an endpoint's answer names.
+enum class NumberFault : std::uint8_t {
+    None,
+    Repeated,   // more than one value
+    Unreadable, // no decimal number
+    OutOfRange
+};
+
+// The fault's word in the log and in metrics.
+std::string_view name_of(NumberFault fault);
+
 // What the head of an endpoint's answer says beyond its status.
 struct AnswerNote {
     bool not_run = false;       // the endpoint promises that it did not run the request
     bool other_request = false; // the answer belongs to another request
     bool misdirected = false;   // another incarnation has the address
+    // Requests a second that the endpoint takes from all entry hosts together; zero where it names
+    // no limit, or a wrong one.
+    double limit_per_second = 0;
+    NumberFault limit_fault = NumberFault::None;
 
     auto operator<=>(const AnswerNote&) const = default;
 };
--- a/src/request/relayedanswer.cpp
+++ b/src/request/relayedanswer.cpp
@@ -42,11 +42,19 @@
         on_broken("the answer belongs to another request");
         return;
     }
+    note_limit();
     events_ = status_class(head.status) == 2 && is_event_stream(head);
     if (begun_ && !events_ && !note_.not_run)
         on_broken("a stream was not taken up");
 }
 
+// An endpoint that fails, and names no limit, has not taken one back.
+void RelayedCall::note_limit() {
+    const bool named = note_.limit_per_second > 0 || note_.limit_fault != NumberFault::None;
+    if (!note_.misdirected && (named || status_class(head_.status) != 5))
+        host_.note_limit(endpoint_, note_, sent_);
+}
+
 void RelayedCall::on_body(std::string_view bytes) {
     if (done_ || endpoint_.empty())
         return;
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -50,6 +50,9 @@
     virtual void cut_off(const CutOff& request, const EndpointId& id) = 0;
     // An endpoint answered whole what it, or another one, had broken off before.
     virtual void cleared(const Fingerprint& content) = 0;
+    // The endpoint's answer to a request that was sent at `sent` names a limit, a wrong one or
+    // none.
+    virtual void note_limit(const EndpointId& id, const AnswerNote& note, Time sent) = 0;
     // An endpoint took no connection.
     virtual void unreachable(const EndpointId& id) = 0;
     // The call has ended and is forgotten; it may be destroyed from here on.
@@ -114,6 +117,7 @@
 
     // the endpoint's answer
     void on_head(const HttpResponseHead& head);
+    void note_limit();
     void on_body(std::string_view bytes);
     void on_end(CallEnd how);
     void on_no_connection();
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -209,6 +209,27 @@
     EXPECT_FALSE(protocol.judge({200, {{"Request-Id", "r1"}}}, request).other_request);
 }
 
+AnswerNote note_of(HttpHeaders headers) {
+    return ClientProtocol().judge({200, std::move(headers)}, {});
+}
+
+TEST(ClientProtocol, ReadsTheLimitThatAnEndpointNames) {
+    EXPECT_EQ(note_of({{"Server-Limit", "3.9"}}).limit_per_second, 3.9);
+    EXPECT_EQ(note_of({{"server-limit", "12"}}).limit_per_second, 12);
+    EXPECT_EQ(note_of({}).limit_per_second, 0);
+    EXPECT_EQ(note_of({}).limit_fault, NumberFault::None);
+}
+
+TEST(ClientProtocol, IgnoresALimitThatCanNotBeReadAndSaysWhy) {
+    for (const char* text : {"", "-1", "nan", "inf", "1e3", "3,5", "0x10", "3.9 4", "many", "1.2.3"})
+        EXPECT_EQ(note_of({{"Server-Limit", text}}).limit_fault, NumberFault::Unreadable) << text;
+    for (const char* text : {"0", "0.0", "1000001", "99999999999999999999999999"})
+        EXPECT_EQ(note_of({{"Server-Limit", text}}).limit_fault, NumberFault::OutOfRange) << text;
+    const AnswerNote twice = note_of({{"Server-Limit", "3"}, {"Server-Limit", "4"}});
+    EXPECT_EQ(twice.limit_fault, NumberFault::Repeated);
+    EXPECT_EQ(twice.limit_per_second, 0);
+}
+
 TEST(ClientProtocol, RefusesPathsWithControlCharacters) {
     FakeExchange exchange;
     exchange.target_ = "/a\tb";
