Failing tests: an endpoint that names a limit gets several times that

In 4 s, where allowed is 1.5 x limit x 4 s + 5: plain endpoint, limit 3.9: 63 (28 allowed); four fifths of callers at one of six entry hosts, 2.1: 61 (17); a group's lead, 2.0: 51 (17); an entry host killed and started, 3.0: 63 (23). Every caller was served, also with no limit kept: what the mend must not lose.

--- a/tests/site/sitefleet.py
+++ b/tests/site/sitefleet.py
@@ -237,6 +237,7 @@
                    "Authorization": "Bearer " + key}
         if route == "save":
             self.once.add(request)
+        self.fleet.entry_of[request] = entry
         sent = time.monotonic()
         address = "127.%d.2.%d:%d" % (self.net, entry + 1, CALLERS)
         try:
--- a/tests/site/standin.py
+++ b/tests/site/standin.py
@@ -35,6 +35,9 @@
         self.broken_off = None  # a body whose connection breaks, though its worker goes on
         self.ended = []     # when a worker was ended by it
         self.arrivals = []  # (time, worker id) of requests
+        self.deliveries = []  # (time, worker id, request id), refused ones included
+        self.told = {}      # (worker id, entry host) -> when a word of its answers first went there
+        self.entry_of = {}  # request id -> number of the entry host that was asked
         self.broken = []
 
     def break_rule(self, rule, what):
@@ -55,6 +58,7 @@
         self.delay_orders = 0  # seconds by which orders are carried out late, unanswered
         self.tasks = []
         self.writers = set()  # of its connections
+        self.words = {}  # headers that it adds to its answers to requests
         fleet.workers[self.id] = self
 
     async def start(self):
@@ -232,6 +236,9 @@
     async def request(self, method, path, headers, body, writer):
         request = headers.get("request-id", "")
         self.fleet.arrivals.append((time.monotonic(), self.id))
+        self.fleet.deliveries.append((time.monotonic(), self.id, request))
+        if self.words:
+            self.fleet.told.setdefault((self.id, self.fleet.entry_of.get(request)), time.monotonic())
         if self.domain:
             if not self.group or self.group["rank"] != 0:
                 return self.answer(writer, 421, {"Instance-Id": self.id})
@@ -250,7 +257,7 @@
             writer.transport.abort()
             raise EOFError
         signature = "%s.%s.%d" % (self.id, request, len(self.fleet.runs[request]))
-        own = {"Request-Id": request, "Response-Signature": signature}
+        own = {"Request-Id": request, "Response-Signature": signature, **self.words}
         if path.startswith("/feed/"):
             return await self.stream(int(headers.get("last-event-id", "0")), own, writer)
         if not self.domain:
