Entry hosts read the rest that an endpoint asks for, and tell of it

No line and no metric told that an endpoint's 503 names a time: a lead was seen to be avoided for a while, and not whether for what it had asked.

No choice uses the rest yet.

--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -48,6 +48,7 @@
     RepeatBudget& budget(const std::string& service) override;
     bool learns_endpoints(Time now) const override;
     void note_limit(const EndpointId& id, const AnswerNote& note, Time sent) override;
+    void note_rest(const EndpointId& id, const AnswerNote& note) override;
     void unreachable(const EndpointId& id) override;
     const Quarantine& quarantine() const override { return quarantine_; }
     void cut_off(const CutOff& request, const EndpointId& id) override;
@@ -89,6 +90,7 @@
     void tell_limits(Time now);
     void on_limit_words(const LimitWords& told);
     void on_loans(const std::string& address, const LimitLoans& lent);
+    static void ignored(const EndpointId& id, const char* what, NumberFault fault);
     void limit_changed(const EndpointId& id, const char* from);
 
     // calls
--- a/src/process/gatewaylimits.cpp
+++ b/src/process/gatewaylimits.cpp
@@ -15,11 +15,29 @@
         renew_due_ = {};
 }
 
+void Gateway::ignored(const EndpointId& id, const char* what, NumberFault fault) {
+    const std::string why(name_of(fault));
+    Metrics::instance()
+        .counter("liftweir_endpoint_words_ignored",
+                 std::string("what=\"") + what + "\",why=\"" + why + "\"")
+        .add();
+    log(LogLevel::Warning, "endpoint's word ignored",
+        {{"endpoint", text_of(id)}, {"what", what}, {"why", why}});
+}
+
+void Gateway::note_rest(const EndpointId& id, const AnswerNote& note) {
+    if (note.rest_fault != NumberFault::None) {
+        ignored(id, "rest", note.rest_fault);
+        return;
+    }
+    Metrics::instance().counter("liftweir_rests_asked").add();
+    log(LogLevel::Info, "endpoint asks for rest",
+        {{"endpoint", text_of(id)}, {"rest_ms", std::to_string(to_millis(note.rest))}});
+}
+
 void Gateway::note_limit(const EndpointId& id, const AnswerNote& note, Time sent) {
     if (note.limit_fault != NumberFault::None) {
-        const std::string why(name_of(note.limit_fault));
-        Metrics::instance().counter("liftweir_limits_ignored", "why=\"" + why + "\"").add();
-        log(LogLevel::Warning, "endpoint limit ignored", {{"endpoint", text_of(id)}, {"why", why}});
+        ignored(id, "limit", note.limit_fault);
         return;
     }
     if (!directory_.limits().book().heard(id, note.limit_per_second, sent))
--- a/src/request/callerprotocol.h
+++ b/src/request/callerprotocol.h
@@ -59,6 +59,9 @@
     // no limit, or a wrong one.
     double limit_per_second = 0;
     NumberFault limit_fault = NumberFault::None;
+    // An endpoint that turned the request away wants none of this entry host for so long.
+    Duration rest{};
+    NumberFault rest_fault = NumberFault::None;
 
     auto operator<=>(const AnswerNote&) const = default;
 };
--- a/src/request/relayedanswer.cpp
+++ b/src/request/relayedanswer.cpp
@@ -43,6 +43,7 @@
         return;
     }
     note_limit();
+    note_rest();
     events_ = status_class(head.status) == 2 && is_event_stream(head);
     if (begun_ && !events_ && !note_.not_run)
         on_broken("a stream was not taken up");
@@ -55,6 +56,11 @@
         host_.note_limit(endpoint_, note_, sent_);
 }
 
+void RelayedCall::note_rest() {
+    if (note_.rest > Duration::zero() || note_.rest_fault != NumberFault::None)
+        host_.note_rest(endpoint_, note_);
+}
+
 void RelayedCall::on_body(std::string_view bytes) {
     if (done_ || endpoint_.empty())
         return;
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -53,6 +53,8 @@
     // The endpoint's answer to a request that was sent at `sent` names a limit, a wrong one or
     // none.
     virtual void note_limit(const EndpointId& id, const AnswerNote& note, Time sent) = 0;
+    // The endpoint turned a request away, and asks for rest or names a wrong time.
+    virtual void note_rest(const EndpointId& id, const AnswerNote& note) = 0;
     // An endpoint took no connection.
     virtual void unreachable(const EndpointId& id) = 0;
     // The call has ended and is forgotten; it may be destroyed from here on.
@@ -118,6 +120,7 @@
     // the endpoint's answer
     void on_head(const HttpResponseHead& head);
     void note_limit();
+    void note_rest();
     void on_body(std::string_view bytes);
     void on_end(CallEnd how);
     void on_no_connection();
--- a/tests/site/sitefleet.py
+++ b/tests/site/sitefleet.py
@@ -248,6 +248,8 @@
                 self.cut.append(request)
             return 0
         self.check(route, request, key, sent, status, got, answer)
+        if status == 503:
+            self.fleet.retry_after.append((time.monotonic(), float(got.get("retry-after", "0"))))
         return status
 
     def check(self, route, request, key, sent, status, headers, body):
--- a/tests/site/standin.py
+++ b/tests/site/standin.py
@@ -36,6 +36,8 @@
         self.ended = []     # when a worker was ended by it
         self.arrivals = []  # (time, worker id) of requests
         self.deliveries = []  # (time, worker id, request id), refused ones included
+        self.rests = []     # (time, worker id, request id, seconds) of requests turned away
+        self.retry_after = []  # (time, seconds) told to callers that were refused
         self.told = {}      # (worker id, entry host) -> when a word of its answers first went there
         self.entry_of = {}  # request id -> number of the entry host that was asked
         self.broken = []
@@ -59,6 +61,7 @@
         self.tasks = []
         self.writers = set()  # of its connections
         self.words = {}  # headers that it adds to its answers to requests
+        self.rest_s = 0  # it turns all requests away, and asks for so much rest
         fleet.workers[self.id] = self
 
     async def start(self):
@@ -249,6 +252,9 @@
                 other = self.fleet.workers.get(member)
                 if other and (self.group["epoch"], known) not in other.ready_under:
                     self.fleet.break_rule("partial group", "%s was never ready" % member)
+        if self.rest_s:
+            self.fleet.rests.append((time.monotonic(), self.id, request, self.rest_s))
+            return self.answer(writer, 503, {"Not-Executed": "1", "Retry-After": str(self.rest_s)})
         self.fleet.runs.setdefault(request, []).append((time.monotonic(), self.id))
         self.fleet.keys[request] = headers.get("tenant-id")
         if self.fleet.poison is not None and body == self.fleet.poison:
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -221,7 +221,8 @@
 }
 
 TEST(ClientProtocol, IgnoresALimitThatCanNotBeReadAndSaysWhy) {
-    for (const char* text : {"", "-1", "nan", "inf", "1e3", "3,5", "0x10", "3.9 4", "many", "1.2.3"})
+    for (const char* text :
+         {"", "-1", "nan", "inf", "1e3", "3,5", "0x10", "3.9 4", "many", "1.2.3"})
         EXPECT_EQ(note_of({{"Server-Limit", text}}).limit_fault, NumberFault::Unreadable) << text;
     for (const char* text : {"0", "0.0", "1000001", "99999999999999999999999999"})
         EXPECT_EQ(note_of({{"Server-Limit", text}}).limit_fault, NumberFault::OutOfRange) << text;
@@ -230,6 +231,20 @@
     EXPECT_EQ(twice.limit_per_second, 0);
 }
 
+TEST(ClientProtocol, ReadsTheRestThatAnEndpointAsksFor) {
+    const auto judged = [](int status, const char* text) {
+        return ClientProtocol().judge({status, {{"Retry-After", text}}}, {});
+    };
+    EXPECT_EQ(judged(503, "3").rest, std::chrono::seconds(3));
+    EXPECT_EQ(judged(503, "2.5").rest, milliseconds(2500));
+    EXPECT_EQ(judged(200, "3").rest, Duration::zero());
+    for (const char* text : {"-3", "nan", "", "soon", "Wed, 21 Oct 2026 07:28:00 GMT"})
+        EXPECT_EQ(judged(503, text).rest_fault, NumberFault::Unreadable) << text;
+    EXPECT_EQ(judged(503, "1e9").rest_fault, NumberFault::Unreadable);
+    EXPECT_EQ(judged(503, "1000000000").rest_fault, NumberFault::OutOfRange);
+    EXPECT_EQ(judged(503, "1000000000").rest, Duration::zero());
+}
+
 TEST(ClientProtocol, RefusesPathsWithControlCharacters) {
     FakeExchange exchange;
     exchange.target_ = "/a\tb";
