An endpoint that asked for rest gets no request of the entry host that it asked

What callers saw: they were served, each after a request in vain at a lead that had asked for rest; where all endpoints rested they were told to return after 1.000 s, though nothing could be had for 3 s. Recorded: three requests within a rest of 3 s, at two leads.

Cause: Retry-After of an endpoint's 503 was read by nobody. A lead that turned a request away was avoided for 0.25 s, doubling with each failure in a row; a plain endpoint not at all. Class: what endpoints say and nobody reads. Evidence: arrivals at the resting leads became rarer with each failure (9, 5, 5, 2, 4, 2, 1 a second) where two others served.

Change: an entry host remembers the rest by start (EndpointUse::rest_until), from the head of the answer on, and the choice of an endpoint leaves out who rests: also where nobody else is left, and for repeats and resumed streams. A rest is kept though its endpoint is forgotten for a while. Where all endpoints are held back, callers are refused at once, with the end of the first rest and up to a second of spread as the time to return; endpoints that this call has tried count for that time.

Why it holds: every send goes through the choice, and a request that was on its way arrives within the half second that is allowed.

Ruled out: telling the other entry hosts (the endpoint asks the one that it turns away), and counting a rest as a failure of a plain endpoint.

--- a/src/process/gatewaylimits.cpp
+++ b/src/process/gatewaylimits.cpp
@@ -30,6 +30,7 @@
         ignored(id, "rest", note.rest_fault);
         return;
     }
+    directory_.let_rest(id, note.rest, BootClock::now());
     Metrics::instance().counter("liftweir_rests_asked").add();
     log(LogLevel::Info, "endpoint asks for rest",
         {{"endpoint", text_of(id)}, {"rest_ms", std::to_string(to_millis(note.rest))}});
--- a/src/request/directory.cpp
+++ b/src/request/directory.cpp
@@ -33,6 +33,9 @@
 // Figures of the other entry hosts are used until so many tellings have not come.
 constexpr int TellingsMissed = 5;
 
+// Callers that are refused while all endpoints rest return within so long after the rest.
+constexpr Duration ReturnsSpread = std::chrono::milliseconds(1000);
+
 // A host whose part of the work is small may get a crowd before the others have told of theirs.
 constexpr double LeastConnectionPart = 1.0 / 16;
 // However small the bound is, one request need not wait for the end of another.
@@ -87,7 +90,8 @@
 void Directory::expire(Time now) {
     registry_.expire(now);
     std::erase_if(uses_, [&](const auto& item) {
-        return item.second.in_flight == 0 && registry_.find(item.first) == nullptr;
+        return item.second.in_flight == 0 && !item.second.rests(now) &&
+               registry_.find(item.first) == nullptr;
     });
 }
 
@@ -178,18 +182,38 @@
     return use.cold.allows(every, std::uniform_real_distribution<double>(0, 1)(random_), now);
 }
 
-void Directory::LeftOut::add(const EndpointId& endpoint, Duration limited) {
-    if (!soonest_.empty() && limited >= wait_)
+void Directory::let_rest(const EndpointId& id, Duration rest, Time now) {
+    EndpointUse& use = uses_[id];
+    use.rest_until = std::max(use.rest_until, now + rest);
+}
+
+Duration Directory::held_back(const EndpointId& id, Time now) {
+    const auto use = uses_.find(id);
+    const Duration rest = use == uses_.end() ? Duration::zero() : use->second.rest_until - now;
+    return std::max(rest, limits_.wait(id, now));
+}
+
+Duration Directory::return_after(const NoPick& none, Time now) {
+    if (none != PickFailure::AllHeldBack)
+        return Duration::zero();
+    if (limits_.book().limit(none.soonest) > 0)
+        return std::max(none.wait, limits_.return_after(none.soonest, now));
+    const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
+    return none.wait + scaled(ReturnsSpread, draw);
+}
+
+void Directory::LeftOut::add(const EndpointId& endpoint, Duration held_back) {
+    if (!soonest_.empty() && held_back >= wait_)
         return;
     soonest_ = endpoint;
-    wait_ = limited;
+    wait_ = held_back;
 }
 
 NoPick Directory::LeftOut::no_pick() const {
     if (any_full_)
-        return {PickFailure::AllFull, {}};
-    if (!soonest_.empty())
-        return {PickFailure::AllLimited, soonest_};
+        return {PickFailure::AllFull, {}, {}};
+    if (!soonest_.empty() && !any_avoided_)
+        return {PickFailure::AllHeldBack, soonest_, wait_};
     return {};
 }
 
@@ -224,12 +248,21 @@
 // Asked for each request, so from an index: a walk over all endpoints, and for each group another
 // one for members in other domains, makes a site of many small groups late.
 Directory::Leads Directory::serving_leads(const Demand& demand, const std::set<EndpointId>& tried,
-                                          Time now) {
+                                          Time now, LeftOut& left_out) {
     Leads leads;
     for (const auto& [id, report] : registry_.index().open_leads(demand.model)) {
+        if (report->service != demand.service->name ||
+            dissolved_.contains(report->membership.epoch))
+            continue;
         EndpointUse& use = uses_[id];
-        if (report->service == demand.service->name && !use.avoided(now) && !tried.contains(id) &&
-            !dissolved_.contains(report->membership.epoch))
+        const Duration wait = held_back(id, now);
+        if (wait > Duration::zero())
+            left_out.add(id, wait);
+        else if (tried.contains(id))
+            continue;
+        else if (use.avoided(now))
+            left_out.add_avoided();
+        else
             leads.push_back({report, &use});
     }
     return leads;
@@ -244,16 +277,11 @@
         return tl::make_unexpected(NoPick{});
     const std::uint32_t connections = connections_allowed(*demand.service);
     const EngineDemand judged = judged_by(demand.engine, engine);
-    const Leads leads = serving_leads(demand, tried, now);
+    LeftOut left_out;
+    const Leads leads = serving_leads(demand, tried, now, left_out);
     const bool with_others = counts_others(leads, now);
     std::vector<Candidate> candidates;
-    LeftOut left_out;
     for (const Lead& lead : leads) {
-        const Duration limited = limits_.wait(lead.report->id, now);
-        if (limited > Duration::zero()) {
-            left_out.add(lead.report->id, limited);
-            continue;
-        }
         left_out.add_full(); // unless it becomes a candidate
         const Duration every = cold_every(*lead.report, *demand.service);
         if (lead.use->in_flight >= connections || !is_warm_enough(*lead.use, every, now))
@@ -283,13 +311,15 @@
     std::pair<int, double> best_score;
     LeftOut left_out;
     for (const auto& [id, report] : registry_.index().of_service(demand.service->name)) {
-        if (report->phase != EndpointPhase::Serving || tried.contains(id))
+        if (report->phase != EndpointPhase::Serving)
             continue;
-        const Duration limited = limits_.wait(id, now);
-        if (limited > Duration::zero()) {
-            left_out.add(id, limited);
+        const Duration wait = held_back(id, now);
+        if (wait > Duration::zero()) {
+            left_out.add(id, wait);
             continue;
         }
+        if (tried.contains(id))
+            continue;
         EndpointUse& use = uses_[id];
         const Duration every = cold_every(*report, *demand.service);
         if (use.in_flight >= connections || !is_warm_enough(use, every, now)) {
--- a/src/request/directory.h
+++ b/src/request/directory.h
@@ -24,9 +24,11 @@
     std::uint32_t in_flight = 0;
     std::uint32_t failures = 0; // in a row
     Time avoid_until{};         // failed or stood still lately
+    Time rest_until{};          // wants no request of this host
     ColdPace cold;
 
     bool avoided(Time now) const { return now < avoid_until; }
+    bool rests(Time now) const { return now < rest_until; }
 
     // An engine has got a request of this host, which should have its first event after so long.
     void sent(const EngineDemand& demand, Duration pass, Duration first_event, Time now);
@@ -49,12 +51,13 @@
 enum class PickFailure : std::uint8_t {
     NoneServes, // no group or endpoint takes requests now
     AllFull,    // one more would come too late, or be a connection too many, everywhere
-    AllLimited  // no endpoint takes another one yet, by the limits that they name
+    AllHeldBack // no endpoint wants another one yet, by its limit or for a rest
 };
 
 struct NoPick {
     PickFailure why = PickFailure::NoneServes;
-    EndpointId soonest; // of the limited ones, that which takes a request first
+    EndpointId soonest; // of those held back, the one that takes a request first
+    Duration wait{};    // until it does
 
     auto operator<=>(const NoPick&) const = default;
     bool operator==(PickFailure failure) const { return why == failure; }
@@ -85,6 +88,11 @@
         limits_.set_own_part(1 / others);
     }
     EndpointLimits& limits() { return limits_; }
+    // The endpoint wants no request of this host for so long.
+    void let_rest(const EndpointId& id, Duration rest, Time now);
+    // When a caller that met `none` should return; zero where nothing is known of that. Callers are
+    // told different moments.
+    Duration return_after(const NoPick& none, Time now);
     // What this host has under way, by group.
     std::vector<GroupShare> own_shares() const;
     // What the other entry hosts had under way a moment ago. Old figures are not used.
@@ -131,26 +139,32 @@
     };
     using Leads = std::vector<Lead>;
 
-    // Leads of groups of the model that serve, as far as is known, and were not tried.
-    Leads serving_leads(const Demand& demand, const std::set<EndpointId>& tried, Time now);
     // Whether the groups are judged by what the other hosts have there, too.
     bool counts_others(const Leads& leads, Time now) const;
     // How long this host waits between two requests to the endpoint; zero where it is not cold.
     Duration cold_every(const EndpointReport& report, const Service& service) const;
     // Whether the endpoint may get a request now, by what a cold one bears.
     bool is_warm_enough(EndpointUse& use, Duration every, Time now);
-    // Endpoints that were left out for their limits, or for another reason.
+    // How long the endpoint wants no request of this host, by its limit or for a rest.
+    Duration held_back(const EndpointId& id, Time now);
+    // Endpoints that were left out, since they want no request yet or for another reason.
     class LeftOut {
       public:
-        void add(const EndpointId& endpoint, Duration limited);
+        void add(const EndpointId& endpoint, Duration held_back);
         void add_full() { any_full_ = true; }
+        // It failed lately, and may serve at any moment.
+        void add_avoided() { any_avoided_ = true; }
         NoPick no_pick() const;
 
       private:
         bool any_full_ = false;
+        bool any_avoided_ = false;
         EndpointId soonest_;
         Duration wait_{};
     };
+    // Leads of groups of the model that serve, as far as is known, and were not tried.
+    Leads serving_leads(const Demand& demand, const std::set<EndpointId>& tried, Time now,
+                        LeftOut& left_out);
     // What the request would meet at the group.
     LoadForecast forecast_at(const Lead& lead, const ModelShape& model, const EngineCost& engine,
                              const EngineDemand& demand, bool with_others) const;
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -260,10 +260,11 @@
 void RelayedCall::refuse_unpicked(const NoPick& none, Time now) {
     if (none == PickFailure::AllFull) {
         refuse(full_reason(), RetryAfterFull);
-    } else if (none == PickFailure::AllLimited) {
-        Metrics::instance().counter("liftweir_limit_refused").add();
-        const Duration after = host_.directory().limits().return_after(none.soonest, now);
-        refuse("all endpoints are at their limits", std::max(after, CallerWaits::SoonestReturn));
+    } else if (none == PickFailure::AllHeldBack) {
+        Metrics::instance().counter("liftweir_held_back_refused").add();
+        const Duration after = host_.directory().return_after(none, now);
+        refuse("all endpoints are at their limits or rest",
+               std::max(after, CallerWaits::SoonestReturn));
     } else {
         refuse(sends_ == 0 ? "no endpoint serves" : "no other endpoint serves", RetryAfterNoGroup);
     }
--- /dev/null
+++ b/tests/unit/heldback_test.cpp
@@ -0,0 +1,126 @@
+// Endpoints that want no request of this entry host for now.
+
+#include "process/groupname.h"
+#include "request/directory.h"
+#include "unit/groupplayer.h"
+
+#include <gtest/gtest.h>
+
+namespace liftweir {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Time Start = Time{} + seconds(100);
+
+EndpointReport report_of(int number, bool leads) {
+    EndpointReport report;
+    report.id = {"i-" + std::to_string(number), 7};
+    report.service = "app";
+    report.address = "10.0.0." + std::to_string(number + 1) + ":80";
+    report.sequence = 1;
+    const auto epoch = static_cast<Epoch>(number + 1);
+    if (leads)
+        report.membership = {group_name("model", epoch, false), epoch, 0, MemberState::Open};
+    return report;
+}
+
+// Two endpoints, plain ones or leads.
+struct HeldBack : testing::TestWithParam<bool> {
+    HeldBack() {
+        if (GetParam())
+            service.engine = played_engine();
+        demand.service = &service;
+        demand.model = GetParam() ? "model" : "";
+        for (const EndpointReport& report : {first, second})
+            directory.registry().merge(report, Start);
+    }
+    NoPick none(const std::set<EndpointId>& tried = {}, Time now = Start) {
+        const auto pick = directory.pick(demand, tried, now);
+        EXPECT_FALSE(pick);
+        return pick ? NoPick{} : pick.error();
+    }
+
+    Service service{"app", 100, std::nullopt};
+    Demand demand;
+    const EndpointReport first = report_of(0, GetParam());
+    const EndpointReport second = report_of(1, GetParam());
+    Directory directory{7};
+};
+
+INSTANTIATE_TEST_SUITE_P(PlainEndpointsAndLeads, HeldBack, testing::Bool());
+
+TEST_P(HeldBack, AnEndpointThatRestsIsLeftOutThoughItIsTheOnlyOne) {
+    directory.let_rest(first.id, seconds(3), Start);
+    for (int n = 0; n < 20; ++n)
+        EXPECT_EQ(directory.pick(demand, {}, Start)->endpoint, second.id);
+    directory.let_rest(second.id, seconds(2), Start);
+    const NoPick all = none();
+    EXPECT_EQ(all.why, PickFailure::AllHeldBack);
+    EXPECT_EQ(all.soonest, second.id);
+    EXPECT_EQ(all.wait, seconds(2));
+    EXPECT_EQ(directory.pick(demand, {}, Start + seconds(2))->endpoint, second.id);
+}
+
+TEST_P(HeldBack, ALaterShorterRestDoesNotEndALongerOne) {
+    directory.let_rest(first.id, seconds(3), Start);
+    directory.let_rest(first.id, seconds(1), Start + milliseconds(100));
+    EXPECT_EQ(none({second.id}, Start + seconds(2)).wait, seconds(1));
+}
+
+TEST_P(HeldBack, CallersOfRestingEndpointsReturnAfterTheRestAndNotTogether) {
+    directory.let_rest(first.id, seconds(3), Start);
+    directory.let_rest(second.id, seconds(3), Start);
+    std::set<Duration> returns;
+    for (int n = 0; n < 50; ++n)
+        returns.insert(directory.return_after(none(), Start));
+    EXPECT_GE(*returns.begin(), seconds(3));
+    EXPECT_GT(*returns.rbegin() - *returns.begin(), milliseconds(500));
+}
+
+TEST_P(HeldBack, AnEndpointThatWasTriedTellsWhenItMayBeAskedAgain) {
+    directory.let_rest(first.id, seconds(3), Start);
+    EXPECT_EQ(none({first.id, second.id}).wait, seconds(3));
+}
+
+TEST_P(HeldBack, ARestIsOfOneStart) {
+    directory.let_rest(first.id, seconds(3), Start);
+    EndpointReport again = first;
+    again.id.started_ms = 8;
+    again.membership.epoch = again.membership.epoch == NoEpoch ? NoEpoch : 9;
+    directory.registry().merge(again, Start + milliseconds(10));
+    EXPECT_EQ(directory.pick(demand, {second.id}, Start + milliseconds(20))->endpoint, again.id);
+}
+
+TEST_P(HeldBack, ARestOutlastsThatTheEndpointIsForgottenForAWhile) {
+    directory.let_rest(first.id, seconds(3), Start);
+    directory.registry().forget(first.id);
+    directory.expire(Start + milliseconds(100));
+    directory.registry().merge(first, Start + milliseconds(200));
+    EXPECT_EQ(none({second.id}, Start + milliseconds(300)).why, PickFailure::AllHeldBack);
+}
+
+TEST_P(HeldBack, AnEndpointAtItsLimitIsLeftOut) {
+    directory.limits().book().heard(first.id, 2, Start);
+    EXPECT_EQ(directory.pick(demand, {}, Start)->endpoint, second.id);
+    EXPECT_EQ(none({second.id}).why, PickFailure::AllHeldBack);
+}
+
+TEST(HeldBackLeads, ALeadThatFailedLatelyMayServeBeforeTheRestOfAnother) {
+    Service service{"app", 100, played_engine()};
+    Demand demand;
+    demand.service = &service;
+    demand.model = "model";
+    Directory directory(7);
+    for (const int number : {0, 1})
+        directory.registry().merge(report_of(number, true), Start);
+    directory.let_rest(report_of(0, true).id, seconds(3), Start);
+    directory.failed(report_of(1, true).id, Start);
+    const auto pick = directory.pick(demand, {}, Start);
+    ASSERT_FALSE(pick);
+    EXPECT_EQ(pick.error().why, PickFailure::NoneServes);
+}
+
+} // namespace
+} // namespace liftweir
