Failing tests: an endpoint that says in its answers that it leaves goes on getting requests

Real programs on loopback, reports that say nothing of it: 38 requests (plain endpoint) and 52 (a group's lead) were sent by their callers more than 2 s after the entry host had passed such an answer on, and reached the endpoint.

--- a/tests/site/sitefleet.py
+++ b/tests/site/sitefleet.py
@@ -238,7 +238,7 @@
         if route == "save":
             self.once.add(request)
         self.fleet.entry_of[request] = entry
-        sent = time.monotonic()
+        sent = self.fleet.sent[request] = time.monotonic()
         address = "127.%d.2.%d:%d" % (self.net, entry + 1, CALLERS)
         try:
             status, got, answer = await http1.call(address, "POST", "/%s/x" % route, headers, body,
--- a/tests/site/standin.py
+++ b/tests/site/standin.py
@@ -39,6 +39,7 @@
         self.rests = []     # (time, worker id, request id, seconds) of requests turned away
         self.retry_after = []  # (time, seconds) told to callers that were refused
         self.told = {}      # (worker id, entry host) -> when a word of its answers first went there
+        self.sent = {}      # request id -> when its caller sent it
         self.entry_of = {}  # request id -> number of the entry host that was asked
         self.broken = []
 
