An endpoint that says in an answer that it leaves is taken out at once

Cause: only reports to control took an endpoint out of the choice.

Change: the entry host that passes the word on leaves the endpoint out at once, by start, whatever its report says, and tells the others through control (EndpointsLeaving); entry hosts that begin later are told with their first renewal. What runs there goes on. A new start clears it; late reports do not bring it back for ten minutes. The sides of Gateway and Coordinator that hear such words are renamed after that.

Why it holds: every send goes through the choice, and the word is known before the answer is passed on. Left: the planner still counts a lead that leaves only in its answers as serving, until its report says so.

--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -339,12 +339,19 @@
     MSGPACK_DEFINE(sequence, loans)
 };
 
+// Endpoints that have announced in their answers that they leave. From who was told, and from
+// control.
+struct EndpointsLeaving {
+    std::vector<EndpointId> ids;
+    MSGPACK_DEFINE(ids)
+};
+
 using Wire =
     std::variant<RaftPacket, AgentStatus, AgentOrder, NotLeaderReply, Renew, Vouch, CommandRequest,
                  CommandReply, Attempt, CancelAttempt, Credit, GateState, Refused, Head, Chunk, End,
                  Broken, PeerHello, EndpointChanges, EndpointsAlive, DocumentPush, GroupSuspected,
                  GroupsDissolved, EndpointsRemembered, GroupShares, RegistryDigests, RangesWanted,
-                 RequestsCutOff, Suspicions, LimitWords, LimitLoans>;
+                 RequestsCutOff, Suspicions, LimitWords, LimitLoans, EndpointsLeaving>;
 
 // Names of the alternatives, in their order, for metrics.
 constexpr std::array<std::string_view, std::variant_size_v<Wire>> WireNames = {"raft",
@@ -377,7 +384,8 @@
                                                                                "requests_cut_off",
                                                                                "suspicions",
                                                                                "limit_words",
-                                                                               "limit_loans"};
+                                                                               "limit_loans",
+                                                                               "leaving"};
 
 // ---- member to member, by UDP
 
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -186,7 +186,7 @@
     const Time now = BootClock::now();
     registry_.expire(now);
     quarantine_.expire(now);
-    limits_.expire([this](const EndpointId& id) { return registry_.find(id) != nullptr; }, now);
+    forget_answers(now);
     lender_.expire(now);
     keep_quarantine();
     keep_roster(now);
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -184,7 +184,10 @@
     void propose_quarantine(const Suspicion& held);
     void ask_whether_ended(const Suspicion& held);
 
-    // limits that endpoints name
+    // what endpoints say in their answers
+    void on_leaving(const Link::Ptr& link, const EndpointsLeaving& told, Time now);
+    void tell_answers(const Link::Ptr& link, Time now) const;
+    void forget_answers(Time now);
     void on_limit_words(const Link::Ptr& link, const LimitWords& told, Time now);
     void lend_limits(const Link::Ptr& link, const Renew& renew, Time now);
 
@@ -237,6 +240,7 @@
     bool pump_posted_ = false;
     Quarantine quarantine_;
     std::map<Fingerprint, QuarantineRecord> applied_quarantine_; // of the log
+    std::map<EndpointId, Time> leaving_endpoints_;               // by their answers, since when
     LimitBook limits_;
     LimitLender lender_;
     WorkBoard work_;
--- /dev/null
+++ b/src/process/coordinatoranswers.cpp
@@ -0,0 +1,78 @@
+// The side of Coordinator that passes on what endpoints say of themselves in their answers, and
+// lends parts of their limits to entry hosts while it leads.
+
+#include "process/coordinator.h"
+#include "process/logging.h"
+
+namespace liftweir {
+
+namespace {
+
+// Entry hosts that begin later are told for so long after the endpoint has gone.
+constexpr Duration LeavingKept = std::chrono::minutes(1);
+
+} // namespace
+
+void Coordinator::on_limit_words(const Link::Ptr& link, const LimitWords& told, Time now) {
+    LimitWords news;
+    for (const LimitWord& word : told.words) {
+        if (!limits_.merge(word, now))
+            continue;
+        log(LogLevel::Info, "endpoint limit",
+            {{"endpoint", text_of(word.endpoint)},
+             {"per_second", std::to_string(word.per_second)},
+             {"age_ms", std::to_string(word.age_ms)},
+             {"from", link->peer().name}});
+        news.words.push_back(word);
+    }
+    if (news.words.empty())
+        return;
+    if (link->peer().role == ProcessRole::Entry)
+        send_to_peers(news);
+    send_to_entries(news);
+}
+
+void Coordinator::on_leaving(const Link::Ptr& link, const EndpointsLeaving& told, Time now) {
+    EndpointsLeaving news;
+    for (const EndpointId& id : told.ids) {
+        if (!leaving_endpoints_.emplace(id, now).second)
+            continue;
+        log(LogLevel::Info, "endpoint leaves",
+            {{"endpoint", text_of(id)}, {"from", link->peer().name}});
+        news.ids.push_back(id);
+    }
+    if (news.ids.empty())
+        return;
+    if (link->peer().role == ProcessRole::Entry)
+        send_to_peers(news);
+    send_to_entries(news);
+}
+
+// To an entry host that may have begun just now.
+void Coordinator::tell_answers(const Link::Ptr& link, Time now) const {
+    if (!limits_.empty())
+        link->send(LimitWords{limits_.words(now)});
+    EndpointsLeaving leaving;
+    for (const auto& [id, since] : leaving_endpoints_)
+        leaving.ids.push_back(id);
+    if (!leaving.ids.empty())
+        link->send(leaving);
+}
+
+void Coordinator::forget_answers(Time now) {
+    limits_.expire([this](const EndpointId& id) { return registry_.find(id) != nullptr; }, now);
+    std::erase_if(leaving_endpoints_, [&](const auto& item) {
+        return now - item.second > LeavingKept && registry_.find(item.first) == nullptr;
+    });
+}
+
+// Before the answer to the question, which ends it.
+void Coordinator::lend_limits(const Link::Ptr& link, const Renew& renew, Time now) {
+    lender_.seen(renew.entry, renew.incarnation, renew.calls, now);
+    if (!leads() || limits_.limited() == 0)
+        return;
+    if (auto loans = lender_.lend(renew.entry, limits_, now))
+        link->send(LimitLoans{renew.sequence, std::move(*loans)});
+}
+
+} // namespace liftweir
--- a/src/process/coordinatorfleet.cpp
+++ b/src/process/coordinatorfleet.cpp
@@ -122,6 +122,8 @@
         on_cut_off(link, *cut_off, now);
     } else if (const auto* suspicions = std::get_if<Suspicions>(&message)) {
         on_suspicions(link, *suspicions, now);
+    } else if (const auto* leaving = std::get_if<EndpointsLeaving>(&message)) {
+        on_leaving(link, *leaving, now);
     } else if (const auto* words = std::get_if<LimitWords>(&message)) {
         on_limit_words(link, *words, now);
     } else if (const auto* shares = std::get_if<GroupShares>(&message)) {
@@ -187,8 +189,8 @@
     session.heard = BootClock::now();
     if (renew.calls > 0)
         groups_.traffic_began();
-    if (new_link && !limits_.empty())
-        link->send(LimitWords{limits_.words(session.heard)});
+    if (new_link)
+        tell_answers(link, session.heard);
     lend_limits(link, renew, session.heard);
     // A closed log can vouch for nothing.
     if (replica_)
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -48,6 +48,7 @@
     RepeatBudget& budget(const std::string& service) override;
     bool learns_endpoints(Time now) const override;
     void note_limit(const EndpointId& id, const AnswerNote& note, Time sent) override;
+    void note_leaving(const EndpointId& id) override;
     void note_rest(const EndpointId& id, const AnswerNote& note) override;
     void unreachable(const EndpointId& id) override;
     const Quarantine& quarantine() const override { return quarantine_; }
@@ -86,7 +87,8 @@
     void on_suspicions(const Suspicions& told);
     void note_quarantined(const Fingerprint& content, Time now);
 
-    // limits that endpoints name
+    // what endpoints say in their answers
+    void on_leaving(const EndpointsLeaving& told);
     void tell_limits(Time now);
     void on_limit_words(const LimitWords& told);
     void on_loans(const std::string& address, const LimitLoans& lent);
--- a/src/process/gatewaylimits.cpp
+++ b/src/process/gatewayanswers.cpp
@@ -1,5 +1,5 @@
-// The side of Gateway that keeps to the limits which endpoints name in their answers: tells control
-// of them, and takes the parts that control lends.
+// The side of Gateway that hears what endpoints say of themselves in their answers: limits, rests
+// and their leaving. It tells control, and takes the parts of limits that control lends.
 
 #include "process/gateway.h"
 #include "process/logging.h"
@@ -25,6 +25,21 @@
         {{"endpoint", text_of(id)}, {"what", what}, {"why", why}});
 }
 
+// What runs there goes on.
+void Gateway::note_leaving(const EndpointId& id) {
+    if (!directory_.note_leaving(id, BootClock::now()))
+        return;
+    log(LogLevel::Info, "endpoint leaves", {{"endpoint", text_of(id)}, {"from", "answer"}});
+    send_to_control(EndpointsLeaving{{id}});
+}
+
+void Gateway::on_leaving(const EndpointsLeaving& told) {
+    for (const EndpointId& id : told.ids)
+        if (directory_.note_leaving(id, BootClock::now()))
+            log(LogLevel::Info, "endpoint leaves",
+                {{"endpoint", text_of(id)}, {"from", "control"}});
+}
+
 void Gateway::note_rest(const EndpointId& id, const AnswerNote& note) {
     if (note.rest_fault != NumberFault::None) {
         ignored(id, "rest", note.rest_fault);
--- a/src/process/gatewaycontrol.cpp
+++ b/src/process/gatewaycontrol.cpp
@@ -126,6 +126,8 @@
         on_suspicions(*suspicions);
     } else if (const auto* words = std::get_if<LimitWords>(&message)) {
         on_limit_words(*words);
+    } else if (const auto* leaving = std::get_if<EndpointsLeaving>(&message)) {
+        on_leaving(*leaving);
     } else if (const auto* loans = std::get_if<LimitLoans>(&message)) {
         on_loans(address, *loans);
     } else if (const auto* shares = std::get_if<GroupShares>(&message)) {
--- a/src/request/callerprotocol.h
+++ b/src/request/callerprotocol.h
@@ -62,6 +62,7 @@
     // An endpoint that turned the request away wants none of this entry host for so long.
     Duration rest{};
     NumberFault rest_fault = NumberFault::None;
+    bool leaving = false; // the endpoint takes no new work
 
     auto operator<=>(const AnswerNote&) const = default;
 };
--- a/src/request/directory.cpp
+++ b/src/request/directory.cpp
@@ -36,6 +36,9 @@
 // Callers that are refused while all endpoints rest return within so long after the rest.
 constexpr Duration ReturnsSpread = std::chrono::milliseconds(1000);
 
+// Late reports of an endpoint that has announced its leaving may come for so long.
+constexpr Duration LeavingKept = std::chrono::minutes(10);
+
 // A host whose part of the work is small may get a crowd before the others have told of theirs.
 constexpr double LeastConnectionPart = 1.0 / 16;
 // However small the bound is, one request need not wait for the end of another.
@@ -90,7 +93,8 @@
 void Directory::expire(Time now) {
     registry_.expire(now);
     std::erase_if(uses_, [&](const auto& item) {
-        return item.second.in_flight == 0 && !item.second.rests(now) &&
+        const EndpointUse& use = item.second;
+        return use.in_flight == 0 && !use.rests(now) && now - use.leaving_since > LeavingKept &&
                registry_.find(item.first) == nullptr;
     });
 }
@@ -187,6 +191,14 @@
     use.rest_until = std::max(use.rest_until, now + rest);
 }
 
+bool Directory::note_leaving(const EndpointId& id, Time now) {
+    EndpointUse& use = uses_[id];
+    if (use.leaves())
+        return false;
+    use.leaving_since = now;
+    return true;
+}
+
 Duration Directory::held_back(const EndpointId& id, Time now) {
     const auto use = uses_.find(id);
     const Duration rest = use == uses_.end() ? Duration::zero() : use->second.rest_until - now;
@@ -255,6 +267,8 @@
             dissolved_.contains(report->membership.epoch))
             continue;
         EndpointUse& use = uses_[id];
+        if (use.leaves())
+            continue;
         const Duration wait = held_back(id, now);
         if (wait > Duration::zero())
             left_out.add(id, wait);
@@ -311,7 +325,8 @@
     std::pair<int, double> best_score;
     LeftOut left_out;
     for (const auto& [id, report] : registry_.index().of_service(demand.service->name)) {
-        if (report->phase != EndpointPhase::Serving)
+        EndpointUse& use = uses_[id];
+        if (report->phase != EndpointPhase::Serving || use.leaves())
             continue;
         const Duration wait = held_back(id, now);
         if (wait > Duration::zero()) {
@@ -320,7 +335,6 @@
         }
         if (tried.contains(id))
             continue;
-        EndpointUse& use = uses_[id];
         const Duration every = cold_every(*report, *demand.service);
         if (use.in_flight >= connections || !is_warm_enough(use, every, now)) {
             left_out.add_full();
--- a/src/request/directory.h
+++ b/src/request/directory.h
@@ -25,10 +25,12 @@
     std::uint32_t failures = 0; // in a row
     Time avoid_until{};         // failed or stood still lately
     Time rest_until{};          // wants no request of this host
+    Time leaving_since{};       // by its answers, whatever its report says
     ColdPace cold;
 
     bool avoided(Time now) const { return now < avoid_until; }
     bool rests(Time now) const { return now < rest_until; }
+    bool leaves() const { return leaving_since != Time{}; }
 
     // An engine has got a request of this host, which should have its first event after so long.
     void sent(const EngineDemand& demand, Duration pass, Duration first_event, Time now);
@@ -90,6 +92,8 @@
     EndpointLimits& limits() { return limits_; }
     // The endpoint wants no request of this host for so long.
     void let_rest(const EndpointId& id, Duration rest, Time now);
+    // The endpoint takes no new work any more. False where that was known.
+    bool note_leaving(const EndpointId& id, Time now);
     // When a caller that met `none` should return; zero where nothing is known of that. Callers are
     // told different moments.
     Duration return_after(const NoPick& none, Time now);
--- a/src/request/relayedanswer.cpp
+++ b/src/request/relayedanswer.cpp
@@ -44,6 +44,8 @@
     }
     note_limit();
     note_rest();
+    if (note_.leaving && !note_.misdirected)
+        host_.note_leaving(endpoint_);
     events_ = status_class(head.status) == 2 && is_event_stream(head);
     if (begun_ && !events_ && !note_.not_run)
         on_broken("a stream was not taken up");
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -55,6 +55,8 @@
     virtual void note_limit(const EndpointId& id, const AnswerNote& note, Time sent) = 0;
     // The endpoint turned a request away, and asks for rest or names a wrong time.
     virtual void note_rest(const EndpointId& id, const AnswerNote& note) = 0;
+    // The endpoint answered that it leaves.
+    virtual void note_leaving(const EndpointId& id) = 0;
     // An endpoint took no connection.
     virtual void unreachable(const EndpointId& id) = 0;
     // The call has ended and is forgotten; it may be destroyed from here on.
--- a/tests/unit/heldback_test.cpp
+++ b/tests/unit/heldback_test.cpp
@@ -107,6 +107,20 @@
     EXPECT_EQ(none({second.id}).why, PickFailure::AllHeldBack);
 }
 
+TEST_P(HeldBack, AnEndpointThatLeavesIsLeftOutForGoodAndItsNextStartIsNot) {
+    EXPECT_TRUE(directory.note_leaving(first.id, Start));
+    EXPECT_FALSE(directory.note_leaving(first.id, Start));
+    directory.registry().forget(first.id);
+    directory.expire(Start + seconds(30));
+    directory.registry().merge(first, Start + seconds(30));
+    EXPECT_EQ(none({second.id}, Start + seconds(31)).why, PickFailure::NoneServes);
+    EndpointReport again = first;
+    again.id.started_ms = 8;
+    again.membership.epoch = again.membership.epoch == NoEpoch ? NoEpoch : 9;
+    directory.registry().merge(again, Start + seconds(32));
+    EXPECT_EQ(directory.pick(demand, {second.id}, Start + seconds(33))->endpoint, again.id);
+}
+
 TEST(HeldBackLeads, ALeadThatFailedLatelyMayServeBeforeTheRestOfAnother) {
     Service service{"app", 100, played_engine()};
     Demand demand;
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -245,6 +245,13 @@
     EXPECT_EQ(judged(503, "1000000000").rest, Duration::zero());
 }
 
+TEST(ClientProtocol, ReadsThatAnEndpointLeaves) {
+    EXPECT_TRUE(note_of({{"Server-Leaving", "1"}}).leaving);
+    for (const char* text : {"0", "", "yes"})
+        EXPECT_FALSE(note_of({{"Server-Leaving", text}}).leaving) << text;
+    EXPECT_FALSE(note_of({}).leaving);
+}
+
 TEST(ClientProtocol, RefusesPathsWithControlCharacters) {
     FakeExchange exchange;
     exchange.target_ = "/a\tb";
