--- a/src/connection/channel.cpp
+++ b/src/connection/channel.cpp
@@ -253,8 +253,8 @@
 }
 
 // A connection may serve the next call already when the last one is cancelled. The reset drops what
-// waits in this host's send buffer (3.8 MB of a 16 MB request went on to a slow endpoint after a
-// plain close), and can not be taken for a half close, upon which an endpoint may work on.
+// waits in this host's send buffer, and can not be taken for a half close, upon which an endpoint
+// may work on.
 void Channel::cancel(std::uint64_t call) {
     if (call != call_ || !std::exchange(active_, false))
         return;
--- a/src/connection/link.cpp
+++ b/src/connection/link.cpp
@@ -185,8 +185,7 @@
 }
 
 // Reads what is there and takes all whole frames out of it. Most links are idle, and a control host
-// has one for each agent: a fixed buffer of 64 KB was nearly all of its memory. So the buffer is
-// small and grows only on links that fill it.
+// has one for each agent: the buffer is small and grows only on links that fill it.
 void Link::read_more() {
     const std::size_t had = in_.size();
     in_.resize(had + read_size_);
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -21,7 +21,7 @@
 // acknowledges on the disks that there are.
 constexpr Duration FewVotersPatience = std::chrono::seconds(3);
 // An election costs service here: entry hosts that start have no settings until there is a leader.
-// Links between zones take 3 ms there and back, a sync 5 ms, a lost packet 0.2 s more.
+// The timeouts cover a round trip between zones, a sync and a lost packet.
 constexpr RaftTuning Tuning{.heartbeat = std::chrono::milliseconds(100),
                             .election_min = std::chrono::milliseconds(350),
                             .election_max = std::chrono::milliseconds(700),
@@ -440,9 +440,9 @@
     send_to_entries(make_vouch(0));
 }
 
-// Once over each link: what was sent arrives, or the link ends. An entry host that lacks the
-// document asks every 150 ms; on links of 640 KB a second ten copies of 0.9 MB left for one. Where
-// much waits already, the newest document leaves at a later question.
+// Once over each link: what was sent arrives, or the link ends, and an entry host that lacks the
+// document asks again and again. Where much waits already, the newest document leaves at a later
+// question.
 void Coordinator::push_document_to(EntrySession& session) {
     const StoredDocument& document = replica_->state().document();
     const Version known = std::max(session.renew.lease, session.pushed);
--- a/src/process/coordinatorfleet.cpp
+++ b/src/process/coordinatorfleet.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr Duration PlanEvery = std::chrono::milliseconds(150);
-// An entry host that asks for the document asks every 150 ms; its registry is compared less often.
+// An entry host that lacks the document asks more often than registries need to be compared.
 constexpr Duration CompareEvery = std::chrono::milliseconds(800);
 
 } // namespace
@@ -34,9 +34,8 @@
         peer.dialer->send(encoded);
 }
 
-// Heartbeats and votes take a connection of their own: behind copies of the registry, digests and
-// reports they came later than an election timeout, where 3,000 endpoints registered in a few
-// seconds.
+// Heartbeats and votes take a connection of their own: behind copies of the registry they would
+// come later than an election timeout.
 void Coordinator::connect_to(const std::string& address) {
     if (peers_.contains(address))
         return;
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -330,9 +330,8 @@
 }
 
 // A host without calls closes its door: callers that still come find another one sooner by a
-// refused connect than by an answer, and can not keep this host from ending. Who is inside gets a
-// whole answer: of 100 requests that were being read at that moment 70 had none, and a slow reader
-// lost half of 7.8 MB, when only calls were waited for.
+// refused connect than by an answer, and can not keep this host from ending. Requests that are
+// being read, and answers that callers read slowly, are no calls, and are waited for too.
 bool Gateway::drained(Time now) {
     if (!drains(now) || !calls_.empty())
         return false;
--- a/src/process/groupplanner.cpp
+++ b/src/process/groupplanner.cpp
@@ -248,10 +248,8 @@
 
 // Whether a member may be in no other group yet. It is set free by facts that can not be undone: it
 // has left for good, or the lead can not serve the group any more, or this leader formed the group
-// and never told it to open. No age of a word is among them: at 300 hosts words came seconds late,
-// and 953 hosts were taken from groups that served. Groups of other leaders are known from the log,
-// which has each from before its first order. TakeoverOfHosts plays two leaders whose words and
-// orders come up to 4 s late: it holds in 12,000 cases, and without the log fails within 144.
+// and never told it to open. The age of a word is no such fact. Groups of other leaders are known
+// from the log, which has each from before its first order.
 bool GroupPlanner::binds(const Group& group, const EndpointReport& member) const {
     return group.may_have_opened && !is_out(group, member.id) && !lead_is_out(group);
 }
@@ -421,10 +419,8 @@
     return text;
 }
 
-// What all decisions of a round ask for is counted once. Walking all endpoints for each group that
-// is formed, and for each domain, took 969 ms of a core in the first layout of 3,000 endpoints, and
-// takes 9 to 22 ms like this (PlannerRounds); a leader that plans for so long loses its office
-// meanwhile.
+// What all decisions of a round ask for is counted once: a leader that plans for longer than its
+// heartbeats may be late loses its office.
 void GroupPlanner::begin_round(const Registry& registry, Time now) {
     registry_ = &registry;
     recount();
--- a/src/process/loadbudget.cpp
+++ b/src/process/loadbudget.cpp
@@ -22,9 +22,8 @@
     assumed_.reset();
 }
 
-// One leader before begins UsedShare of what is permitted, half as much beside it is just the
-// whole. Two changes of leader within a window would make it 1.4 times as much. A host that comes
-// back may lead before it has read the operators' figures from its log.
+// A leader before may have begun UsedShare of what is permitted, several of them more than that. A
+// host that comes back may lead before it has read the operators' figures from its log.
 void LoadBudget::assume_begun(bool by_several, Time now) {
     if (most_ == 0)
         assumed_ = {by_several, now};
--- a/src/process/orderqueue.cpp
+++ b/src/process/orderqueue.cpp
@@ -28,11 +28,8 @@
 
 } // namespace
 
-// An order counts as unanswered after a second from when it was given to the network. The first
-// layout of 3,000 endpoints gave as many at once, which a control host with 0.3 of a core needs
-// some seconds to send: most were given up though they had been carried out, their groups were
-// formed again, and the weights were loaded once more under the day's traffic. 64 under way cost 64
-// ms of such a host.
+// An order counts as unanswered after a second from when it was given to the network. Too many at
+// once would wait here for longer, be given up though they are carried out, and be given again.
 void OrderQueue::add(Item item) {
     lanes_[lane_of(item.order)].push_back(std::move(item));
 }
--- a/src/process/quarantine.cpp
+++ b/src/process/quarantine.cpp
@@ -8,8 +8,7 @@
 
 // Endpoints that end within so short a time may have one cause, like a lost domain, and a request
 // that is asked often may have been at several of them. What was sent to the second one after the
-// first had ended is not meant. Where a request ended one endpoint after the other, the shortest
-// time between two ends was 68 ms (44 ends in a played day of 24 endpoints).
+// first had ended is not meant.
 constexpr Duration OneCause = std::chrono::milliseconds(50);
 // A request that comes again less often is not held back for what it did so long ago.
 constexpr Duration Kept = std::chrono::minutes(10);
@@ -70,9 +69,8 @@
     return time > Duration::zero() && hold(record, now + time, now);
 }
 
-// Words of an end go over several hosts. What comes after the answer must not count anew: with
-// three entry hosts a request of many callers was held back for good after three ends within 0.1 s,
-// by copies of words that came behind the one that cleared it.
+// Words of an end go over several hosts. Copies that come after the answer which cleared the
+// request must not count anew.
 bool Quarantine::clear(const Fingerprint& content) {
     const auto found = records_.find(content);
     if (found == records_.end() || found->second.ends == 0)
--- a/src/process/raft.cpp
+++ b/src/process/raft.cpp
@@ -363,8 +363,8 @@
     send(to, SnapshotRequest{hard_.term, snapshot_});
 }
 
-// The next entries for a follower, as many as may be on the way to it. A leader that sent a host
-// without answers its whole log at every heartbeat used 265 MB in 4 s for a log of 15 MB.
+// The next entries for a follower, as many as may be on the way to it: a host that does not answer
+// must not be sent the log again at each heartbeat.
 std::vector<LogEntry> Raft::next_entries(FollowerProgress& progress) const {
     std::vector<LogEntry> entries;
     if (progress.probing())
--- a/src/process/registry.cpp
+++ b/src/process/registry.cpp
@@ -147,9 +147,8 @@
 
 // ---- items and their digest
 
-// Each control host compares digests with every entry host and control host once a second. Counted
-// anew for each of 300 entry hosts, over 3,000 endpoints, the digest alone took more than the whole
-// processor share of a control host; kept as a sum, it costs one hash for each change.
+// Each control host compares digests with every other host all the time: kept as a sum, a digest
+// costs one hash for each change.
 void Registry::changed(Item& item) {
     index_.put(item.report);
     add_to_digests(item.report.id.name, 0 - item.digest);
--- a/src/process/registryrepair.cpp
+++ b/src/process/registryrepair.cpp
@@ -7,18 +7,16 @@
 
 namespace {
 
-// A copy that was asked for is here by then, over a link of 640 KB a second too.
+// A copy that was asked for is here by then, over a slow link too.
 constexpr Duration AskEvery = std::chrono::milliseconds(500);
-// About 50 KB on the wire.
+// Keeps a message short enough to leave heartbeats their place on the link.
 constexpr std::size_t ReportsInPart = 256;
 
 } // namespace
 
 // While hosts register, start or form groups, changes are under way all the time, and two
-// registries are hardly ever equal. With 3,000 endpoints and 300 hosts whole copies at each
-// difference took 3.8 to 4.8 MB a second of each control host, and no document could be read back.
-// Only ranges that differ and have not changed on either side since the last comparison lack
-// something.
+// registries are hardly ever equal. Only ranges that differ and have not changed on either side
+// since the last comparison lack something.
 std::vector<std::uint32_t> RegistryRepair::compare(const std::string& host,
                                                    const RangeDigests& theirs,
                                                    const RangeDigests& ours, bool trusted,
--- a/src/request/arrivalhold.cpp
+++ b/src/request/arrivalhold.cpp
@@ -7,12 +7,12 @@
 
 namespace {
 
-// Control elects a leader within half a second of a total loss of power; entry hosts that start
-// alone have settings within 50 ms. Longer waits end in a refusal with time left for another try.
+// Covers the election of a leader after a loss of power; a refusal after it leaves time for another
+// try.
 constexpr Duration LongestHold = std::chrono::milliseconds(1500);
 // A caller that waits for a short while only is told sooner.
 constexpr int HoldPartOfPatience = 4;
-// 10 KB each at the most, where a second brings a few dozen.
+// Bounds the memory that held requests take.
 constexpr std::size_t MostHeld = 1000;
 
 } // namespace
--- a/src/request/callerwait.cpp
+++ b/src/request/callerwait.cpp
@@ -20,12 +20,8 @@
 
 } // namespace
 
-// Who would have come back sooner than anyone is told to has not been here before. Where callers'
-// own limits lie up to a seventh below the route's timeout, 80 of 100 first tries were taken for
-// later ones until a window of calls was known, on routes of one call a second for good: they were
-// put behind and refused at half load. On such a deployment of 81 hosts the worth of days with
-// trouble went from 0.724 to 0.762 (+0.026 to +0.049, 15 pairs of played days). The longest limit
-// grows while the first calls come in, so that "whole" is an estimate.
+// Whoever would have come back sooner than anyone is told to has not been here before. The longest
+// limit grows while the first calls come in, so that "whole" is an estimate.
 void CallerWaits::count(Window& window, Duration patience) {
     ++window.total;
     if (patience > window.longest)
--- a/src/request/directory.cpp
+++ b/src/request/directory.cpp
@@ -16,19 +16,14 @@
 // engine's priorities order what waits for a place, not the reading of prompts that have one.
 constexpr double YieldPartOfGoal = 0.4;
 // Below this part of the places taken only those that yield are refused, whatever the forecast
-// says. In time are 0.539 of the requests to two groups of which one is lost every 4.5 s, 0.530
-// above 0.55 and 0.48 above 0.8; below 0.35 it makes no difference (played in virtual time).
+// says.
 constexpr double RefuseAbove = 0.35;
 // Forecasts closer than this are equal; then chance decides, so that entry hosts that see the
 // same do not all choose the same.
 constexpr double ForecastNoise = 0.15;
-// Requests of its own at each group on average, from which on a host goes by those alone: 3 with
-// five entry hosts, 0.8 with sixteen, 0.2 with 53.
+// Requests of its own at each group on average, from which on a host goes by those alone.
 constexpr double EnoughOfItsOwn = 0.5;
-// Groups are brought to one level over about as long as a request stays at its group. On 53 entry
-// hosts and 370 hosts the worth of quiet days is 0.904 where each host judges by its own work, and
-// by the others' told five times a second 0.928 over 0.35 s, 0.936 over 0.7 s, 0.939 over 1.4 s and
-// 0.938 over 2.8 s (played days, four seeds each).
+// Groups are brought to one level over about as long as a request stays at its group.
 constexpr double LevelOverSeconds = 1.5;
 // Figures of the other entry hosts are used until so many tellings have not come.
 constexpr int TellingsMissed = 5;
@@ -58,9 +53,8 @@
 }
 
 // A request is let in by the work before it: reading its own prompt takes as long wherever it goes,
-// and a caller with a long one would be refused where others are served, in each try anew. Of its
-// own tokens those of one step count: 0.21 of the callers with the longest prompts are refused and
-// 0.20 of the others, and not 0.30 and 0.18 (played in virtual time).
+// and a caller with a long one would be refused where others are served. Of its own tokens those of
+// one step count.
 EngineDemand judged_by(EngineDemand demand, const EngineCost& engine) {
     demand.prompt_tokens = std::min(demand.prompt_tokens, engine.chunk);
     return demand;
@@ -144,9 +138,8 @@
     others_every_ = every;
 }
 
-// One host of five has a few requests at each group, and what it has itself it knows at once: on
-// such deployments the worth falls by 0.020 (0.005 to 0.038) where the others' figures, which are
-// old, are used instead. One host of fifty has one request at every fifth group.
+// A host with much work at each group knows it at once; what it is told of the others is old. One
+// of many hosts has too little work of its own to judge by.
 bool Directory::counts_others(const Leads& leads, Time now) const {
     if (others_told_ == Time{} || now - others_told_ > TellingsMissed * others_every_)
         return false;
--- a/src/request/precedence.cpp
+++ b/src/request/precedence.cpp
@@ -11,10 +11,7 @@
 } // namespace
 
 // The streams of a group that was lost are late as soon as that is noticed, and their callers stay
-// for seconds. Their prompts are read anew at the groups that are left: half a second of a group's
-// time, in which new requests would be late or refused. In time are 0.50 of the longer requests of
-// a model whose two groups are lost in turn every 4.5 s, and 0.43 where such streams go first
-// (played in virtual time).
+// for seconds. Reading their prompts anew first would make new requests late as well.
 bool lets_others_go_first(const CallProgress& call) {
     if (call.begun)
         return call.pause_goal > Duration::zero() && call.stood_still > call.pause_goal;
