--- a/tests/faults/test_drain.py
+++ b/tests/faults/test_drain.py
@@ -42,8 +42,6 @@
         assert all(answer == (200, True) for answer in self.answers), self.answers
 
 
-# Found by review of how entry hosts leave: callers that kept a connection were never told that it
-# ends. They were refused on it until the process died, and then reset in the middle.
 def test_a_kept_connection_is_ended_with_an_answer_before_its_entry_host_stops(cluster):
     host, port = cluster.url(2).rsplit("/", 1)[1].split(":")
     with socket.create_connection((host, int(port)), timeout=5) as kept:
--- a/tests/faults/test_harness.py
+++ b/tests/faults/test_harness.py
@@ -28,21 +28,12 @@
     return ports
 
 
-# A repair did not come within 30 s, once in a whole CI run beside others. The spare host, killed
-# and restarted by the test before, never registered: two runs had given out the same port, and its
-# agent asked a process of the other run whether its engine was empty. A port was only looked at
-# for a moment and then left, so nothing kept the next run from giving it out again: of 60 times
-# that three runs began together, each with the 58 ports of one cluster, two shared a port 38 times.
 def test_runs_side_by_side_never_get_the_same_port():
     ports = ports_of_runs_side_by_side(3)
     assert [len(mine) for mine in ports] == [400] * 3
     assert len(set(sum(ports, []))) == 3 * 400
 
 
-# A process that a test kills leaves its ports until it is started again. Whoever asked the kernel
-# for any port could get one of them meanwhile, a socket of a proxy as well as one of another run;
-# the agent then ended at its start with "bind: Address already in use", which nobody looked at, and
-# the next test had no spare host and waited 30 s for a repair.
 def test_the_kernel_gives_out_no_port_that_a_killed_process_needs_again():
     with open("/proc/sys/net/ipv4/ip_local_port_range") as file:
         first, last = map(int, file.read().split())
@@ -60,10 +51,6 @@
         return self.lists.pop(0) if len(self.lists) > 1 else self.lists[0]
 
 
-# The paused lead's test failed after 5 s with an IndexError: its condition read the list of groups
-# three times. The old group was in the first list, alone in its domain, and had gone silent before
-# the second, in which the lead was nowhere: taken for repaired, with no group in the domain. 1 of
-# 24 runs beside four busy processes; in its log the lead goes silent 46 ms before the test gives up.
 def test_a_group_that_closes_is_not_taken_for_a_repaired_one():
     old = {"domain": "a", "members": ["a1", "a2"]}
     new = {"domain": "a", "members": ["a2", "a3"]}
--- a/tests/faults/test_whole.py
+++ b/tests/faults/test_whole.py
@@ -116,9 +116,6 @@
     assert formed < opened
 
 
-# A host was missing for 83 s: its agent asked a process that was no engine whether its engine was
-# empty, again and again, and said nothing; control had not heard of it and could not. It took a
-# trace of the agent's system calls to see it.
 def test_an_agent_whose_engine_does_not_answer_as_one_says_so_and_is_not_registered(cluster):
     name = "host-lost"
     cluster.engines[name] = cluster.agent_addresses["host-a1"][2]  # an agent's pages
--- a/tests/site/test_leaving.py
+++ b/tests/site/test_leaving.py
@@ -54,10 +54,6 @@
         assert stopped[self.request] - self.left < GONE_S
 
 
-# Found by reading: an entry host closed its connection to the endpoint as a caller left. An endpoint
-# that takes this for a half close, as is custom in HTTP, went on working until it had something to
-# write: a plain call to its very end. Evidence: the stand-in, whose asyncio keeps a half-closed
-# connection open, never saw an end of it. Cause: a close without a reset looks like a half close.
 def test_an_endpoint_stops_work_when_its_caller_leaves():
     async def scenario(site):
         site.fleet.work_s, site.fleet.event_s = 3.0, 1.0
@@ -74,8 +70,6 @@
     play(scenario)
 
 
-# Found by reading: an entry host that was frozen for a while read requests whose callers had closed
-# long ago, and sent each to an endpoint before it read the close right behind it.
 def test_requests_whose_callers_left_unread_reach_no_endpoint():
     async def scenario(site):
         for route in ("look", "feed", "chat") * 2:
@@ -95,8 +89,6 @@
     play(scenario)
 
 
-# Found by reading: an entry host that held 64 KB of a caller's later requests read no more of its
-# connection, and so saw its close only once the present request was answered.
 def test_a_caller_that_leaves_with_much_unread_is_seen():
     async def scenario(site):
         site.fleet.work_s = 3.0
--- a/tests/site/test_poisonous.py
+++ b/tests/site/test_poisonous.py
@@ -39,13 +39,6 @@
         await asyncio.sleep(0.03)
 
 
-# Users saw summaries refused and cut off for ten seconds at a time, three times in 75 s, while 13 to
-# 16 endpoints of one model ended one after the other. In order: a request came that ends each
-# endpoint that begins to run it; it was sent to a second one, which ended too; its caller came again
-# every three seconds, under a new request id and at another entry host, and each time two or three
-# more endpoints ended, each with up to 40 calls of others. Cause: what a request had done was known
-# only within one try at one entry host. Evidence: with the fingerprint of what is asked in the
-# `attempt ended` lines, calls of equal content end endpoint after endpoint.
 def test_a_request_that_ends_endpoints_is_soon_sent_to_none():
     async def scenario(site):
         site.fleet.poison = POISON
@@ -70,8 +63,6 @@
     return [await site.metric(process, name) for process in site.controls + site.entries]
 
 
-# The same cause after a loss of power: who has ended three endpoints is kept in the log, so that
-# hosts which forgot everything do not pay for the knowledge again.
 def test_what_ended_endpoints_is_known_after_a_restart_of_all():
     async def scenario(site):
         site.fleet.poison = POISON
@@ -94,8 +85,6 @@
     play(scenario, workers=(8, 8))
 
 
-# Found while the mend was written: copies that wait at other endpoints when a request is put under
-# quarantine are taken back, and would have been told "not run", though they may have run.
 def test_a_call_that_may_run_once_is_not_called_refused_where_it_was_taken_back():
     async def scenario(site):
         site.fleet.poison, site.fleet.poison_read_s = POISON, 0.15
@@ -130,9 +119,6 @@
     play(scenario, workers=(8, 8))
 
 
-# Found by reading: connections that break count as ends of endpoints, so three bad links in a row
-# held a request back for ten minutes, from all who asked the same. The endpoints themselves went on,
-# and nobody asked them.
 def test_a_request_that_bad_links_broke_off_is_not_held_back_for_long():
     async def scenario(site):
         site.fleet.broken_off = b"asked over bad links"
@@ -150,11 +136,6 @@
     play(scenario, workers=(8, 8))
 
 
-# Played days with such a request broke the bound once it was asked whether endpoints had ended: seven
-# ended, four of them after the third. Those endpoints tell no start, and come back under the names
-# that they had, so one that had ended and was back was taken for one that never had. Log line:
-# "request cleared: an endpoint that broke it off has not ended", 8 ms after the third end, by an
-# endpoint that had ended 3.5 s before.
 def test_endpoints_that_come_back_under_their_names_clear_no_request():
     async def scenario(site):
         site.fleet.poison = POISON
--- a/tests/site/test_site.py
+++ b/tests/site/test_site.py
@@ -82,10 +82,6 @@
     play(scenario)
 
 
-# Tried with the real programs: a group of two whose hosts crash after a long life and start again
-# was served after 0.52 s where they came with new names, and not within 40 s where they came with
-# the names that they had. Cause: a start was known by its name alone, its count began anew, and
-# reports that do not count on were dropped as late ones.
 def test_hosts_that_start_again_under_their_names_serve_again():
     async def scenario(site):
         for who in ((0, 1), (0,), (1,), (0, 1)):
@@ -119,8 +115,6 @@
     play(scenario, plain=1)
 
 
-# Tried with the real programs, one strange report over two seconds each: all were answered 200,
-# entered the registry, and callers' requests were sent to the address in them.
 def test_reports_of_another_writer_name_no_endpoint_and_end_none():
     async def scenario(site):
         writer = ForeignWriter(site.fleet, site.next_worker)
@@ -185,8 +179,6 @@
     play(scenario, controls=5, tolerance=2)
 
 
-# Found in inc-ab72: callers that came right after a loss of power were refused, and so lost the one
-# try that they had left.
 def test_requests_that_come_before_the_first_settings_are_answered_with_them():
     async def scenario(site):
         for process in site.entries + site.controls:
@@ -212,10 +204,6 @@
     return True
 
 
-# Found by looking for the cause of a leader out of memory elsewhere: an entry host that lacks the
-# document asks for it every 150 ms, and each question was answered by another copy, though the one
-# before had not left. Evidence: on links of 640 KB a second, 9.3 MB went out for a document of 0.9 MB.
-# Cause: nobody asked what was already on its way.
 def test_a_large_document_reaches_an_entry_host_once_over_a_slow_link():
     async def scenario(site):
         site.more_routes = 5000
@@ -283,12 +271,6 @@
     play(scenario)
 
 
-# Users saw streams of loan term comparisons break off while the operators stopped and started all
-# entry hosts, one every 250 ms. Under half of a zone was ready, so the balancer went on sending to
-# hosts that were leaving. Such a host stopped once nothing was under way, which never came; at its
-# hard end, 7.1 s after the signal, it cut nine streams, two of them taken 5.9 s after the signal.
-# Evidence: 70 `request while leaving` lines of that host up to 7.0 s, and `call` lines that end with
-# `the process ends`. Cause: no moment after which a leaving host took nothing new.
 def test_an_entry_host_that_goes_on_being_asked_while_it_leaves_cuts_nothing():
     async def scenario(site):
         site.fleet.event_s = 0.1
@@ -307,9 +289,6 @@
     play(scenario)
 
 
-# Found by review: where an entry host ended its drain, requests that were just being read had no
-# answer (70 of 100 slow uploads), and in its last 20 ms it took and ran some again, of which 3 of 5
-# had no answer. Cause: only calls were waited for, and the begin of leaving was reset at the end.
 def test_requests_that_are_being_read_while_an_entry_host_leaves_are_answered():
     async def scenario(site):
         site.entries[0].send(signal.SIGTERM)
@@ -381,9 +360,7 @@
     play(scenario)
 
 
-# A report that a cut held back comes by hand, at a control host that has never heard of its sender:
-# the start that crashed leads an open group, or is a worker of another service; a newer start has
-# its address and serves. Before, the control host ended the newer one on all hosts for a minute.
+# A report that a cut held back comes by hand, at a control host that has never heard of its sender.
 def test_a_late_report_of_a_dead_start_ends_nobody():
     async def scenario(site):
         lead = next(w for w in site.workers if w.group and w.group["state"] == "open")
@@ -415,8 +392,6 @@
     play(scenario)
 
 
-# A legitimate restart: the newer start is in service within a second, and what the older one still
-# has under way to control changes nothing.
 def test_a_new_start_takes_its_address_from_the_one_before():
     async def scenario(site):
         plain = site.workers[-1]
--- a/tests/unit/call_test.cpp
+++ b/tests/unit/call_test.cpp
@@ -166,11 +166,6 @@
     EXPECT_TRUE(call.on_chunk({first, 0, 1, "y"}, Start).empty());
 }
 
-// What users saw: one completion ended the engines of four groups of four within 20 ms and was then
-// told as 503 not-run; no model came back. Order of events: the engine of the first group ended on
-// it; the agent told a refusal; the call went on to the next group, since up to eight refusals are
-// free. Cause: a call knew no difference between an attempt that failed and one whose endpoint's
-// process ended under it. Evidence: the stand-ins' logs, each ending with this request's name.
 TEST(Call, WhatLooksAsIfItEndedItsEndpointIsSentToNoOther) {
     for (const bool streamed : {false, true}) {
         Places places;
@@ -211,9 +206,7 @@
     EXPECT_EQ(all<FailCall>(end).size(), 1u);
 }
 
-// A world with endpoints that refuse, run, break before or after running, and lose links at
-// random. Whatever happens: "not run" is true, what may not be repeated runs at most once, the
-// call ends once, and a whole answer is one endpoint's whole answer.
+// A world with endpoints that refuse, run, break before or after running, and lose links at random.
 TEST(Call, TellsTheTruthUnderRandomEndpoints) {
     EXPECT_TRUE(rc::check([] {
         Places places;
--- a/tests/unit/callerapi_test.cpp
+++ b/tests/unit/callerapi_test.cpp
@@ -75,12 +75,6 @@
         << what << " is answered with '" << call.error().detail << "'";
 }
 
-// What users saw: 8 of 8 completions were answered; then one with `max_tokens` -5 got 503
-// no_endpoint with outcome not-run, and so did all 30 others of the next 15 s. Order of events: the
-// entry host read -5 as "no hint" and passed it on; the engine ended on it ("LargestInt out of UInt
-// range" is the last line of its log). Cause: no field was checked before a request left for an
-// endpoint. Evidence: the engine's process ended with signal 6 within 10 ms of the request, and
-// nothing else had been sent to it.
 TEST(CallerApi, AFieldOutOfItsBoundIsRefusedByNameAndNotPassedOn) {
     for (const std::string field : {"max_tokens", "max_completion_tokens", "min_tokens", "n",
                                     "best_of", "logprobs", "top_k", "seed"})
@@ -208,8 +202,6 @@
     }
 }
 
-// Whatever a known field holds: the request is refused with its type, or what is passed on can be
-// read as the type that engines expect, without an exception.
 TEST(CallerApi, WhatIsPassedOnCanBeReadWhateverItHolds) {
     EXPECT_TRUE(rc::check([] {
         static const std::vector<std::string> Fields = {
--- a/tests/unit/callerwait_test.cpp
+++ b/tests/unit/callerwait_test.cpp
@@ -39,11 +39,6 @@
                   Duration::zero());
 }
 
-// Callers of a deployment name limits of their own, up to a seventh below the route's timeout. 80
-// of 100 first tries were taken for later ones until a window of calls was known, and for good on
-// routes that bring one call a second to a host: they were put behind, refused with groups at half
-// load, and served a second late when they came back. Evidence: of 1,676 calls within eight seconds
-// of a played day 1,189 were logged to have waited for up to 0.9 s, with 31 refusals before.
 TEST(CallerWaits, WhoWouldHaveComeBackSoonerThanAnyoneIsToldToHasNotWaited) {
     CallerWaits waits;
     for (int i = 0; i < 200; ++i) {
@@ -56,8 +51,6 @@
     EXPECT_GE(waits.waited("new", milliseconds(4500), Limit, Start), CallerWaits::SoonestReturn);
 }
 
-// The same callers on a route of one call a second, with 8 s and limits of their own: a window of
-// 10 s never held enough calls to tell, so one in six of them was put behind all day.
 TEST(CallerWaits, CallersOfSeldomRoutesAreLearnedToo) {
     CallerWaits waits;
     const auto limit_of = [](int i) { return milliseconds(6800 + (i * 7919) % 1200); };
--- a/tests/unit/coldpace_test.cpp
+++ b/tests/unit/coldpace_test.cpp
@@ -86,11 +86,6 @@
     return out;
 }
 
-// Callers of the election pages lost answers of groups that had just come back: a lead that was
-// cold got 46, 55 and 56 requests within a second where 44 are borne, and falls over above that. In
-// order: a domain came back, its first groups opened; each of 16 entry hosts saw a group without
-// work and chose it for whatever came next. Cause: the figure that endpoints tell, and the bound in
-// the operators' document, were decoded by nobody.
 RC_GTEST_PROP(ColdEndpoint, GetsNoMoreThanItBearsFromAllEntryHostsTogether, ()) {
     const int entry_hosts = *rc::gen::element(1, 3, 5, 16, 30);
     const Outcome out = play(*rc::gen::inRange<std::uint32_t>(1, 1u << 30), entry_hosts,
--- a/tests/unit/directory_test.cpp
+++ b/tests/unit/directory_test.cpp
@@ -38,10 +38,6 @@
     EXPECT_EQ(directory.pick(demand, {}, Start)->endpoint, "i-2");
 }
 
-// Callers with the longest prompts were refused where others were served, in each try anew: of the
-// largest tenth of a kind of request 0.29 were served and 0.88 of all (a day of 81 hosts, groups
-// with more than half of their places taken). A long prompt is late by its own reading at any
-// group, and no later after a refusal.
 TEST(Directory, ALongPromptIsLetInWhereAShortOneIs) {
     Directory directory(7);
     const Service service{"llm", 400, played_engine()};
@@ -86,8 +82,7 @@
     EXPECT_EQ(registry.find("new")->report.phase, EndpointPhase::Serving);
 }
 
-// A copy of a registry tells when each endpoint was heard: the receiver is not to take it for
-// alive.
+// A copy of a registry tells when each endpoint was heard.
 TEST(Registry, AMergedReportIsAsOldAsItsSource) {
     Registry registry;
     registry.merge(plain("i-1", "10.0.0.1:80"), Start - std::chrono::seconds(9));
--- a/tests/unit/directoryscale_test.cpp
+++ b/tests/unit/directoryscale_test.cpp
@@ -55,10 +55,6 @@
     return demand;
 }
 
-// Where groups are small, the site with 300 machines served 0.81 and 0.87 of its requests, and the
-// others 0.98 and more: nearly all of the rest was late. In order: an entry host looked for groups
-// among all endpoints, and for each group it found, among all endpoints once more for members in
-// another domain. With 500 groups of a model that is 1.5 million endpoints for each request.
 TEST(DirectoryScale, AChoiceAmongFiveHundredGroupsTakesNoTimeToSpeakOf) {
     Directory directory(7);
     const Service service{"llm", 400, engine()};
--- a/tests/unit/endpointlimits_test.cpp
+++ b/tests/unit/endpointlimits_test.cpp
@@ -311,8 +311,6 @@
     EXPECT_EQ(limits.wait(Endpoint, Start + seconds(1)), Duration::zero());
 }
 
-// Weighed against the way that is built: each entry host takes the part of the limit that its calls
-// are of all calls.
 TEST(EndpointLimits, OwnSharesWouldNotHoldThem) {
     int broken = 0;
     for (const int hosts : {12, 90})
--- a/tests/unit/endpointstart_test.cpp
+++ b/tests/unit/endpointstart_test.cpp
@@ -47,9 +47,6 @@
 
 // ---- starts under one name
 
-// Tried with the real programs: a group of two whose hosts crashed and started again was served
-// after 0.52 s where they came with new names, and not within 40 s where they came with the ones
-// that they had: their counts had begun anew, and their reports were dropped as late ones.
 TEST(EndpointStart, ALaterStartIsKnownAtOnceThoughItsCountsBeginAnew) {
     Registry registry;
     EndpointReport first = report_of(start_of("i-1", 1), 900);
@@ -190,8 +187,6 @@
     starts.check_all_agree();
 }
 
-// What a control host kept on its disk is a hint; a start that it kept does not hold up a later
-// one.
 TEST(EndpointStart, ARememberedStartMakesRoomForALaterOne) {
     Registry registry;
     registry.remember(report_of(start_of("i-1", 1), 9), Start);
@@ -226,8 +221,6 @@
     EXPECT_EQ(report->sequence, 4u);
 }
 
-// Tried with the real programs, one of these over two seconds each: all were answered 200, entered
-// the registry, and were sent callers' requests.
 TEST(ForeignReport, IsRefusedWithWhatIsWrong) {
     const std::vector<std::tuple<const char*, Json::Value, ReportFault>> strange = {
         {"state", "asleep", ReportFault::Phase},
@@ -286,8 +279,6 @@
     }
 }
 
-// Whatever stands in a field: what is taken has the form of a worker's report, and what is refused
-// leaves the endpoint of that name as it was.
 RC_GTEST_PROP(ForeignReport, IsTakenOnlyInAWorkersForm, ()) {
     Registry registry;
     registry.merge(*read(proper()), Start);
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -99,12 +99,6 @@
     Raft raft_;
 };
 
-// Users could not read back a document that had been acknowledged: after a loss of power and of two
-// of five control disks, the leader ran out of memory every four seconds. Two hosts had come back
-// empty; the leader sent each of them its whole log, 220 entries of 70 KB, at every heartbeat,
-// whether the copy before had left or not. Evidence: 90 MB sent for a log of 15 MB, the two old
-// hosts that did not lead stayed at 24 MB. Cause: what is under way to a host that has not answered
-// was bounded in entries, and not at all over several heartbeats.
 TEST(Raft, AHostThatDoesNotAnswerIsSentLittle) {
     // As much as a link of 40 Mbit/s carries in half a second.
     constexpr std::size_t MostUnderWay = 2u << 20;
@@ -122,8 +116,6 @@
     EXPECT_LT(sent, MostUnderWay);
 }
 
-// The bound on what is under way costs a host that answers late, 100 ms after each message, no
-// more than one copy of the log.
 TEST(Raft, AHostThatAnswersLateIsSentTheLogOnce) {
     LongLog leader;
     Raft follower(2, {}, 9, {1}, {}, {}, {}, leader.now());
@@ -157,9 +149,6 @@
         }));
 }
 
-// Found by review of the bound above: a follower that stood still answers, once it goes on, each
-// append that was under way. Its place in the log lies behind a snapshot by then, and each of these
-// answers brought it the whole snapshot again, a thousand copies of 2 MB in 10 ms.
 TEST(Raft, AnswersToOldAppendsBringNoMoreSnapshots) {
     LongLog leader;
     Raft& raft = leader.raft();
@@ -182,8 +171,7 @@
     EXPECT_EQ(raft.peer(2)->match, raft.snapshot().index);
 }
 
-// Pauses between copies of a snapshot double: a link that is slower than thought must not fill up
-// with them.
+// Pauses between copies of a snapshot double.
 TEST(Raft, AHostThatNeverAnswersIsSentFewSnapshots) {
     LongLog leader;
     leader.raft().compact({leader.raft().commit(), leader.raft().term(), {1}, "state"});
@@ -314,8 +302,7 @@
     EXPECT_EQ(registry.find("1")->report.phase, EndpointPhase::Gone);
 }
 
-// The address itself says which of two incarnations it is: until then the newer one is shown to
-// nobody, and after that the older one is gone for good.
+// The address itself says which of two incarnations it is.
 TEST(Registry, ANewIncarnationAtAnAddressEndsTheOneBefore) {
     Registry registry;
     registry.merge(report("1", 5), Start);
--- a/tests/unit/gate_test.cpp
+++ b/tests/unit/gate_test.cpp
@@ -64,8 +64,7 @@
     EXPECT_FALSE(member.answer({7, 1, 1, 3}));
 }
 
-// Random losses and delays: the gate is never open when the member last echoed a ping older than
-// the timeout.
+// Random losses and delays.
 TEST(Gate, IsNeverOpenOnOldProof) {
     EXPECT_TRUE(rc::check([] {
         Gate gate(pair_of_hosts(), "lead", 1, Start);
--- a/tests/unit/gatewaylink_test.cpp
+++ b/tests/unit/gatewaylink_test.cpp
@@ -93,10 +93,6 @@
     int ended = 0;
 };
 
-// Found by reading: TCP_USER_TIMEOUT shows only what is not acknowledged. A link whose questions
-// were acknowledged on the way, by a box that passed nothing on, stayed up for good, and its
-// control host vouched for nothing any more: once a majority of links is like that, the settings
-// lease ends, 4.1 s after the last answers, and with it the service.
 TEST_F(EntryHostsLink, IsDialedAnewWhereNoQuestionIsAnswered) {
     ASSERT_TRUE(run_until([&] { return answers >= 2; }, milliseconds(2500)));
     deaf = links.front();
@@ -181,12 +177,6 @@
                     [](const std::string&) -> Expected<Deployment> { return Deployment{}; }};
 };
 
-// test_a_large_document_reaches_an_entry_host_once_over_a_slow_link failed in one of 21 runs beside
-// load: 1,858,290 bytes of documents left for one of 929,134. In order: the entry host started and
-// asked the control host whose link was up first, which began to send; another one told that it has
-// the document before the first answer was here; so the first was taken for one that lacks it, and
-// the other was asked as well. Cause: who has not answered yet was counted as having told of
-// nothing.
 TEST_F(TwoControlHosts, WhoHasNotAnsweredYetIsNotTakenForOneThatLacksTheDocument) {
     gateway.start();
     run_for(milliseconds(700));
--- a/tests/unit/groupplanner_test.cpp
+++ b/tests/unit/groupplanner_test.cpp
@@ -25,8 +25,6 @@
     Fleet fleet_{3, 8};
 };
 
-// Found in inc-cebd: seven hosts of a model waited for an eighth for half a minute, beside three
-// hosts of another model that were of no use either.
 TEST(Planner, AHostThatIsOfNoUseIsGivenTheModelOfThoseThatLackOne) {
     Fleet fleet(1, 8);
     fleet.planner.configure(engine());
@@ -53,10 +51,6 @@
     EXPECT_TRUE(fleet.violations.empty());
 }
 
-// A model without a group in any domain was served across domains. When one domain could hold a
-// group, that one closed for it, and in the same round another one across domains was formed of the
-// hosts that were free; it closed for the first one's hosts, and so on: no group served for six
-// seconds of a played day, until the hosts happened to be free together.
 TEST(Planner, AGroupAcrossDomainsEndsForOneWithinADomain) {
     Fleet fleet(2, 3);
     EngineCost large = engine();
@@ -80,7 +74,6 @@
 }
 
 // The only group of a model loses its lead to planned work and finishes what it has, for seconds.
-// Other hosts can hold a group across domains meanwhile: nothing is gained by waiting.
 TEST(Planner, AGroupThatClosesForItsLeavingLeadIsNotWaitedFor) {
     Fleet fleet(3, 2);
     for (int i = 0; i < 2; ++i)
@@ -152,8 +145,7 @@
     EXPECT_TRUE(fleet_.violations.empty()) << fleet_.violations.front();
 }
 
-// A group of a start that has crashed ends as soon as the next one at its address is known: nothing
-// is ordered of the dead one, and the host serves in a group again.
+// A group of a start that has crashed ends as soon as the next one at its address is known.
 TEST_F(PlannerTest, ANewStartTakesTheHostOfADeadLead) {
     start();
     fleet_.planner.traffic_began();
@@ -179,15 +171,6 @@
     EXPECT_TRUE(fleet_.violations.empty());
 }
 
-// Found by reading: a report that a cut had held back told a new leader of a start that had crashed
-// long before, as the lead of an open group. Its address belonged to a host of a group that served;
-// that host was taken for ended, its group was closed, and the dead lead's was counted in its
-// place. Evidence: this test; four groups of each model were eight open ones before, and seven
-// after.
-// Hosts of a group crash after a long life and start again under their names; their counts begin
-// anew. Nothing was known of the new starts for as long as those were lower: no group of the model
-// for more than 40 s. All hosts of the domain are in groups, so that nobody else takes their
-// places.
 TEST(Planner, HostsThatStartAgainUnderTheirNamesAreUsedAgain) {
     for (const std::size_t lost : {std::size_t{1}, std::size_t{2}}) {
         Fleet fleet(1, 2);
@@ -280,9 +263,6 @@
     EXPECT_TRUE(fleet_.violations.empty());
 }
 
-// At 300 hosts more than 1,836 loads began within 5 s, where 1,650 may. All control hosts had been
-// killed; the next leader had heard of no request yet, took the day for not begun, and gave hosts
-// that had nothing on their disks to new groups as in a first layout, without counting their loads.
 TEST(Planner, AControlHostThatCameBackBoundsLoadsFromTheStart) {
     Fleet fleet(3, 27);
     fleet.planner = GroupPlanner("llm", PlannerBounds{}, false);
@@ -300,10 +280,6 @@
     EXPECT_GT(loads.size(), 0u);
 }
 
-// Found while the step from one leader to the next was made a class of its own: a control host that
-// comes back leads before it has read the operators' figures from its log. What leaders before it
-// may have begun was counted as a part of a bound that was not known yet, so as nothing, and loads
-// began at once beside theirs.
 TEST(Planner, WhatOthersMayHaveBegunCountsThoughTheFiguresComeLater) {
     Fleet fleet(3, 27);
     fleet.planner = GroupPlanner("llm", PlannerBounds{}, false);
@@ -324,8 +300,6 @@
     EXPECT_EQ(fleet.loads, 3 * 27);
 }
 
-// Leaders that follow each other within the window of the bound, each of which counts half of it as
-// begun by the one before: together they would begin 1.4 times what is permitted.
 TEST(LoadBudget, HoldsOverTwoChangesOfTheLeaderWithinOneWindow) {
     Time now{seconds(100)};
     std::size_t begun = 0;
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -14,8 +14,7 @@
     return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
 }
 
-// A descriptor that libcurl has given up must be let go at once: released late, it could take the
-// watch of a new connection with the same number away, and that call would never end.
+// A descriptor that libcurl has given up must be let go at once.
 TEST(HttpClient, EveryCallEndsWhenConnectionsComeAndGo) {
     asio::io_context io;
     const std::string address = free_address();
@@ -58,11 +57,6 @@
     EXPECT_GE(ended + cancelled, Calls) << "some call never ended";
 }
 
-// What users saw: a request that ended an engine was told as not-run, and sent on to the next
-// group. Order of events: it left on a kept connection; the engine ended without an answer; libcurl
-// sent it again on a fresh connection, which was refused. Cause: the refusal of the second was
-// taken for the whole call's. Evidence: the outcome in the caller's answer beside the name of the
-// request in the engine's last words.
 TEST(HttpClient, WhatLeftOnAKeptConnectionWasSentEvenIfTheRepeatIsRefused) {
     asio::io_context io;
     asio::ip::tcp::acceptor listener(io, {asio::ip::make_address("127.0.0.1"), 0});
--- a/tests/unit/httpchannel_test.cpp
+++ b/tests/unit/httpchannel_test.cpp
@@ -170,10 +170,6 @@
     EXPECT_EQ(accepted_, 2);
 }
 
-// Found by reading: a cancelled call's connection was closed with part of its request still in this
-// host's send buffer, and the kernel went on sending it to an endpoint that read slowly; the end of
-// it looked like a half close, upon which an endpoint may go on working. A reset drops what has not
-// left.
 TEST_F(ChannelTest, ACancelledCallIsResetAndSendsNothingMore) {
     asio::ip::tcp::acceptor slow(io_, {asio::ip::make_address("127.0.0.1"), 0});
     const std::string address = "127.0.0.1:" + std::to_string(slow.local_endpoint().port());
@@ -195,8 +191,6 @@
     EXPECT_EQ(got, arrived);
 }
 
-// Found by reading: a request whose caller left while its connection was being opened was sent,
-// where the open connection was seen before the close, as after a process that was frozen goes on.
 TEST_F(ChannelTest, ACallThatIsCancelledAsItIsConnectedSendsNothing) {
     std::unique_ptr<HttpCallHandle> handle;
     CallEvents events;
--- a/tests/unit/httpserver_test.cpp
+++ b/tests/unit/httpserver_test.cpp
@@ -108,13 +108,6 @@
 
 constexpr auto Patience = std::chrono::milliseconds(2500);
 
-// A fault test waited 30 s in vain for a spare host. Its agent had been restarted and was well, but
-// never registered. Two test runs had given one port to the engine of this host and to an agent of
-// the other run; both could listen on it, and the kernel dealt out the connections. This agent's
-// went to the stranger, and its question whether the engine is empty came back as a 404 over the
-// kept connection, once every 0.7 s for 83 s (after 112 requests 17,136 bytes had come back: 153
-// each, the size of that 404; the engine would have sent 159). When the other run ended, the host
-// was registered 0.14 s later. An address that is served already has to be refused at once.
 TEST_F(ServerTest, AnAddressThatIsServedAlreadyIsRefused) {
     serve();
     EXPECT_THROW(serve_http(io_, address_, {}, handler_), std::system_error);
@@ -227,10 +220,6 @@
 
 const std::string PlainRequest = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\na";
 
-// Found by review of how an entry host leaves: connections between two requests are closed every
-// 40 ms then, and among them were those whose first request was on its way (30 of 100 callers that
-// sent it 10 ms after their connect got no answer) and those whose answer had not left (a slow
-// reader got 3.9 MB of 7.8 MB).
 TEST_F(ServerTest, OnlyConnectionsThatRestAreClosedAsResting) {
     serve();
     handler_ = [](const std::shared_ptr<HttpExchange>& e) {
@@ -293,9 +282,6 @@
     int gone_ = 0;
 };
 
-// Found by reading: a connection with 64 KB of later requests was read no further, so that the
-// close behind them was seen only once the present request was answered; the endpoint worked on for
-// nobody.
 TEST_F(LeavingTest, ACloseBehindManyUnreadBytesIsSeen) {
     Caller caller(io_, address_);
     caller.send(PlainRequest + "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 900000\r\n\r\n");
@@ -310,8 +296,6 @@
     EXPECT_EQ(gone_, 1);
 }
 
-// A close and a half close look alike on the wire until bytes are sent, so a caller that ends its
-// sending side in the middle of a request's work has left, as proxies commonly take it.
 TEST_F(LeavingTest, ACallerThatEndsItsSendingSideHasLeft) {
     Caller caller(io_, address_);
     caller.send(PlainRequest);
@@ -331,8 +315,6 @@
     EXPECT_TRUE(caller.read().starts_with("HTTP/1.1 200 "));
 }
 
-// Found by reading: requests whose callers had closed while this process was frozen were sent to
-// endpoints (40 of 40 in a site test), since the close was read after the request was handed over.
 TEST_F(LeavingTest, ACloseRightBehindARequestIsKnownWithTheRequest) {
     int left = 0;
     handler_ = [&](const std::shared_ptr<HttpExchange>& e) { left += e->left() ? 1 : 0; };
@@ -349,8 +331,6 @@
     EXPECT_EQ(left, 2);
 }
 
-// Found by reading: an answer that was whole but not read to its end yet was cut off where its
-// caller ended its sending side, though nobody works for it any more and the caller may still read.
 TEST_F(ServerTest, ACallerThatEndsItsSendingSideGetsAnAnswerToItsEnd) {
     serve();
     handler_ = [](const std::shared_ptr<HttpExchange>& e) {
@@ -364,8 +344,6 @@
     EXPECT_EQ(server_->connections(), 0u);
 }
 
-// Freed memory was written to where a server ended before its loop: each open connection notes its
-// end in what the connections share, from the loop, and that had gone with the server.
 TEST_F(ServerTest, WhatConnectionsShareLivesUntilTheirLastWorkInTheLoop) {
     auto shared = std::make_shared<int>(0);
     const std::weak_ptr<int> watched = shared;
--- a/tests/unit/leveling_test.cpp
+++ b/tests/unit/leveling_test.cpp
@@ -90,8 +90,6 @@
     EXPECT_TRUE(board.empty());
 }
 
-// Whatever is told in whichever order, the sums that are kept are those of a fresh count, and a
-// host of many groups is told less often.
 RC_GTEST_PROP(WorkBoard, KeepsTheSumsOfAFreshCount, ()) {
     WorkBoard board;
     std::map<std::string, std::vector<GroupShare>> told;
--- a/tests/unit/logstore_test.cpp
+++ b/tests/unit/logstore_test.cpp
@@ -77,8 +77,6 @@
     EXPECT_EQ(full.error().kind, FailureKind::Storage);
 }
 
-// A crash after any number of storage steps leaves either the old or the new state, and never
-// loses what was acknowledged.
 TEST(LogStore, SnapshotSurvivesACrashBetweenAnyTwoSteps) {
     for (int steps = 0; steps < 12; ++steps) {
         MemStorage storage;
@@ -98,8 +96,6 @@
     }
 }
 
-// Found in review: entries that an installed snapshot replaced came back after a crash, and an
-// old uncommitted suffix could then win or grant an election.
 TEST(LogStore, InstalledSnapshotLeavesNoOldSuffix) {
     MemStorage storage;
     LogStore store(storage);
--- a/tests/unit/orderqueue_test.cpp
+++ b/tests/unit/orderqueue_test.cpp
@@ -14,9 +14,6 @@
     return item;
 }
 
-// The first layout of 3,000 endpoints: a leader that sends all joins in one turn takes longer for
-// them than it waits for an answer. Callers saw 0.05 of their requests served at 300 hosts; loads
-// that had been made before the day were ordered again in it.
 TEST(OrderQueue, SoManyAreUnderWayAtOnceAndEachComesToItsTurn) {
     OrderQueue queue;
     for (int n = 0; n < 3000; ++n)
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -31,37 +31,23 @@
     return sum;
 }
 
-// A tenth of the callers have prompts four times as long as the others'. Judged by all of its own
-// prompt 0.295 of them are refused and 0.176 of the others; by one step's part of it 0.213 and
-// 0.201.
 TEST(Overload, CallersWithTheLongestPromptsAreRefusedLittleMoreOftenThanOthers) {
     const auto results = play_losses({{33.8, 1400, 20}, {3.8, 5600, 20}}, 20);
     EXPECT_LT(results[1].refused_part(), 1.25 * results[0].refused_part());
 }
 
-// The streams of a lost group go on elsewhere, and their prompts are read anew. In time are 0.43
-// and 0.69 of the two kinds where such streams go first, and 0.50 and 0.77 where they let new
-// requests go first.
 TEST(Overload, NewRequestsAreInTimeWhileBrokenStreamsGoOn) {
     const auto results = play_losses({{23.2, 1460, 30}, {14.4, 2000, 5}}, 20);
     EXPECT_GT(results[0].in_time_part(), 0.47);
     EXPECT_GT(results[1].in_time_part(), 0.74);
 }
 
-// A group that is behind serves late what it lets in, and what comes after it too. In time are
-// 0.530 and 0.445 where only groups with more than 0.55 of their places taken refuse whom they
-// would serve late, and 0.539 and 0.463 above 0.35. Below that it stays so; above 0.8 it is 0.48
-// and 0.40.
 TEST(Overload, GroupsRefuseWhomTheyWouldServeLateBeforeTheyAreHalfFull) {
     const auto results = play_losses({{33.8, 1400, 20}, {3.8, 5600, 20}}, 100);
     EXPECT_GT(results[0].in_time_part(), 0.535);
     EXPECT_GT(results[1].in_time_part(), 0.455);
 }
 
-// Fifty entry hosts before ten groups, one of which is lost every 1.5 s and replaced after 0.9 s. A
-// host has one request at every fifth group: by its own work alone it can not tell the groups that
-// got a lost one's streams from the one that is new and idle. In time are 0.70 and 0.78 of two
-// kinds where each judges by itself, and 0.82 and 0.92 where they are told of each other.
 TEST(Balance, FiftyEntryHostsFindTheGroupsThatHaveRoom) {
     std::vector<Duration> losses;
     for (int i = 1; i <= 12; ++i)
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -191,10 +191,6 @@
     EXPECT_EQ(world.state.hosts().at("a0").bound, NoEpoch);
 }
 
-// What users saw: an engine ended, its group was listed as serving for as long as anyone looked,
-// and every request to it failed. Order of events: the engine's process ended; its agent went on to
-// be heard, so no host was missing; the group was kept. Cause: control knew only hosts, not what
-// serves on them. Evidence: no event of control or agent after the engine's last line.
 TEST(Placement, AHostWhoseEngineEndedIsReplacedAndIsASpareOnceItIsBack) {
     World world(1, 5, wanting(1));
     world.run(seconds(10));
@@ -226,8 +222,7 @@
     EXPECT_EQ(world.formed, 2);
 }
 
-// The engine was back before control heard that it had ended: the promise to refuse the epoch
-// tells.
+// The engine was back before control heard that it had ended.
 TEST(Placement, AnEngineThatIsBackAtOnceStillEndsItsGroup) {
     World world(1, 4, wanting(1));
     world.run(seconds(10));
@@ -306,8 +301,7 @@
     EXPECT_EQ(world.state.hosts().at(leaving).bound, NoEpoch);
 }
 
-// Random faults, for all policies and weights: no invariant breaks, no stampede on the weight
-// store, few groups are formed for each fault, and once faults stop all that can serve does.
+// Random faults, for all policies and weights.
 TEST(Placement, ConvergesAfterRandomFaults) {
     EXPECT_TRUE(rc::check([] {
         PlacementSettings settings = wanting(3);
--- a/tests/unit/plannerrounds_test.cpp
+++ b/tests/unit/plannerrounds_test.cpp
@@ -110,9 +110,6 @@
     EXPECT_LT(longest, MostOfOneRound);
 }
 
-// Three terms led before a day of 300 hosts and 3,000 endpoints began: the first layout walked all
-// endpoints once for each group that it formed. The longest round took 969 ms of a core before that
-// was counted once a round, and 9 ms since; in three large domains 843 and 14 ms.
 TEST(PlannerRounds, TheFirstLayoutOfThreeThousandEndpointsTakesLessThanAnElection) {
     expect_short_rounds({30, 100});
 }
@@ -122,10 +119,6 @@
     expect_short_rounds({3, 1000});
 }
 
-// A thousand small groups, two to four in a domain: 211 ms while live groups were counted anew for
-// each that was formed, and 22 ms since. Callers were served 0.19 of their requests at that size:
-// the leader lost its office in the first layout, and the next one ordered the loads again under
-// the day's traffic.
 TEST(PlannerRounds, NorDoesItWithAThousandGroups) {
     expect_short_rounds({375, 8, engine(4, 2)});
 }
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -92,9 +92,6 @@
     EXPECT_EQ(quarantine.suspicion(Poison, last).ends, 1u);
 }
 
-// A request of many callers was at three endpoints that a poisonous one ended within 0.1 s. It was
-// answered elsewhere and cleared; copies of the words of the three ends came behind that, from
-// other control hosts, and it was held back for good. Seen in a played site with three entry hosts.
 TEST(Quarantine, LateWordsOfEndsBeforeAnAnswerChangeNothing) {
     Quarantine quarantine;
     const Time last = end_some(quarantine, 3);
@@ -153,9 +150,7 @@
     EXPECT_EQ(newcomer.left(Poison, last), quarantine.left(Poison, last));
 }
 
-// Entry hosts see some of the ends each, and tell all control hosts; words come late, twice and in
-// any order. All that have heard of three ends hold the request back, and the calls that were only
-// with it go on.
+// Entry hosts see some of the ends each, and tell all control hosts.
 RC_GTEST_PROP(Quarantine, HostsThatHaveHeardOfThreeEndsHoldItBackInAnyOrder, ()) {
     const auto ends = *rc::gen::inRange<std::size_t>(3, 8);
     std::vector<std::size_t> words(2 * ends);
--- a/tests/unit/registry_test.cpp
+++ b/tests/unit/registry_test.cpp
@@ -46,11 +46,6 @@
         to.merge(item.report, item.heard);
 }
 
-// Found by reading: an endpoint was out of service for a minute. A cut held back the first reports
-// of a start that crashed; the next start registered at the same address; then the cut ended. The
-// host that heard of the dead start only now took the id that was new to it for the newer start,
-// and ended the living one for good, on all hosts by its next full copy. Evidence: this test; after
-// the late report the living id stayed Gone whatever it said.
 TEST(LateReport, ADeadStartThatIsHeardOfLateEndsNobody) {
     for (const EndpointPhase phase : {EndpointPhase::Serving, EndpointPhase::Draining})
         for (const std::string service : {"llm", "app"}) {
@@ -141,8 +136,7 @@
     starts.check();
 }
 
-// The address answers for the start that lives, at one host that asks at least: no second beat is
-// needed, whatever the hosts heard first.
+// The address answers for the start that lives, at one host that asks at least.
 RC_GTEST_PROP(LateReport, HostsAgreeAsSoonAsTheAddressHasAnswered, ()) {
     TwoStarts starts;
     Time now = Start;
@@ -160,8 +154,7 @@
     starts.check();
 }
 
-// An entry host hears no beats: that the living one has said nothing new there for a minute means
-// nothing.
+// An entry host hears no beats.
 TEST(LateReport, AnEntryHostEndsNobodyForSilence) {
     Registry registry(false);
     registry.merge(report_of("living", 1), Start - seconds(60));
@@ -174,8 +167,6 @@
     EXPECT_TRUE(serves(registry, "dead"));
 }
 
-// The leaving start's own word counts where it stands, though it came through a host that doubts
-// it.
 TEST(LateReport, ADoubtedWordOfLeavingDrainsItsSenderOnly) {
     Registry registry;
     registry.merge(report_of("living", 1), Start);
@@ -187,8 +178,6 @@
     EXPECT_FALSE(stands(registry, "dead"));
 }
 
-// Two questions cross: an answer that was asked for against an earlier start proves nothing about a
-// later one.
 TEST(LateReport, AnOldAnswerEndsNoThirdStart) {
     Registry registry;
     registry.merge(report_of("first", 5), Start);
@@ -222,9 +211,6 @@
     EXPECT_TRUE(serves(registry, "living"));
 }
 
-// Found by a sweep over sizes: with 3,000 endpoints and 300 entry hosts no document could be read
-// back, since control hosts spent their processor share on digests that were counted anew for each
-// question. The sum that is kept instead must be what a fresh count gives, whatever has happened.
 RC_GTEST_PROP(Registry, TheDigestThatIsKeptIsThatOfAFreshCopy, ()) {
     Registry registry;
     Time now = Start;
--- a/tests/unit/registryrepair_test.cpp
+++ b/tests/unit/registryrepair_test.cpp
@@ -42,9 +42,6 @@
     return sent;
 }
 
-// Found by a sweep over sizes: whole copies of the registry at each difference took 3.8 to 4.8 MB a
-// second of each control host at 3,000 endpoints and 300 hosts; settings were acknowledged after
-// seconds, and could not be read back. One report that is lacked now costs its range.
 TEST(RegistryRepair, OneDifferenceCostsOneRange) {
     constexpr int Endpoints = 3000;
     Registry whole;
@@ -93,11 +90,6 @@
         EXPECT_LE(part.reports.size(), 256u);
 }
 
-// All hosts had been killed. An entry host asked the control host whose link was up first, which
-// had just begun and knew 3 of 10 endpoints; what others heard five milliseconds later went over
-// links that were not up yet. Their digests were told once and differed, which may be under way:
-// callers were refused after 1.3 s, with all endpoints known to all control hosts (a trace of one
-// such start).
 TEST(RegistryRepair, ANewcomerIsToldBySomeWhoAgreeWhatTheFirstHostLacked) {
     Registry whole;
     Registry part;
@@ -127,8 +119,6 @@
     EXPECT_FALSE(repair.agreed(entry.range_digests(), Start + seconds(2)));
 }
 
-// Whatever differs: as soon as nothing is under way, both are equal after a few comparisons each
-// way.
 RC_GTEST_PROP(RegistryRepair, BothSidesEndUpEqual, ()) {
     std::array<Registry, 2> hosts;
     for (int n = *rc::gen::inRange(1, 120); n > 0; --n) {
@@ -157,11 +147,6 @@
     return planner;
 }
 
-// Found by the same sweep: the new leader of control took 953 hosts for new groups while the leads
-// of their old ones were open. Word of those groups had reached other control hosts, and was still
-// on its way to the new leader, which knew that the hosts lived and took them for free. The log
-// tells it of the group; neither the signs of life that came meanwhile nor late words of before it
-// free a member, but the lead's answer that it has left does.
 TEST(Takeover, HostsOfARecordedGroupAreNotFreeWhateverWordIsMissing) {
     Registry behind;
     GroupPlanner planner = planner_of_pairs();
@@ -217,8 +202,7 @@
     EXPECT_EQ(joins(), 2);
 }
 
-// A control host that was just started knows no endpoint yet, only the log. Nothing is ended in the
-// log for that: the group may serve.
+// A control host that was just started knows no endpoint yet, only the log.
 TEST(Takeover, AGroupOfWhichNothingWasHeardStaysInTheLog) {
     Registry empty;
     GroupPlanner planner = planner_of_pairs();
--- a/tests/unit/replica_test.cpp
+++ b/tests/unit/replica_test.cpp
@@ -128,8 +128,7 @@
     std::map<Index, std::string> applied_;
 };
 
-// Random crashes, cuts, losses and doubled packets: hosts never apply different commands at one
-// index, and what was acknowledged is there in the end.
+// Random crashes, cuts, losses and doubled packets.
 TEST(Replica, KeepsWhatItAcknowledgedUnderRandomFaults) {
     EXPECT_TRUE(rc::check([] {
         Hosts hosts(3, *rc::gen::arbitrary<std::uint64_t>());
@@ -210,9 +209,6 @@
     EXPECT_EQ(leader->raft().term(), term);
 }
 
-// At 300 hosts two or three terms led before a day began. A leader that was busy for nearly an
-// election timeout looked at its followers before it had read what they had answered meanwhile, and
-// gave its office up though nobody stood against it.
 TEST(Replica, ALeaderThatWasBusyReadsItsAnswersBeforeItStepsDown) {
     int uncontested = 0;
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
@@ -236,9 +232,6 @@
     EXPECT_GT(uncontested, 10);
 }
 
-// Found by reading: a control host that is slow for good and cut off thought for ever that it led,
-// and one that follows and is slow never asked for votes. A late tick puts the next check off, so
-// that what waits is read first; where every tick is late, each of them put it off once more.
 TEST(Replica, ALeaderThatIsSlowForGoodAndCutOffStepsDown) {
     Hosts hosts(3, 5);
     hosts.run(std::chrono::seconds(3));
@@ -284,10 +277,6 @@
     return std::move(*opened);
 }
 
-// An acknowledged document was read back older after all control hosts had been killed, in a played
-// day of 300 hosts with full links; the logs of that day were not kept. Found by reading for it: a
-// copy of a snapshot that came late, behind entries which this host had synced and answered for,
-// dropped them, though the leader had counted them. The host knew them only as not yet committed.
 TEST(Replica, ASnapshotThatComesLateDropsNoEntryThatWasAnsweredFor) {
     MemStorage storage;
     const auto opened = open_follower(storage);
@@ -335,10 +324,6 @@
     EXPECT_EQ(host.state().document().version, 40u);
 }
 
-// Found with the leader out of memory: 220 documents of 70 KB each had passed without a snapshot,
-// so a host that came back empty was sent 15 MB for a state of 70 KB, and no change was
-// acknowledged for 8 s meanwhile. Cause: a snapshot was due after 500 entries or 32 MB only,
-// whatever the state's size.
 TEST(Replica, ALogOfLargeDocumentsStaysAFewTimesAsLargeAsItsState) {
     constexpr std::size_t DocumentBytes = 70000;
     Hosts hosts(3, 14);
--- a/tests/unit/rosterfile_test.cpp
+++ b/tests/unit/rosterfile_test.cpp
@@ -68,9 +68,6 @@
     std::atomic<int> left_;
 };
 
-// Found by reading: after a loss of power on all hosts, entry hosts serve by what was kept. A write
-// that failed was tried again only once the endpoints changed, so what a disk refused while it was
-// full for a second was missing for as long as nothing changed.
 TEST(RosterFile, AWriteThatFailsIsTriedAgainThoughNothingChanges) {
     const auto storage = std::make_shared<FullForAWhile>(2);
     RosterFile roster(storage);
--- a/tests/unit/state_test.cpp
+++ b/tests/unit/state_test.cpp
@@ -60,8 +60,6 @@
     EXPECT_EQ(replay.claim->answer, saved);
 }
 
-// Found in review: a claim that was given up while control was out of reach could be logged after
-// its drop, and would have held the key for a call that nobody makes.
 TEST(State, ADelayedClaimDoesNotTakeTheKeyAfterItsDrop) {
     State state;
     EXPECT_TRUE(state.apply(1, DropClaim{"c", "k", {1, 1, 0}}).ok);
@@ -93,8 +91,6 @@
     EXPECT_TRUE(state.groups().empty());
 }
 
-// The new group waits to open only while the lead of an old group of a member may hold its gate
-// open.
 TEST(State, AGroupWaitsToOpenOnlyForALeadThatHasNotReleased) {
     for (const bool lead_releases : {true, false}) {
         State state;
@@ -116,8 +112,6 @@
     }
 }
 
-// Found by the model checker: with only the last group remembered, a host that passed quickly
-// through a second group opened a third one while the first may still have been open.
 TEST(State, AHostRemembersEveryGroupThatMayBeOpen) {
     State state;
     Version index = 0;
@@ -165,8 +159,7 @@
         rc::gen::inRange(0, 40));
 }
 
-// Whatever is proposed, no host is in two groups and no group crosses fabric domains; and a
-// copy that went through a snapshot is the same.
+// Whatever is proposed, no host is in two groups and no group crosses fabric domains.
 TEST(State, NoCommandPutsAHostIntoTwoGroups) {
     EXPECT_TRUE(rc::check([] {
         State state;
--- a/tests/unit/takeover_test.cpp
+++ b/tests/unit/takeover_test.cpp
@@ -273,11 +273,6 @@
     std::vector<std::string> violations_;
 };
 
-// At 300 hosts and 3,000 endpoints 17 hosts joined a group of a new leader while the lead of the
-// one that they were in, which an earlier leader had put together, was open. In order: the earlier
-// leader's order was on its way; the new one heard a word that the host had sent before it, took
-// the host for free by that, and ordered. Cause: whether a host is free rested on when a word came,
-// and no bound holds for how long a link, or a busy host, holds one up.
 RC_GTEST_PROP(TakeoverOfHosts, NoHostIsTakenFromAGroupThatServes, ()) {
     const auto seed = *rc::gen::inRange<std::uint32_t>(1, 1u << 30);
     const auto most_late = milliseconds(*rc::gen::inRange(1, 4000));
--- a/tests/unit/workers_test.cpp
+++ b/tests/unit/workers_test.cpp
@@ -79,9 +79,6 @@
     WorkerOrders orders{io};
 };
 
-// Found by reading: a probe went over the connection that an order had left, which was silent by
-// then. Without an answer in 0.22 s the planner takes the member for lost: a group that was well
-// was given up for a connection's sake.
 TEST_F(WorkerWithSilentConnections, AProbeDoesNotTakeASilentConnectionForALostMember) {
     EXPECT_EQ(order(), OrderAnswer::Taken);
     EXPECT_TRUE(probe());
