Take availability zones out of use and back by an operator's order

Change: the order is an entry of the replicated log beside the document, answered once it is on enough disks, and raises the lease version, so an entry host keeps its lease only with the zones of the newest state. They come with each lease acknowledgement and each document; the highest index counts. Entry hosts choose no endpoint of the zone; after the return they wait one heartbeat interval, by which each endpoint has reported whether it is cold. The planner leaves groups that lie wholly in the zone as they are and counts neither them nor their hosts; groups that reach into it are closed and formed anew where spares suffice. Ruled out: zones in the document (a second writer of it, and a whole document to each entry host); closing the groups of the zone (orders and loads for nothing, and the return would wait for them); a push without the lease (an entry host that a lagging control host serves would forget the order).

--- a/models/check.py
+++ b/models/check.py
@@ -23,6 +23,8 @@
     "voters": ([[]], {name: [] for name in ("SAME_NUMBER", "ACK_EARLY", "JOIN_EMPTY")}),
     "takeover": ([[]], {
         name: [] for name in ("ORDER_FIRST", "MEMBER_FIRST", "ADOPT", "NO_FENCE")}),
+    "zones": ([[]], {
+        name: [] for name in ("PUSH_WITHOUT_ZONES", "OLDER_ZONES", "ZONES_ALONE")}),
 }
 MEMORY_MB = 3000
 
--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -114,8 +114,9 @@
     std::vector<NodeId> nodes;         // all control hosts, voters or not
     std::uint32_t entries = 0;         // number of connected entry hosts
     std::uint32_t in_flight_total = 0; // calls in progress at all of them
+    ZonesOutOfUse zones;               // of the same state as `table`
     MSGPACK_DEFINE(node, sequence, logged, table, voters, leader, registered, has_delta, delta,
-                   voters_index, nodes, entries, in_flight_total)
+                   voters_index, nodes, entries, in_flight_total, zones)
 };
 
 struct CommandRequest {
@@ -270,7 +271,8 @@
 // The complete document that is in force.
 struct DocumentPush {
     StoredDocument document;
-    MSGPACK_DEFINE(document)
+    ZonesOutOfUse zones; // of the same state as the document
+    MSGPACK_DEFINE(document, zones)
 };
 
 // All streams of a group have stalled at the sending entry host.
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -176,6 +176,27 @@
     return exit_code;
 }
 
+// Lists what each control host has applied; one that is behind shows a lower index.
+int print_zones(const Session& session, const Options& options) {
+    RpcResponse zones;
+    zones.kind = RpcResponse::Kind::Result;
+    zones.result = Json::arrayValue;
+    int exit_code = CtlOk;
+    for (const std::string& address : session.control()) {
+        const HttpGetResponse got =
+            http_get("http://" + address + "/zones", options.token, options.timeout_ms);
+        auto row = parse_json(got.body);
+        if (got.status != 200 || !row || !row->isObject()) {
+            std::cerr << "liftweirctl: " << address << " does not report its zones\n";
+            exit_code = CtlUnreachable;
+            continue;
+        }
+        (*row)["control"] = address;
+        zones.result.append(*row);
+    }
+    return std::max(exit_code, finish(options, zones, {"control", "index", "out_of_use"}));
+}
+
 int check_config(const Arguments& arguments) {
     const Program program = arguments[0] == "control" ? Program::Control
                             : arguments[0] == "entry" ? Program::Entry
@@ -269,6 +290,9 @@
          [](Session& s, O o, A a) { return set_host_mode(s, o, a[0], "forgotten"); }},
         {"zone drain", "ZONE", "planned stop of every host of a zone", 1,
          [](Session& s, O o, A a) { return drain_zone(s, o, a[0]); }},
+        {"zones", "--control IP:PORT,...",
+         "zones out of use, as each control host's metrics address reports them", 0,
+         [](Session& s, O o, A) { return print_zones(s, o); }},
         {"groups list", "", "all groups", 0,
          [](Session& s, O o, A) {
              return print_list(s, o, "groups.list",
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -101,6 +101,7 @@
     node_ = node;
     replica_ = std::move(*replica);
     applied_document_ = 0;
+    applied_zones_ = 0;
     log(LogLevel::Info, "log opened",
         {{"node", text_of(node_)},
          {"last_index", std::to_string(replica_->raft().last_index())},
@@ -149,6 +150,8 @@
     gauges_.add("liftweir_voters", [this] {
         return replica_ ? static_cast<double>(replica_->raft().voters().size()) : 0.0;
     });
+    gauges_.add("liftweir_zones_out_of_use",
+                [this] { return static_cast<double>(zones_out_of_use().zones.size()); });
     gauges_.add("liftweir_requests_quarantined", [this] {
         return static_cast<double>(quarantine_.quarantined_count(BootClock::now()));
     });
@@ -248,6 +251,7 @@
     record_leadership_change();
     groups_.settle(registry_, BootClock::now());
     document_applied();
+    zones_applied();
     quarantine_applied();
     adjust_voters();
     answer_waiting();
@@ -343,9 +347,9 @@
 // A majority of three hosts is two disks, and the loss of both would lose an acknowledged change.
 // So the acknowledgement waits until one disk more than the tolerated losses has the document, in a
 // set of voters that still has a majority without the lost ones.
-bool Coordinator::is_durable(const StoredDocument& document) const {
+bool Coordinator::is_durable(Index index) const {
     const Raft& raft = replica_->raft();
-    const std::size_t copies = raft.synced_copies(document.index);
+    const std::size_t copies = raft.synced_copies(index);
     const std::size_t needed = config_.tolerated_hosts + 1;
     if (copies >= needed && raft.voters().size() >= voter_selector_.target())
         return true;
@@ -381,6 +385,7 @@
 }
 
 void Coordinator::answer_waiting() {
+    answer_waiting_orders();
     if (waiting_.empty())
         return;
     std::vector<WaitingCall> unanswered;
@@ -388,7 +393,7 @@
         if (!leads())
             item.done(fail(FailureKind::NoQuorum, "leadership was lost"));
         else if (replica_->state().document().version >= item.version &&
-                 is_durable(replica_->state().document()))
+                 is_durable(replica_->state().document().index))
             acknowledge(item);
         else
             unanswered.push_back(std::move(item));
@@ -456,7 +461,7 @@
     if (!session.renew.want_delta || known >= document.index || session.link->backed_up())
         return;
     session.pushed = document.index;
-    session.link->send(DocumentPush{document});
+    session.link->send(DocumentPush{document, replica_->state().zones_out_of_use()});
 }
 
 } // namespace liftweir
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -68,6 +68,11 @@
     // where another host leads; leader_ip() says which one.
     void replace_document(Version version, const std::string& body, Done done);
     void read_document(Read read);
+    // Takes an availability zone out of use, or back into use. Calls `done` once that is on enough
+    // disks. Fails with NotLeader like replace_document(), and with NotFound where the deployment
+    // has no such zone.
+    void set_zone_use(const std::string& zone, bool in_use, Done done);
+    const ZonesOutOfUse& zones_out_of_use() const;
     // IP of the leader; empty where none is known, or where this host leads.
     std::string leader_ip() const;
     // Whether this host leads and has applied all entries that were committed before.
@@ -116,6 +121,11 @@
         Done done;
         Time started{};
     };
+    // An operator's order that is committed, and waits until it is on enough disks.
+    struct WaitingOrder {
+        Index index = 0;
+        Done done;
+    };
 
     // storage and replicated log
     Expected<void> open_replica();
@@ -132,8 +142,11 @@
     std::vector<NodeView> views_of(Voters nodes) const;
     void answer_waiting();
     static void acknowledge(const WaitingCall& item);
-    bool is_durable(const StoredDocument& document) const;
+    bool is_durable(Index index) const;
+    void answer_waiting_orders();
     void document_applied();
+    void zones_applied();
+    bool is_known_zone(const std::string& zone) const;
     void push_document();
     void send_to_entries(const WireMessage& message);
     void send_to_peers(const WireMessage& message);
@@ -233,7 +246,9 @@
     std::set<EndpointId> alive_; // that sent a report since the last flush
     GroupController groups_;
     std::vector<WaitingCall> waiting_;
+    std::vector<WaitingOrder> waiting_orders_;
     Version applied_document_ = 0;
+    Version applied_zones_ = 0; // log index of the last change of a zone's use
     Version proposed_document_ = 0;
     bool leaving_ = false;
     bool was_leader_ = false;
--- a/src/process/coordinatorlinks.cpp
+++ b/src/process/coordinatorlinks.cpp
@@ -167,6 +167,7 @@
     if (replica_) {
         lease_ack.logged = replica_->logged_lease_version();
         lease_ack.table = replica_->state().document().index;
+        lease_ack.zones = replica_->state().zones_out_of_use();
         lease_ack.voters = replica_->raft().voters();
         lease_ack.voters_index = replica_->raft().voters_index();
         lease_ack.leader = replica_->raft().leader();
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -63,7 +63,9 @@
       directory_(identity_.incarnation),
       pool_(make_channel_pool(io)),
       random_(static_cast<std::minstd_rand::result_type>(identity_.incarnation)),
-      ticker_(io, TickInterval, [this] { tick(); }) {}
+      ticker_(io, TickInterval, [this] { tick(); }) {
+    directory_.zones().set_return_delay(config_.bounds.heartbeat_interval + HeartbeatSlack);
+}
 
 Gateway::~Gateway() = default;
 
@@ -83,6 +85,8 @@
     });
     gauges_.add("liftweir_endpoints_limited",
                 [this] { return static_cast<double>(directory_.limits().book().limited()); });
+    gauges_.add("liftweir_zones_out_of_use",
+                [this] { return static_cast<double>(directory_.zones().current().zones.size()); });
     gauges_.add("liftweir_document_version",
                 [this] { return static_cast<double>(document_.version); });
     gauges_.add("liftweir_connections_opened",
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -72,6 +72,7 @@
     void record_lease_change(Time now);
     void send_load(Time now);
     void on_document(const DocumentPush& push);
+    void on_zones(const ZonesOutOfUse& zones, Version document, Time now);
     void send_to_control(const WireMessage& message);
     bool lease_holds(Time now) const;
 
--- a/src/process/gatewaycontrol.cpp
+++ b/src/process/gatewaycontrol.cpp
@@ -15,8 +15,6 @@
 constexpr Duration RenewalInterval = std::chrono::milliseconds(1000);
 // Renewal interval while a control host has newer settings than this host.
 constexpr Duration RenewalIntervalWhenBehind = std::chrono::milliseconds(150);
-// How late an endpoint's report may arrive.
-constexpr Duration HeartbeatSlack = std::chrono::milliseconds(400);
 constexpr double LoadShareSmoothing = 0.3;
 // Lower bound of this host's share of all calls.
 constexpr double MinLoadShare = 0.02;
@@ -149,8 +147,9 @@
         nodes_[address] = lease_ack.node;
         renew_due_ = {};
     }
+    on_zones(lease_ack.zones, lease_ack.table, now);
     const bool was_behind = lease_.behind();
-    lease_.on_lease_ack(lease_ack, document_.index, now);
+    lease_.on_lease_ack(lease_ack, directory_.zones().settings_version(document_.index), now);
     announced_versions_[address] = lease_ack.table;
     if (lease_ack.leader != NoNode)
         leader_ = lease_ack.leader;
@@ -197,8 +196,17 @@
     sent_load_ = has_some;
 }
 
+// Requests in flight in a zone that is taken out of use continue.
+void Gateway::on_zones(const ZonesOutOfUse& zones, Version document, Time now) {
+    if (!directory_.zones().take(zones, document, now))
+        return;
+    log(LogLevel::Info, "zones out of use",
+        {{"zones", text_of(zones)}, {"index", std::to_string(zones.index)}});
+}
+
 // Ignores a document that is older than the one in force.
 void Gateway::on_document(const DocumentPush& push) {
+    on_zones(push.zones, push.document.index, BootClock::now());
     if (push.document.version <= document_.version || push.document.index <= document_.index)
         return;
     auto deployment = decode_(push.document.body);
--- a/src/process/groupcontroller.cpp
+++ b/src/process/groupcontroller.cpp
@@ -17,6 +17,7 @@
     planner->second.configure(engine);
     if (!is_new)
         return;
+    planner->second.set_zones_out_of_use(zones_out_of_use_);
     for (const auto& [id, item] : registry.items())
         if (item.report.service == service)
             planner->second.observe(item.report, now);
@@ -36,6 +37,12 @@
         planner.traffic_began();
 }
 
+void GroupController::set_zones_out_of_use(const std::set<std::string>& zones) {
+    zones_out_of_use_ = zones;
+    for (auto& [service, planner] : planners_)
+        planner.set_zones_out_of_use(zones);
+}
+
 void GroupController::suspect(Epoch epoch, Time now) {
     for (auto& [service, planner] : planners_)
         planner.suspect(epoch, now);
--- a/src/process/groupcontroller.h
+++ b/src/process/groupcontroller.h
@@ -47,6 +47,8 @@
     // Inputs of the planners, on every control host whether it leads or not.
     void observe(const EndpointReport& report, Time now);
     void traffic_began();
+    // Endpoints of these zones get no requests.
+    void set_zones_out_of_use(const std::set<std::string>& zones);
     void suspect(Epoch epoch, Time now);
 
     // Starts leading. `state` has all entries applied that earlier leaders committed.
@@ -90,6 +92,7 @@
     GroupPlannerConfig config_;
     bool first_start_;
     std::optional<Leadership> leadership_;
+    std::set<std::string> zones_out_of_use_;
     std::map<std::string, GroupPlanner> planners_; // by service
     std::vector<Committed> committed_;             // committed since the last settle()
     OrderQueue queued_;
--- a/src/process/groupplanner.cpp
+++ b/src/process/groupplanner.cpp
@@ -274,7 +274,7 @@
 
 bool GroupPlanner::is_free(const EndpointReport& report, Time now) const {
     if (report.phase != EndpointPhase::Serving || report.service != service_ ||
-        !alive(report.id, now))
+        is_out_of_use(report) || !alive(report.id, now))
         return false;
     const auto found = hosts_.find(report.id);
     if (found == hosts_.end())
@@ -363,10 +363,12 @@
         for (const auto& [epoch, group] : groups_) {
             if (!is_live(group, group.model))
                 continue;
-            LiveGroups& counts = (*live_)[group.model];
-            ++counts.all;
             const EndpointReport* lead =
                 group.members.empty() ? nullptr : report_of(group.members.front());
+            if (lead != nullptr && is_out_of_use(*lead))
+                continue;
+            LiveGroups& counts = (*live_)[group.model];
+            ++counts.all;
             if (lead != nullptr)
                 ++counts.by_domain[lead->domain];
         }
@@ -385,6 +387,14 @@
     return found == counts.by_domain.end() ? 0 : found->second;
 }
 
+// Such a group stays as it is and takes requests again once its zone is back in use.
+bool GroupPlanner::wholly_out_of_use(const Group& group) const {
+    return std::all_of(group.members.begin(), group.members.end(), [&](const EndpointId& id) {
+        const EndpointReport* report = report_of(id);
+        return report != nullptr && is_out_of_use(*report);
+    });
+}
+
 bool GroupPlanner::is_consolidating(const std::string& model) const {
     return std::any_of(groups_.begin(), groups_.end(), [&](const auto& pair) {
         const Group& group = pair.second;
@@ -440,7 +450,9 @@
             continue;
         ++known;
         hosts_by_domain_[item.report.domain].push_back(&item.report);
-        serving_ += item.report.phase == EndpointPhase::Serving && alive(id, now) ? 1 : 0;
+        const bool serves = item.report.phase == EndpointPhase::Serving &&
+                            !is_out_of_use(item.report) && alive(id, now);
+        serving_ += serves ? 1 : 0;
     }
     if (known == known_hosts_)
         return;
--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -65,6 +65,8 @@
     // Callers have begun to send requests. From now on loads are slow, have a price and are
     // limited.
     void traffic_began() { traffic_started_ = true; }
+    // Endpoints of these zones get no requests.
+    void set_zones_out_of_use(std::set<std::string> zones) { zones_out_of_use_ = std::move(zones); }
     // An entry host reports that all streams of a group are stalled.
     void suspect(Epoch epoch, Time now);
 
@@ -205,6 +207,11 @@
     const Hosts& hosts_in_domain(const std::string& domain) const;
     std::size_t target(const ModelShape& shape) const;
     static bool is_live(const Group& group, const std::string& model);
+    bool is_out_of_use(const EndpointReport& report) const {
+        return zones_out_of_use_.contains(report.zone);
+    }
+    bool wholly_out_of_use(const Group& group) const;
+    bool is_leaving(const EndpointReport& report) const;
     const LiveGroups& live(const std::string& model) const;
     std::size_t live_groups(const std::string& model) const;
     std::size_t live_groups(const std::string& model, const std::string& domain) const;
@@ -248,6 +255,7 @@
     // Free hosts that can join a group of a model, by model and domain.
     mutable std::map<std::string, std::map<std::string, Hosts>> eligible_;
     mutable std::optional<std::map<std::string, LiveGroups>> live_; // by model
+    std::set<std::string> zones_out_of_use_;
     std::map<Epoch, Group> groups_;
     std::map<EndpointId, Host> hosts_;
     std::set<std::string> models_opened_;          // models that have had an open group
--- a/src/process/groupprogress.cpp
+++ b/src/process/groupprogress.cpp
@@ -186,20 +186,25 @@
 
 // A leaving member works on the requests of its group for a while. A group whose lead leaves gets
 // no new requests anyway. If another member leaves, closing early is worthwhile only if a spare can
-// replace it.
+// replace it. A member whose zone was taken out of use is replaced like a leaving one.
 void GroupPlanner::close_if_leaving(Group& group, const EndpointReport* lead, Time now) {
-    if (group.phase != Phase::Open || lead == nullptr || hosts_[lead->id].order_in_flight)
+    if (group.phase != Phase::Open || lead == nullptr || hosts_[lead->id].order_in_flight ||
+        wholly_out_of_use(group))
         return;
     const bool leaving =
         std::any_of(group.members.begin(), group.members.end(), [&](const EndpointId& id) {
             const EndpointReport* report = report_of(id);
-            return report != nullptr && report->phase != EndpointPhase::Serving;
+            return report != nullptr && is_leaving(*report);
         });
-    if (!leaving || (lead->phase == EndpointPhase::Serving && !replaceable(group, now)))
+    if (!leaving || (!is_leaving(*lead) && !replaceable(group, now)))
         return;
     close(group, *lead, "a member is leaving", now);
 }
 
+bool GroupPlanner::is_leaving(const EndpointReport& report) const {
+    return report.phase != EndpointPhase::Serving || is_out_of_use(report);
+}
+
 // Whether the free hosts of the lead's domain can replace the leaving members.
 bool GroupPlanner::replaceable(const Group& group, Time now) const {
     const EndpointReport* lead = report_of(group.members.front());
@@ -212,7 +217,7 @@
     std::size_t leaving = 0;
     for (const EndpointId& id : group.members) {
         const EndpointReport* report = report_of(id);
-        leaving += report == nullptr || report->phase != EndpointPhase::Serving ? 1 : 0;
+        leaving += report == nullptr || is_leaving(*report) ? 1 : 0;
     }
     const auto spares = static_cast<std::size_t>(
         std::count_if(domain->second.begin(), domain->second.end(),
--- a/src/process/metricnames.cpp
+++ b/src/process/metricnames.cpp
@@ -55,6 +55,8 @@
          "Requests rejected because requests of the same content crashed endpoints."},
         {"liftweir_requests_quarantined", Gauge, "requests", "", "liftweir-site-*",
          "Distinct requests that are under quarantine."},
+        {"liftweir_zones_out_of_use", Gauge, "zones", "", "liftweir-site-*",
+         "Availability zones whose endpoints get no new requests."},
         {"liftweir_endpoints_limited", Gauge, "endpoints", "", SiteEntry,
          "Endpoints with a limit of requests a second of their own."},
         {"liftweir_endpoint_words_ignored", Counter, "answers", "what, why", SiteEntry,
--- a/src/process/siteconfig.cpp
+++ b/src/process/siteconfig.cpp
@@ -132,6 +132,8 @@
     reader.text("ip", config.ip, true);
     reader.integer("link_port", config.link_port, 65535);
     reader.address("link_listen", config.link_listen);
+    if (root.isMember("zones"))
+        reader.texts("zones", config.zones);
     reader.texts("seeds", config.seeds);
     reader.flag("first_start", config.first_start);
     reader.text("data", config.data, false);
--- a/src/process/siteconfig.h
+++ b/src/process/siteconfig.h
@@ -30,6 +30,9 @@
     auto operator<=>(const SiteBounds&) const = default;
 };
 
+// How late an endpoint's report may arrive.
+constexpr Duration HeartbeatSlack = std::chrono::milliseconds(400);
+
 // In such a deployment, control hosts find each other through seeds, and everything else comes from
 // the document that operators store on control hosts.
 struct SiteConfig {
@@ -38,6 +41,7 @@
     std::string ip;
     std::uint16_t link_port = 0;       // for links between liftweir processes, on every host
     std::string link_listen;           // ip:port to bind for links, if it differs
+    std::vector<std::string> zones;    // of the deployment; empty where they are not known
     std::vector<std::string> seeds;    // operator addresses (ip:port) of control hosts
     bool first_start = false;          // first start of the whole deployment, with empty disks
     std::string data;                  // data directory of a control host
--- a/src/process/siteprogram.cpp
+++ b/src/process/siteprogram.cpp
@@ -43,13 +43,20 @@
         {{"ip", config.ip}, {"authentication", "none: the network is trusted"}});
 }
 
-std::unique_ptr<HttpServer> serve_metrics(asio::io_context& io, const std::string& address) {
+std::unique_ptr<HttpServer> serve_metrics(asio::io_context& io, const std::string& address,
+                                          StatusPages pages) {
     if (address.empty())
         return nullptr;
-    return serve_http(io, address, {}, [](const std::shared_ptr<HttpExchange>& exchange) {
+    const auto respond = [pages = std::move(pages)](const std::shared_ptr<HttpExchange>& exchange) {
+        const auto page = pages.find(std::string(exchange->path()));
+        if (page != pages.end()) {
+            exchange->respond(200, {{"Content-Type", "application/json"}}, page->second());
+            return;
+        }
         exchange->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                           Metrics::instance().text());
-    });
+    };
+    return serve_http(io, address, {}, respond);
 }
 
 } // namespace liftweir
--- a/src/process/siteprogram.h
+++ b/src/process/siteprogram.h
@@ -10,6 +10,7 @@
 #include <asio.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -35,8 +36,12 @@
 // Logs that the program has started.
 void log_started(const SiteConfig& config);
 
-// Serves this process's metrics. Returns null where the address is empty.
-std::unique_ptr<HttpServer> serve_metrics(asio::io_context& io, const std::string& address);
+// Pages in JSON that a process serves beside its metrics, by path.
+using StatusPages = std::map<std::string, std::function<std::string()>>;
+
+// Serves this process's metrics, and the pages. Returns null where the address is empty.
+std::unique_ptr<HttpServer> serve_metrics(asio::io_context& io, const std::string& address,
+                                          StatusPages pages = {});
 
 } // namespace liftweir
 
--- a/src/request/directory.cpp
+++ b/src/request/directory.cpp
@@ -269,7 +269,7 @@
             dissolved_.contains(report->membership.epoch))
             continue;
         EndpointUse& use = uses_[id];
-        if (use.is_leaving())
+        if (use.is_leaving() || zones_.excludes(report->zone, now))
             continue;
         const Duration wait = throttled_for(id, now);
         if (wait > Duration::zero())
@@ -330,7 +330,8 @@
     Excluded excluded;
     for (const auto& [id, report] : registry_.index().of_service(demand.service->name)) {
         EndpointUse& use = uses_[id];
-        if (report->phase != EndpointPhase::Serving || use.is_leaving())
+        if (report->phase != EndpointPhase::Serving || use.is_leaving() ||
+            zones_.excludes(report->zone, now))
             continue;
         const Duration wait = throttled_for(id, now);
         if (wait > Duration::zero()) {
--- a/src/request/directory.h
+++ b/src/request/directory.h
@@ -10,6 +10,7 @@
 #include "request/groupload.h"
 #include "request/leveling.h"
 #include "request/stalldetector.h"
+#include "request/zoneuse.h"
 #include "version/routetable.h"
 
 #include <map>
@@ -95,6 +96,8 @@
         limits_.set_own_share(1 / ratio);
     }
     EndpointLimits& limits() { return limits_; }
+    ZoneUse& zones() { return zones_; }
+    const ZoneUse& zones() const { return zones_; }
     // The endpoint requested back-off: it gets no request from this host for that time.
     void back_off(const EndpointId& id, Duration rest, Time now);
     // The endpoint announced its shutdown and accepts no new requests. False if that was known.
@@ -193,6 +196,7 @@
     std::map<std::string, ArrivalRate> sent_tokens_; // prompt tokens that this host sent, by model
     std::set<Epoch> dissolved_;
     EndpointLimits limits_;
+    ZoneUse zones_;
 };
 
 } // namespace liftweir
--- a/src/version/state.cpp
+++ b/src/version/state.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <json/json.h>
 
 namespace liftweir {
 
@@ -62,10 +63,27 @@
 
 } // namespace
 
+std::string text_of(const ZonesOutOfUse& zones) {
+    std::string text;
+    for (const std::string& zone : zones.zones)
+        text += (text.empty() ? "" : ",") + zone;
+    return text.empty() ? "none" : text;
+}
+
+std::string to_json(const ZonesOutOfUse& zones) {
+    Json::Value out;
+    out["index"] = Json::UInt64(zones.index);
+    out["out_of_use"] = Json::arrayValue;
+    for (const std::string& zone : zones.zones)
+        out["out_of_use"].append(zone);
+    return Json::writeString(Json::StreamWriterBuilder(), out);
+}
+
 bool raises_lease_version(const Command& command) {
     return std::holds_alternative<ChangeSettings>(command) ||
            std::holds_alternative<ReplaceDocument>(command) ||
-           std::holds_alternative<RetireEntry>(command);
+           std::holds_alternative<RetireEntry>(command) ||
+           std::holds_alternative<SetZoneUse>(command);
 }
 
 ApplyResult State::apply(Version index, const Command& command) {
@@ -154,6 +172,18 @@
 }
 
 // Removes expired records; if there are still too many, removes the one that expires first.
+// Every command sets the index, also one that changes nothing: an entry host must reach the index
+// of the last command in the log before its lease is renewed.
+ApplyResult State::on(Version index, const SetZoneUse& c) {
+    if (c.in_use)
+        zones_out_of_use_.zones.erase(c.zone);
+    else
+        zones_out_of_use_.zones.insert(c.zone);
+    zones_out_of_use_.index = index;
+    lease_version_ = index;
+    return done(index);
+}
+
 ApplyResult State::on(Version index, const QuarantineRequest& c) {
     std::erase_if(quarantined_, [&](const auto& item) { return item.second.until_ms <= c.now_ms; });
     if (c.until_ms <= c.now_ms) {
--- a/src/version/state.h
+++ b/src/version/state.h
@@ -316,10 +316,30 @@
     MSGPACK_DEFINE(service, formed, ended)
 };
 
-using Command =
-    std::variant<RegisterHost, RegisterEntry, ReleaseHost, FormGroup, DissolveGroup, DrainGroup,
-                 SetHostMode, ChangeSettings, ClaimOnce, CloseClaim, DropClaim, ExpireClaims,
-                 ResolveClaim, RetireEntry, ReplaceDocument, QuarantineRequest, RecordGroups>;
+// Takes an availability zone out of use, or back into use. Operators may repeat it: the last one in
+// the log decides.
+struct SetZoneUse {
+    std::string zone;
+    bool in_use = true;
+    MSGPACK_DEFINE(zone, in_use)
+};
+
+// The availability zones whose endpoints get no new requests.
+struct ZonesOutOfUse {
+    Version index = 0; // of the log entry that last set a zone's use
+    std::set<std::string> zones;
+    auto operator<=>(const ZonesOutOfUse&) const = default;
+    MSGPACK_DEFINE(index, zones)
+};
+
+// The names of the zones, separated by commas; "none" where all are in use.
+std::string text_of(const ZonesOutOfUse& zones);
+std::string to_json(const ZonesOutOfUse& zones);
+
+using Command = std::variant<RegisterHost, RegisterEntry, ReleaseHost, FormGroup, DissolveGroup,
+                             DrainGroup, SetHostMode, ChangeSettings, ClaimOnce, CloseClaim,
+                             DropClaim, ExpireClaims, ResolveClaim, RetireEntry, ReplaceDocument,
+                             QuarantineRequest, RecordGroups, SetZoneUse>;
 
 // The result of applying a command. Equal on every replica.
 struct ApplyResult {
@@ -417,10 +437,12 @@
     const std::deque<SettingsRecord>& history() const { return history_; }
     Version settings_version() const { return settings_version_; }
     // Index of the last command that an entry host must have applied before it may admit new
-    // requests: a change of settings or of the document, or the retirement of an entry host.
+    // requests: a change of settings, of the document or of a zone's use, or the retirement of an
+    // entry host.
     Version lease_version() const { return lease_version_; }
     Version table_version() const { return table_version_; }
     const StoredDocument& document() const { return document_; }
+    const ZonesOutOfUse& zones_out_of_use() const { return zones_out_of_use_; }
     // Requests that are sent to no endpoint.
     const std::map<Fingerprint, QuarantineRecord>& quarantined() const { return quarantined_; }
     // Groups of the service that may still bind their members.
@@ -440,7 +462,7 @@
     MSGPACK_DEFINE(hosts_, groups_, entries_, settings_, history_, settings_version_,
                    table_version_, claims_, orders_, order_queue_, lease_version_, removed_,
                    removed_floor_, dropped_, dropped_queue_, document_, quarantined_,
-                   planned_groups_)
+                   planned_groups_, zones_out_of_use_)
 
   private:
     using Claims = std::map<std::string, ClaimRecord>;
@@ -462,6 +484,7 @@
     ApplyResult on(Version index, const ReplaceDocument& c);
     ApplyResult on(Version index, const QuarantineRequest& c);
     ApplyResult on(Version index, const RecordGroups& c);
+    ApplyResult on(Version index, const SetZoneUse& c);
 
     void mark_claims_unknown(Incarnation entry);
     void unbind(Version index, Host& host);
@@ -490,6 +513,7 @@
     StoredDocument document_;
     std::map<Fingerprint, QuarantineRecord> quarantined_;
     std::map<std::string, PlannedGroups> planned_groups_; // by service
+    ZonesOutOfUse zones_out_of_use_;
 };
 
 // True for commands that raise the lease version if they are applied successfully.
--- a/tests/site/sitefleet.py
+++ b/tests/site/sitefleet.py
@@ -89,7 +89,7 @@
 
 class Site:
     def __init__(self, controls=3, entries=2, endpoints=(4, 4), plain=2, tolerance=1, seed=1,
-                 net=NET, proxy=None, has_start_time=True):
+                 net=NET, proxy=None, has_start_time=True, zones=("z1",)):
         self.directory = tempfile.mkdtemp(prefix="liftweir-site-")
         build = os.environ.get("LIFTWEIR_BUILD", "build/release")
         self.fleet, self.net = Fleet(seed, net), net
@@ -97,6 +97,7 @@
         self.fleet.controls = ["127.%d.1.%d:%d" % (net, n + 1, CONTROL) for n in range(controls)]
         self.controls, self.entries, self.endpoints = [], [], []
         self.version, self.acked, self.revoked = 0, 0, {}
+        self.zones = list(zones)
         self.more_routes = 0  # unused routes that make the document larger
         self.truncated = []  # ids of requests whose responses began and were not completed
         self.once = set()  # ids of requests that may run at most once
@@ -122,9 +123,13 @@
             number += 1
             self.endpoints.append(Endpoint(self.fleet, number, "app"))
         self.next_endpoint = number + 1
+        for n, endpoint in enumerate(self.endpoints):
+            place = int(endpoint.domain[1:]) if endpoint.domain else n
+            endpoint.zone = zones[place % len(zones)]
 
     def settings(self, ip, name, tolerance):
-        return {"name": name, "ip": ip, "zone": "z1", "link_port": LINK, "first_start": True,
+        return {"name": name, "ip": ip, "zone": "z1", "zones": self.zones, "link_port": LINK,
+                "first_start": True,
                 "seeds": self.fleet.controls[:3], "tolerated_hosts": tolerance, "beat_ms": 300,
                 "drain_ms": DRAIN_S * 1000, "revoke_ms": REVOKE_S * 1000, "grace_s": 8,
                 "retry_slack": 200}
@@ -155,6 +160,10 @@
                 process.kill()
         shutil.rmtree(self.directory, ignore_errors=True)
 
+    def lose_disk(self, control):
+        """Empties the data directory of a control host, which must not run."""
+        shutil.rmtree(control.config["data"], ignore_errors=True)
+
     # ---- the operator
 
     def document(self):
@@ -222,6 +231,22 @@
             await asyncio.sleep(0.1)
         return None
 
+    async def set_zone_use(self, zone, in_use, timeout_s=10):
+        """Sends the order until it is acknowledged or the timeout expires. Returns the status of
+        the last response."""
+        path = "/Evacuations.%s/%s" % ("Finish" if in_use else "Begin", zone)
+        until, status = time.monotonic() + timeout_s, 0
+        if in_use:
+            self.fleet.zone_out_at.pop(zone, None)
+        while time.monotonic() < until:
+            status, _ = await self.control_call("POST", path)
+            if status in (200, 404):
+                break
+            await asyncio.sleep(0.1)
+        if status == 200 and not in_use:
+            self.fleet.zone_out_at[zone] = time.monotonic()
+        return status
+
     async def revoke(self, key):
         for keys in self.tenant_keys.values():
             if key in keys:
--- a/tests/site/standin.py
+++ b/tests/site/standin.py
@@ -9,6 +9,7 @@
 
 HEARTBEAT_S, STALL_S, LOAD_S, WARM_S, FORM_S, EVENT_S, WORK_S = 0.3, 2.0, 0.4, 0.1, 0.1, 0.02, 0.01
 EVENTS = 12
+EVACUATE_S = 5.0  # after its acknowledged evacuation a zone's endpoints get no requests
 RESTART_S = 1.5  # restart delay of an endpoint that a poisonous request has crashed
 
 
@@ -39,6 +40,7 @@
         self.deliveries = []  # (time, endpoint id, request id), including rejected requests
         self.backoffs = []  # (time, endpoint id, request id, seconds) of rejected requests
         self.retry_after = []  # (time, seconds) that refused callers received
+        self.zone_out_at = {}  # zone -> when its evacuation was acknowledged, while it holds
         self.header_at = {}  # (endpoint id, entry host) -> when it first sent an added header there
         self.sent = {}      # request id -> when its caller sent it
         self.entry_of = {}  # request id -> index of the entry host that received it
@@ -54,6 +56,7 @@
         self.id = "i-%08x" % fleet.random.getrandbits(32)
         self.born = int(time.time() * 1000)
         self.address = "127.%d.3.%d:8080" % (fleet.net, number)
+        self.zone = "z1"
         self.state, self.sequence, self.orders, self.fence = "ready", 0, 0, 0
         self.staged, self.warm = [], None
         self.group = None  # dict: name, epoch, rank, state, members, model
@@ -115,7 +118,7 @@
 
     def base_report(self):
         """The fields that every report holds."""
-        fields = {"service": self.service, "address": self.address, "zone": "z1", "slots": 48,
+        fields = {"service": self.service, "address": self.address, "zone": self.zone, "slots": 48,
                   "version": "v1", "cold-remaining-ms": 0, "state": self.state,
                   "sequence": self.sequence}
         return {**fields, "born": self.born} if self.fleet.has_start_time else fields
@@ -250,6 +253,9 @@
         if self.added_headers:
             self.fleet.header_at.setdefault((self.id, self.fleet.entry_of.get(request)),
                                             time.monotonic())
+        zone_out_at = self.fleet.zone_out_at.get(self.zone)
+        if zone_out_at is not None and time.monotonic() > zone_out_at + EVACUATE_S:
+            self.fleet.break_rule("zone", "%s in %s got a request" % (self.id, self.zone))
         if self.domain:
             if not self.group or self.group["rank"] != 0:
                 return self.respond(writer, 421, {"Instance-Id": self.id})
--- a/tests/unit/groupplanner_test.cpp
+++ b/tests/unit/groupplanner_test.cpp
@@ -335,9 +335,66 @@
     EXPECT_GE(fleet_.open("big"), 2u);
 }
 
-// Losses, drains, missing answers, new hosts and leader changes in any order violate no invariant.
+// Each domain is a zone of its own. Its groups stay as they are while the zone is out of use, and
+// neither they nor its spares count.
+TEST_F(PlannerTest, AZoneOutOfUseIsReplacedByTheOthersAndReturnsAsItWas) {
+    for (auto& [id, e] : fleet_.endpoints)
+        e.report.zone = e.report.domain;
+    start();
+    fleet_.planner.traffic_began();
+    const std::size_t open_groups = fleet_.open("big") + fleet_.open("small");
+    fleet_.planner.set_zones_out_of_use({"d0"});
+    for (int i = 0; i < 2; ++i)
+        fleet_.endpoints.at(fleet_.add("d0")).report.zone = "d0";
+    const int orders = fleet_.orders;
+    fleet_.run(seconds(10));
+    EXPECT_EQ(fleet_.orders, orders) << "a zone out of use needs no orders";
+    fleet_.planner.set_zones_out_of_use({});
+    fleet_.run(milliseconds(100));
+    EXPECT_EQ(fleet_.open("big") + fleet_.open("small"), open_groups);
+    EXPECT_TRUE(fleet_.violations.empty());
+}
+
+// The members of a group are in two zones. The hosts of the zone in use form another group.
+TEST(GroupPlanner, AGroupThatReachesIntoAZoneOutOfUseIsReplaced) {
+    Fleet fleet(1, 8);
+    EngineCost large = engine();
+    large.models = {{"big", 4, 1.0, 1.0, seconds(16), milliseconds(1600)}};
+    for (auto& [id, e] : fleet.endpoints)
+        e.report.staged = {"big"};
+    fleet.planner.configure(large);
+    fleet.planner.take_over(1, fleet.now);
+    fleet.run(seconds(10));
+    ASSERT_EQ(fleet.open("big"), 2u);
+    fleet.planner.traffic_began();
+    // The lead of one group and a member of the other are in the zone; four hosts are added.
+    const std::vector<EndpointId> first = fleet.lead_of("big").group_members;
+    fleet.endpoints.at(first.front()).report.zone = "out";
+    fleet.send_report(fleet.endpoints.at(first.front()));
+    for (auto& [id, e] : fleet.endpoints)
+        if (e.report.membership.rank == 3 && e.group_members != first) {
+            e.report.zone = "out";
+            fleet.send_report(e);
+        }
+    for (int i = 0; i < 2; ++i)
+        fleet.endpoints.at(fleet.add("d0")).report.staged = {"big"};
+    fleet.run(seconds(4));
+    fleet.planner.set_zones_out_of_use({"out"});
+    fleet.run(seconds(10));
+    EXPECT_EQ(fleet.open("big"), 2u);
+    for (const auto& [id, e] : fleet.endpoints)
+        if (e.report.zone == "out") {
+            EXPECT_NE(e.report.membership.state, MemberState::Open) << id.name;
+        }
+    EXPECT_TRUE(fleet.violations.empty());
+}
+
+// Losses, drains, missing answers, new hosts, leader changes and zones taken out of use and back,
+// in any order, violate no invariant.
 RC_GTEST_PROP(PlannerProperty, NoHostIsEverInTwoGroups, ()) {
     Fleet fleet(2, 6);
+    for (auto& [id, e] : fleet.endpoints)
+        e.report.zone = id.name.back() % 3 == 0 ? "z1" : "z2";
     fleet.planner.configure(engine());
     fleet.planner.take_over(1, fleet.now);
     fleet.run(seconds(8));
@@ -347,7 +404,13 @@
     for (int i = 0; i < events; ++i) {
         auto victim = fleet.endpoints.begin();
         std::advance(victim, *rc::gen::inRange<int>(0, static_cast<int>(fleet.endpoints.size())));
-        switch (*rc::gen::inRange(0, 7)) {
+        switch (*rc::gen::inRange(0, 9)) {
+        case 6:
+            fleet.planner.set_zones_out_of_use({victim->second.report.zone});
+            break;
+        case 7:
+            fleet.planner.set_zones_out_of_use({});
+            break;
         case 0:
             victim->second.unreachable = true;
             break;
--- a/tests/unit/state_test.cpp
+++ b/tests/unit/state_test.cpp
@@ -181,6 +181,30 @@
 }
 
 // A table that was built from any sequence of deltas equals the one that is built from a full copy.
+TEST(State, TheLastOrderDecidesWhetherAZoneIsInUse) {
+    State state;
+    EXPECT_TRUE(state.apply(1, ReplaceDocument{1, "{}"}).ok);
+    EXPECT_TRUE(state.apply(2, SetZoneUse{"a", false}).ok);
+    EXPECT_TRUE(state.apply(3, SetZoneUse{"b", false}).ok);
+    EXPECT_TRUE(state.apply(4, SetZoneUse{"a", true}).ok);
+    EXPECT_EQ(state.zones_out_of_use(), (ZonesOutOfUse{4, {"b"}}));
+    const auto copy = State::load(state.save());
+    ASSERT_TRUE(copy);
+    EXPECT_EQ(copy->zones_out_of_use(), state.zones_out_of_use());
+    EXPECT_EQ(copy->document().version, 1u);
+}
+
+// A repeated order changes nothing, and entry hosts reach the index that their lease asks for.
+TEST(State, EveryOrderForAZoneRaisesTheLeaseVersionAndTheIndexOfTheZones) {
+    State state;
+    for (Version index = 1; index <= 3; ++index) {
+        EXPECT_TRUE(state.apply(index, SetZoneUse{"a", false}).ok);
+        EXPECT_TRUE(raises_lease_version(SetZoneUse{"a", false}));
+        EXPECT_EQ(state.lease_version(), index);
+        EXPECT_EQ(state.zones_out_of_use().index, index);
+    }
+}
+
 TEST(Table, DeltasLeadToTheSameTableAsAFullCopy) {
     EXPECT_TRUE(rc::check([] {
         State state;
