Derive times that mean heartbeats from the heartbeat interval

Cause: constants written for heartbeats of 1.2 s, while the fleet has 5 s. A control host took its registry for complete 3 s after its start, before half of the endpoints had reported, and wrote it over the better file; an occupant that was silent for 3 s, less than one interval, could be replaced at its address by late reports of a dead start. The load reports of entry hosts expired after 1.5 s, while their interval grows with the groups (4.2 s at 830 groups). Change: process/heartbeat.h derives them; at 1.2 s they are what they were (3.0 s, 1.0 s, 5.0 s). Load reports expire after three intervals, 1.5 s at least. Measured: AnEndpointWithSlowHeartbeatsIsNotReplacedBetweenTwoOfThem (replaced with the old constants: 4.5 s of silence against 3 s).

--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -41,6 +41,7 @@
       decode_(std::move(decode)),
       identity_{ProcessRole::Control, config_.name, new_incarnation()},
       voter_selector_(2 * config_.tolerated_hosts + 1),
+      registry_(true, heartbeats()),
       groups_({config_.bounds.heartbeat_interval, config_.bounds.load_window}, config_.first_start),
       planning_(io, [this] { plan(); }),
       sending_changes_(io, [this] { send_changes(); }),
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -188,6 +188,7 @@
     void check_addresses(Time now);
     void send_changes();
     void flush_alive();
+    HeartbeatTimes heartbeats() const { return {config_.bounds.heartbeat_interval}; }
     bool registry_complete(Time now) const;
     void write_endpoint_cache(Time now);
     void on_digests(const Link::Ptr& link, const RegistryDigests& digests, Time now);
--- a/src/process/coordinatorregistry.cpp
+++ b/src/process/coordinatorregistry.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-// Two heartbeat intervals with some slack: by then every live endpoint has registered again.
-constexpr Duration RegistryCompleteAfter = std::chrono::milliseconds(3000);
-// An endpoint that has missed this many reports is no longer written to disk.
-constexpr int MissedReportsAllowed = 2;
 // About 200 bytes for each endpoint: with 930 of them less than 100 KB a second.
 constexpr Duration CacheWriteInterval = std::chrono::milliseconds(2000);
 constexpr Duration RejectedLogInterval = std::chrono::milliseconds(1000);
@@ -214,7 +210,7 @@
 // ---- kept for the next start
 
 bool Coordinator::registry_complete(Time now) const {
-    return now - started_ > RegistryCompleteAfter;
+    return now - started_ > heartbeats().all_reported();
 }
 
 // Writes the known endpoints to disk, but after a start only once the registry is complete again:
@@ -230,8 +226,7 @@
     if (now < cache_write_due_)
         return;
     cache_write_due_ = now + CacheWriteInterval;
-    endpoint_cache_->keep(registry_,
-                          now - MissedReportsAllowed * config_.bounds.heartbeat_interval);
+    endpoint_cache_->keep(registry_, now - heartbeats().two_missed());
 }
 
 } // namespace liftweir
--- a/src/process/groupplanner.cpp
+++ b/src/process/groupplanner.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-// A host that has missed two heartbeats joins no new group.
-constexpr int MissedHeartbeats = 2;
-constexpr Duration HeartbeatSlack = std::chrono::milliseconds(400);
 constexpr Duration UnresponsivePeriod = std::chrono::milliseconds(3000);
 // A group that stays stalled is dissolved after this many rounds in which all members answered: the
 // members reach control, but may be partitioned from each other.
@@ -219,8 +216,7 @@
     if (host != hosts_.end() && now < host->second.unresponsive_until &&
         item->last_contact < host->second.unresponsive_until - UnresponsivePeriod)
         return false;
-    return now - item->last_contact <
-           MissedHeartbeats * config_.heartbeat_interval + HeartbeatSlack;
+    return now - item->last_contact < HeartbeatTimes{config_.heartbeat_interval}.two_missed();
 }
 
 // The member is not in the group, and no order in flight can bring it back: it has confirmed that
--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -7,6 +7,7 @@
 #include "process/endpointorder.h"
 #include "process/firstlayout.h"
 #include "process/groupname.h"
+#include "process/heartbeat.h"
 #include "process/loadbudget.h"
 #include "process/registry.h"
 #include "version/deployment.h"
--- a/src/process/registry.cpp
+++ b/src/process/registry.cpp
@@ -19,13 +19,6 @@
 // An unresponsive endpoint may be partitioned from control and still serve. Partitions last seconds
 // to a minute.
 constexpr Duration SilentKept = std::chrono::seconds(120);
-// If an address check gets no answer, an unconfirmed endpoint that has been reporting for about one
-// heartbeat interval (1.2 s) replaces one that has missed more than two.
-constexpr Duration MinReportingTime = std::chrono::milliseconds(1000);
-constexpr Duration HolderSilentTime = std::chrono::milliseconds(3000);
-// How long an unconfirmed endpoint is kept after its last report, and how often its address is
-// checked.
-constexpr Duration ConflictKept = std::chrono::seconds(5); // four heartbeat intervals
 constexpr Duration AddressCheckInterval = std::chrono::milliseconds(400);
 
 // True for an address of the form ip:port that can be connected to.
@@ -231,7 +224,8 @@
 
 // Neither sequence numbers nor the order of arrival distinguish the newer incarnation from the
 // older one. An endpoint that keeps reporting is alive, while reports that a partition delayed
-// arrive all at once.
+// arrive all at once. If an address check gets no answer, an unconfirmed endpoint that keeps
+// reporting replaces one that has missed more than two heartbeats.
 bool Registry::conflict(EndpointReport report, Time alive_at, const Item& holder) {
     const EndpointId id = report.id;
     Conflict& conflict =
@@ -240,9 +234,10 @@
         conflict.report = std::move(report);
     conflict.first = std::min(conflict.first, alive_at);
     conflict.alive_at = std::max(conflict.alive_at, alive_at);
-    const bool keeps_reporting = conflict.alive_at - conflict.first >= MinReportingTime;
+    const bool keeps_reporting =
+        conflict.alive_at - conflict.first >= heartbeats_.keeps_reporting();
     if (receives_heartbeats_ && keeps_reporting &&
-        conflict.alive_at - holder.last_contact >= HolderSilentTime)
+        conflict.alive_at - holder.last_contact >= heartbeats_.all_reported())
         admit(id, holder.report.id, alive_at);
     return false; // reported by take_resolved()
 }
@@ -394,8 +389,9 @@
 }
 
 void Registry::expire(Time now) {
-    std::erase_if(conflicts_,
-                  [&](const auto& pair) { return now - pair.second.alive_at > ConflictKept; });
+    std::erase_if(conflicts_, [&](const auto& pair) {
+        return now - pair.second.alive_at > heartbeats_.stopped();
+    });
     std::vector<EndpointId> old;
     for (const auto& [id, item] : items_) {
         const bool gone = item.report.phase == EndpointPhase::Gone;
--- a/src/process/registry.h
+++ b/src/process/registry.h
@@ -6,6 +6,7 @@
 
 #include "process/clock.h"
 #include "process/endpointindex.h"
+#include "process/heartbeat.h"
 #include "version/endpointid.h"
 #include "version/state.h"
 
@@ -145,8 +146,8 @@
     // `receives_heartbeats` is true where all registrations arrive, so that missing ones mean
     // something. An entry host receives changes only and leaves unconfirmed endpoints to the
     // control hosts.
-    explicit Registry(bool receives_heartbeats = true)
-        : receives_heartbeats_(receives_heartbeats) {}
+    explicit Registry(bool receives_heartbeats = true, HeartbeatTimes heartbeats = {})
+        : receives_heartbeats_(receives_heartbeats), heartbeats_(heartbeats) {}
 
     // `alive_at` is when the endpoint was known to be alive and to send this report. Returns true
     // where the content changed; the change must then be forwarded, after those of take_resolved().
@@ -220,6 +221,7 @@
     void set_digests(Item& item, std::uint64_t digest, bool routable);
 
     bool receives_heartbeats_;
+    HeartbeatTimes heartbeats_;
     std::map<EndpointId, Item> items_;
     std::multimap<std::string, EndpointId> by_address_; // all items, including those that are gone
     EndpointIndex index_;
--- a/src/process/siteconfig.h
+++ b/src/process/siteconfig.h
@@ -6,6 +6,7 @@
 
 #include "process/clock.h"
 #include "process/failure.h"
+#include "process/heartbeat.h"
 
 #include <compare>
 #include <cstdint>
@@ -30,9 +31,6 @@
     auto operator<=>(const SiteBounds&) const = default;
 };
 
-// How late an endpoint's report may arrive.
-constexpr Duration HeartbeatSlack = std::chrono::milliseconds(400);
-
 // In such a deployment, control hosts find each other through seeds, and everything else comes from
 // the document that operators store on control hosts.
 struct SiteConfig {
--- a/src/request/entryloadtable.cpp
+++ b/src/request/entryloadtable.cpp
@@ -9,7 +9,10 @@
 
 namespace {
 
-constexpr Duration ReportTimeout = std::chrono::milliseconds(1500);
+// A host that has missed this many reports is idle or lost. Where groups are few, reports come so
+// often that a short stall would look like that.
+constexpr int MissedReports = 3;
+constexpr Duration MinReportTimeout = std::chrono::milliseconds(1500);
 // Encoded size of a report and the bandwidth for it: 200 groups are reported once per second.
 constexpr double BytesPerGroup = 20;
 constexpr double BytesPerSecond = 4000;
@@ -52,9 +55,11 @@
     return others;
 }
 
+// The interval grows with the number of groups, and so does the timeout.
 void EntryLoadTable::expire(Time now) {
+    const Duration timeout = std::max(MinReportTimeout, MissedReports * report_interval());
     for (auto report = reports_.begin(); report != reports_.end();) {
-        if (now - report->second.received_at <= ReportTimeout) {
+        if (now - report->second.received_at <= timeout) {
             ++report;
             continue;
         }
--- a/tests/unit/registry_test.cpp
+++ b/tests/unit/registry_test.cpp
@@ -212,6 +212,31 @@
     EXPECT_TRUE(serves(registry, "living"));
 }
 
+// Endpoints report every 5 s. Between two reports the occupant of an address looks silent, and late
+// reports of a dead one arrive one after the other.
+TEST(DelayedReport, AnEndpointWithSlowHeartbeatsIsNotReplacedBetweenTwoOfThem) {
+    const HeartbeatTimes slow{seconds(5)};
+    Registry registry(true, slow);
+    registry.merge(report_of("living", 1), Start);
+    registry.merge(report_of("dead", 7), Start + milliseconds(3000));
+    registry.merge(report_of("dead", 8), Start + milliseconds(4500));
+    EXPECT_TRUE(serves(registry, "living"));
+    EXPECT_FALSE(is_present(registry, "dead"));
+}
+
+// The same endpoint has ended: the one that keeps reporting replaces it.
+TEST(DelayedReport, AnEndpointThatMissesSlowHeartbeatsIsReplaced) {
+    Registry registry(true, HeartbeatTimes{seconds(5)});
+    registry.merge(report_of("ended", 1), Start);
+    for (int n = 0; n < 4; ++n) {
+        registry.merge(report_of("next", static_cast<std::uint64_t>(n + 1)),
+                       Start + seconds(1 + 5 * n));
+        registry.expire(Start + seconds(2 + 5 * n));
+    }
+    EXPECT_TRUE(serves(registry, "next"));
+    EXPECT_FALSE(is_present(registry, "ended"));
+}
+
 RC_GTEST_PROP(Registry, TheIncrementalDigestEqualsThatOfAFreshCopy, ()) {
     Registry registry;
     Time now = Start;
