Probes of thousands of members wait for their turn

Cause: a leader probed all members of all suspected groups at once, and a probe's timeout of 220 ms ran while its answer waited in this process; a live member was then taken for lost. Measured: ABusyProcessDoesNotTakeALiveMemberForLost, ProbeQueue.*.

--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -11,6 +11,7 @@
 #include "process/groupcontroller.h"
 #include "process/limitallocator.h"
 #include "process/metrics.h"
+#include "process/probequeue.h"
 #include "process/quarantine.h"
 #include "process/registry.h"
 #include "process/registryrepair.h"
@@ -198,7 +199,8 @@
     // groups
     void plan();
     void plan_soon();
-    void probe(const GroupController::Probe& asked, Time now);
+    void send_probes();
+    void probe(const ProbeQueue::Probe& asked, Time now);
     void send_dissolved(const Link::Ptr& only);
     void send_orders();
     void send_order(const OrderQueue::Item& item);
@@ -258,6 +260,7 @@
     std::set<Epoch> dissolved_;                               // that entry hosts were notified of
     std::set<EndpointId> alive_; // that sent a report since the last flush
     GroupController groups_;
+    ProbeQueue probes_;
     std::vector<WaitingCall> waiting_;
     std::vector<WaitingOrder> waiting_orders_;
     Version applied_document_ = 0;
--- a/src/process/coordinatorlinks.cpp
+++ b/src/process/coordinatorlinks.cpp
@@ -281,8 +281,9 @@
         return;
     if (groups_.plan(*replica_, registry_, now))
         pump_soon();
-    for (const GroupController::Probe& asked : groups_.take_probes())
-        probe(asked, now);
+    for (GroupController::Probe& asked : groups_.take_probes())
+        probes_.add(std::move(asked));
+    send_probes();
     for (const PlanEvent& event : groups_.take_events())
         log(LogLevel::Info, "group " + event.what,
             {{"group", event.group},
@@ -293,14 +294,22 @@
     send_dissolved(nullptr);
 }
 
-void Coordinator::probe(const GroupController::Probe& asked, Time now) {
+void Coordinator::send_probes() {
+    while (const auto asked = probes_.next())
+        probe(*asked, BootClock::now());
+}
+
+void Coordinator::probe(const ProbeQueue::Probe& asked, Time now) {
     const Registry::Item* item = registry_.find(asked.endpoint);
     if (item == nullptr) {
+        probes_.ended();
         groups_.probed(asked, false, now);
         return;
     }
     orders_.probe(item->report, [this, asked](bool alive) {
+        probes_.ended();
         groups_.probed(asked, alive, BootClock::now());
+        send_probes();
         plan_soon();
     });
 }
--- a/tests/unit/orderqueue_test.cpp
+++ b/tests/unit/orderqueue_test.cpp
@@ -2,6 +2,7 @@
 
 #include "process/groupname.h"
 #include "process/orderqueue.h"
+#include "process/probequeue.h"
 
 #include <gtest/gtest.h>
 
@@ -32,6 +33,23 @@
     EXPECT_EQ(most, OrderQueue::MaxInFlight);
 }
 
+// Thousands of members are suspected at once. A probe's timeout runs from when it is sent.
+TEST(ProbeQueue, LimitsProbesInFlightAndSendsAllOfThem) {
+    ProbeQueue queue;
+    for (int n = 0; n < 3000; ++n)
+        queue.add({"llm", std::to_string(n)});
+    std::size_t sent = 0;
+    std::size_t most = 0;
+    while (queue.waiting() > 0) {
+        while (queue.next())
+            ++sent;
+        most = std::max(most, queue.in_flight());
+        queue.ended();
+    }
+    EXPECT_EQ(sent, 3000u);
+    EXPECT_EQ(most, ProbeQueue::MaxInFlight);
+}
+
 // Orders that open or end a group must not wait behind the preparation of spares.
 TEST(OrderQueue, SendsOrdersThatOpenOrEndAGroupFirst) {
     OrderQueue queue;
--- a/tests/unit/workers_test.cpp
+++ b/tests/unit/workers_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <optional>
+#include <thread>
 #include <vector>
 
 namespace liftweir::platform {
@@ -91,6 +92,28 @@
     EXPECT_EQ(order(), OrderAnswer::Taken);
 }
 
+// This process was busy for longer than the timeout while the answer waited in its socket.
+TEST_F(EndpointWithUnresponsiveConnections, ABusyProcessDoesNotTakeALiveMemberForLost) {
+    EndpointReport endpoint;
+    endpoint.id = endpoint_id;
+    endpoint.address = address();
+    std::optional<bool> answer;
+    orders.probe(endpoint, [&](bool alive) { answer = alive; });
+    std::this_thread::sleep_for(milliseconds(400));
+    EXPECT_TRUE(wait_for(answer));
+}
+
+TEST_F(EndpointWithUnresponsiveConnections, ASilentMemberIsLostAlsoForABusyProcess) {
+    acceptor.cancel();
+    EndpointReport endpoint;
+    endpoint.id = endpoint_id;
+    endpoint.address = address();
+    std::optional<bool> answer;
+    orders.probe(endpoint, [&](bool alive) { answer = alive; });
+    std::this_thread::sleep_for(milliseconds(400));
+    EXPECT_FALSE(wait_for(answer));
+}
+
 // A restarted endpoint compares only its name: it answers calls that were meant for its previous
 // incarnation, with its own start time in the body.
 struct RestartedEndpoint : EndpointWithUnresponsiveConnections {
