--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -98,8 +98,10 @@
     bool routable_only = false;
     std::uint64_t routable = 0;  // digest of the routable endpoints that the entry host knows
     bool wants_restored = false; // the entry host has just started and knows no endpoints
+    Index voters_index = 0;      // of the voters that the entry host knows
+    std::uint64_t nodes = 0;     // digest of the control hosts that the receiver listed last
     MSGPACK_DEFINE(entry, incarnation, sequence, table, lease, want_delta, registry, calls,
-                   in_flight, routable_only, routable, wants_restored)
+                   in_flight, routable_only, routable, wants_restored, voters_index, nodes)
 };
 
 // Acknowledges a lease renewal: the control host confirms that its log holds no command above
@@ -109,14 +111,14 @@
     std::uint64_t sequence = 0; // of the LeaseRenewal; 0 for an unsolicited update
     Version logged = 0;
     Version table = 0;
-    Voters voters;
+    Voters voters; // empty where the entry host knows them
     NodeId leader = NoNode;
     bool registered = false; // this incarnation of the entry host is registered
     bool has_delta = false;
     TableDelta delta;
-    Index voters_index = 0;            // of the log entry that set the voters
-    std::vector<NodeId> nodes;         // all control hosts, voters or not
-    std::uint32_t entries = 0;         // number of connected entry hosts
+    Index voters_index = 0;    // of the log entry that set the voters
+    std::vector<NodeId> nodes; // all control hosts, voters or not; empty where they are known
+    std::uint32_t entries = 0; // number of connected entry hosts
     std::uint32_t in_flight_total = 0; // calls in progress at all of them
     ZonesOutOfUse zones;               // of the same state as `table`
     MSGPACK_DEFINE(node, sequence, logged, table, voters, leader, registered, has_delta, delta,
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -172,6 +172,7 @@
     void on_hello(const PeerHello& hello);
     void on_renew(const Link::Ptr& link, const LeaseRenewal& renew);
     LeaseAck make_lease_ack(std::uint64_t sequence) const;
+    LeaseAck answer_to(const LeaseRenewal& renew) const;
     void send_digests_if_different(EntrySession& session, bool new_link, Time now);
     void send_restored(EntrySession& session, bool new_link);
     void count_entries(Time now);
--- a/src/process/coordinatorlinks.cpp
+++ b/src/process/coordinatorlinks.cpp
@@ -177,6 +177,17 @@
     return lease_ack;
 }
 
+// Leaves out what the entry host knows: with a thousand entry hosts, the lists of hosts would be
+// most of what a control host sends.
+LeaseAck Coordinator::answer_to(const LeaseRenewal& renew) const {
+    LeaseAck lease_ack = make_lease_ack(renew.sequence);
+    if (renew.voters_index != 0 && renew.voters_index >= lease_ack.voters_index)
+        lease_ack.voters.clear();
+    if (renew.nodes != 0 && renew.nodes == digest_of(lease_ack.nodes))
+        lease_ack.nodes.clear();
+    return lease_ack;
+}
+
 // Runs once a second rather than for each renewal, which would make the renewals of N entry hosts
 // cost N^2 steps.
 void Coordinator::count_entries(Time now) {
@@ -208,7 +219,7 @@
     grant_limit_shares(link, renew, session.seen);
     // Without an open log this host can not acknowledge a renewal.
     if (replica_)
-        link->send(make_lease_ack(renew.sequence));
+        link->send(answer_to(renew));
     send_restored(session, new_link);
     if (new_link && leads())
         send_dissolved(link);
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -144,6 +144,7 @@
     std::unique_ptr<HttpServer> metrics_;
     std::map<std::string, std::unique_ptr<Dialer>> control_; // by link address
     std::map<std::string, NodeId> nodes_; // by link address, from the control hosts' answers
+    std::map<std::string, std::uint64_t> listed_nodes_; // digest of the nodes listed, by address
     std::map<std::string, Version> announced_versions_; // newest document, by link address
     std::string source_;        // control host that is asked for the document
     std::string restored_from_; // control host that is asked for the endpoints it knew before
--- a/src/process/gatewaycontrol.cpp
+++ b/src/process/gatewaycontrol.cpp
@@ -115,6 +115,9 @@
     renew.lease = document_.index;
     renew.want_delta = address == source_;
     renew.registry = directory_.registry().digest();
+    renew.voters_index = lease_.voters_index();
+    if (const auto listed = listed_nodes_.find(address); listed != listed_nodes_.end())
+        renew.nodes = listed->second;
     renew.routable_only = true;
     renew.routable = directory_.registry().routable_digest();
     renew.wants_restored = address == restored_from_;
@@ -156,6 +159,8 @@
     const Time now = BootClock::now();
     for (const NodeId node : lease_ack.nodes)
         connect_to(address_of(node, config_.link_port));
+    if (!lease_ack.nodes.empty())
+        listed_nodes_[address] = digest_of(lease_ack.nodes);
     // An unsolicited message proves only that the link delivers in this direction. An answer proves
     // both directions.
     if (lease_ack.sequence != 0 || nodes_[address] != lease_ack.node)
--- a/src/process/leaseholder.h
+++ b/src/process/leaseholder.h
@@ -32,6 +32,8 @@
     // The latest acknowledgement came from a control host with newer settings than this entry host.
     bool behind() const { return behind_; }
     const Voters& voters() const { return voters_; }
+    // Log index of the voters that this host knows; 0 for none.
+    Index voters_index() const { return voters_index_; }
     Incarnation incarnation() const { return incarnation_; }
 
   private:
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <charconv>
 #include <random>
+#include <xxhash.h>
 
 namespace liftweir {
 
@@ -36,6 +37,10 @@
     return ip_of(node) + ":" + std::to_string(port);
 }
 
+std::uint64_t digest_of(const std::vector<NodeId>& nodes) {
+    return std::max<std::uint64_t>(1, XXH64(nodes.data(), nodes.size() * sizeof(NodeId), 0));
+}
+
 std::string text_of(NodeId node) {
     return std::to_string(node >> AddressBits) + "@" + ip_of(node);
 }
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -7,7 +7,9 @@
 #include "process/raft.h"
 #include "process/storage.h"
 
+#include <cstdint>
 #include <string>
+#include <vector>
 
 namespace liftweir {
 
@@ -26,6 +28,9 @@
 // "number@ip" for log messages, with the number of the data directory.
 std::string text_of(NodeId node);
 
+// Equal lists have equal digests, which are never zero.
+std::uint64_t digest_of(const std::vector<NodeId>& nodes);
+
 // Reads the node number of a data directory, or draws one and stores it. `founder` may only be set
 // at the very first start of the whole deployment. Fails with Storage, or with Damaged where the
 // file holds no number.
