A new leader dissolves no group whose members it has not heard of; renewals by link

Cause, from the logs of the fleet with endpoints and entry hosts fourfold, after the loss of power of all: 67 groups dissolved within a second ("does not answer", all but one for a member that is no lead) though all lived. The leader's registry did not hold the members yet (heartbeats of 5 s), and a member without an address counted as one that did not answer. Terms rose from 4 to 7 in two seconds: an entry host without settings asked every control host every 150 ms, and once more for each link and each first answer, thousands of renewals a second for each of them. Change: a probe of an unknown endpoint proves nothing until this host has heard all heartbeats. Renewals are due by link; only the source is asked often. Measured: ANewLeaderDissolvesNoGroupBeforeItsMembersHaveReported (3,000 endpoints), OnlyTheSourceIsAskedOftenWhileSettingsAreMissing. Elections without a loss remain there during a storm of documents (open).

--- a/src/process/coordinatorlinks.cpp
+++ b/src/process/coordinatorlinks.cpp
@@ -314,12 +314,13 @@
     const Registry::Item* item = registry_.find(asked.endpoint);
     if (item == nullptr) {
         probes_.ended();
-        groups_.probed(asked, false, now);
+        groups_.probed(asked, knows_all_endpoints(now) ? ProbeResult::Silent : ProbeResult::Unknown,
+                       now);
         return;
     }
     orders_.probe(item->report, [this, asked](bool alive) {
         probes_.ended();
-        groups_.probed(asked, alive, BootClock::now());
+        groups_.probed(asked, alive ? ProbeResult::Alive : ProbeResult::Silent, BootClock::now());
         send_probes();
         plan_soon();
     });
--- a/src/process/endpointorder.h
+++ b/src/process/endpointorder.h
@@ -52,6 +52,13 @@
 // The name of the answer in the log.
 std::string_view name_of(OrderAnswer answer);
 
+// What a probe has shown about an endpoint.
+enum class ProbeResult : std::uint8_t {
+    Alive,
+    Silent, // no answer came in time, or another incarnation answered
+    Unknown // this host has not yet received a report that names the endpoint's address
+};
+
 } // namespace liftweir
 
 #endif // ENDPOINTORDER_H_INCLUDED
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -61,6 +61,8 @@
     // links to control hosts
     void connect_to(const std::string& address);
     void renew(Time now);
+    void renew_soon(const std::string& address);
+    void renew_all_soon();
     void close_unresponsive_links(Time now);
     void on_message(const std::string& address, WireMessage&& message);
     void choose_source();
@@ -148,6 +150,8 @@
     std::map<std::string, Version> announced_versions_; // newest document, by link address
     std::string source_;        // control host that is asked for the document
     std::string restored_from_; // control host that is asked for the endpoints it knew before
+    Time restored_due_{};       // when another one is asked
+    std::size_t restored_tries_ = 0;
     StoredDocument document_;
     std::shared_ptr<const RouteTable> table_;
     std::map<std::string, WindowedRetryBudget> budgets_; // by service
@@ -164,7 +168,8 @@
     Duration load_report_interval_{}; // interval of the load reports
     bool sent_load_ = false;          // the last load report was not empty
     Time load_report_due_{};
-    Time renew_due_{};
+    Time renew_due_{};                           // of the source, or of any other control host
+    std::map<std::string, Time> link_renew_due_; // by link address
     Time housekeeping_due_{};
     Time leaving_since_{};
     Time drained_since_{};
--- a/src/process/gatewaycontrol.cpp
+++ b/src/process/gatewaycontrol.cpp
@@ -29,7 +29,7 @@
     auto dialer = std::make_unique<Dialer>(io_, address, identity_, keys_);
     dialer->start(
         [this, address](const Link::Ptr&) {
-            renew_due_ = {};
+            renew_soon(address);
             repair_.forget(address);
             forget_announced(address);
             send_suspects(address);
@@ -44,15 +44,34 @@
         dialer->send(message);
 }
 
+// While this host lacks settings, it asks more often, but only the source: hundreds of entry hosts
+// that start together and ask every control host as often leave these no time to keep a leader.
 void Gateway::renew(Time now) {
     renew_due_ = now + (lease_.behind() ? RenewalIntervalWhenBehind : RenewalInterval);
     choose_source();
     choose_restored_from(now);
-    for (const auto& [address, dialer] : control_)
-        if (dialer->up()) {
+    if (!restored_from_.empty())
+        renew_due_ = std::min(renew_due_, restored_due_);
+    for (const auto& [address, dialer] : control_) {
+        Time& due = link_renew_due_[address];
+        if (dialer->up() && (now >= due || address == source_)) {
+            due = now + RenewalInterval;
             dialer->send(make_renew(address, now));
             dialer->expect_reply(now);
         }
+        if (dialer->up())
+            renew_due_ = std::min(renew_due_, due);
+    }
+}
+
+void Gateway::renew_soon(const std::string& address) {
+    link_renew_due_[address] = {};
+    renew_due_ = {};
+}
+
+void Gateway::renew_all_soon() {
+    link_renew_due_.clear();
+    renew_due_ = {};
 }
 
 void Gateway::close_unresponsive_links(Time now) {
@@ -81,18 +100,29 @@
     source_ = candidates.empty() ? "" : candidates[random_() % candidates.size()];
 }
 
-// Where no endpoint is known, each renewal asks another control host for those that it knew before
+// Where no endpoint is known, asks one control host after the other for those that it knew before
 // its own start: one whose disk was lost has none.
 void Gateway::choose_restored_from(Time now) {
     const bool wanted =
         directory_.registry().items().empty() && (!ever_in_service_ || discovering_endpoints(now));
+    if (!wanted) {
+        restored_from_.clear();
+        return;
+    }
+    if (now < restored_due_)
+        return;
     const auto is_up = [](const auto& item) { return item.second->up(); };
     auto next = restored_from_.empty()
                     ? control_.find(source_)
                     : std::find_if(control_.upper_bound(restored_from_), control_.end(), is_up);
     if (next == control_.end())
         next = std::find_if(control_.begin(), control_.end(), is_up);
-    restored_from_ = wanted && next != control_.end() ? next->first : "";
+    if (next == control_.end())
+        return;
+    const bool all_asked = ++restored_tries_ > control_.size();
+    restored_due_ = now + (all_asked ? RenewalInterval : RenewalIntervalWhenBehind);
+    restored_from_ = next->first;
+    link_renew_due_[restored_from_] = {};
 }
 
 // Called for a new link: messages in flight on the old link are lost, and a host that did not
@@ -168,7 +198,7 @@
     // The first answer names the node. Only renewals sent after it can extend the lease.
     if (nodes_[address] != lease_ack.node) {
         nodes_[address] = lease_ack.node;
-        renew_due_ = {};
+        renew_soon(address);
     }
     on_zones(lease_ack.zones, lease_ack.table, now);
     const bool was_behind = lease_.behind();
@@ -245,7 +275,7 @@
     log(LogLevel::Info, "document in force",
         {{"version", std::to_string(document_.version)},
          {"routes", std::to_string(table_->deployment().routes.size())}});
-    renew_due_ = {};
+    renew_all_soon();
 }
 
 bool Gateway::lease_holds(Time now) const {
--- a/src/process/gatewaylimits.cpp
+++ b/src/process/gatewaylimits.cpp
@@ -13,7 +13,7 @@
     log(LogLevel::Info, "endpoint limit",
         {{"endpoint", text_of(id)}, {"per_second", std::to_string(limit)}, {"from", from}});
     if (limit > 0)
-        renew_due_ = {};
+        renew_all_soon();
 }
 
 void Gateway::note_ignored_header(const EndpointId& id, const char* what, NumberFault fault) {
--- a/src/process/groupcontroller.cpp
+++ b/src/process/groupcontroller.cpp
@@ -121,9 +121,9 @@
     return probes;
 }
 
-void GroupController::probed(const Probe& probe, bool alive, Time now) {
+void GroupController::probed(const Probe& probe, ProbeResult result, Time now) {
     if (GroupPlanner* planner = planner_of(probe.service))
-        planner->probed(probe.endpoint, alive, now);
+        planner->probed(probe.endpoint, result, now);
 }
 
 std::vector<PlanEvent> GroupController::take_events() {
--- a/src/process/groupcontroller.h
+++ b/src/process/groupcontroller.h
@@ -68,7 +68,7 @@
     std::size_t orders_waiting() const { return queued_.waiting(); }
     // Endpoints to probe now. Call probed() with each result.
     std::vector<Probe> take_probes();
-    void probed(const Probe& probe, bool alive, Time now);
+    void probed(const Probe& probe, ProbeResult result, Time now);
     // Returns the decisions since the last call.
     std::vector<PlanEvent> take_events();
 
--- a/src/process/groupplanner.cpp
+++ b/src/process/groupplanner.cpp
@@ -184,14 +184,18 @@
         group.departed.insert(order.endpoint);
 }
 
-void GroupPlanner::probed(const EndpointId& id, bool alive, Time now) {
-    if (!alive)
+// An endpoint that this host does not know yet may be alive: after a start of all control hosts
+// that is so for every endpoint until its next heartbeat.
+void GroupPlanner::probed(const EndpointId& id, ProbeResult result, Time now) {
+    if (result == ProbeResult::Silent)
         hosts_[id].unresponsive_until = now + UnresponsivePeriod;
     for (auto& [epoch, group] : groups_) {
         if (group.pending_probes.erase(id) == 0 || group.phase != Phase::Open)
             continue;
-        if (!alive)
+        if (result == ProbeResult::Silent)
             dissolve(group, "member " + text_of(id) + " does not answer", now);
+        else if (result == ProbeResult::Unknown)
+            group.answered_rounds = 0;
         else if (group.pending_probes.empty() && ++group.answered_rounds >= MaxAnsweredRounds)
             dissolve(group, "stalled though all members answer", now);
     }
--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -83,7 +83,7 @@
     std::vector<EndpointId> take_probes();
     // Takes the result of an order, or of a probe.
     void answered(const EndpointOrder& order, OrderAnswer answer, Time now);
-    void probed(const EndpointId& id, bool alive, Time now);
+    void probed(const EndpointId& id, ProbeResult result, Time now);
     // Returns the decisions since the last call.
     std::vector<PlanEvent> take_events() { return std::exchange(events_, {}); }
 
--- a/tests/unit/gatewaylink_test.cpp
+++ b/tests/unit/gatewaylink_test.cpp
@@ -142,6 +142,7 @@
         NodeId node;
         LinkListener listener;
         int document_requests = 0;
+        int renewals = 0;
     };
 
     static SiteConfig config_for(std::uint16_t port) {
@@ -152,6 +153,7 @@
     }
     void on_renew(Host& host, const Link::Ptr& link, const LeaseRenewal& renew) {
         host.document_requests += renew.want_delta ? 1 : 0;
+        ++host.renewals;
         if (renew.want_delta && source == nullptr)
             source = &host;
         if (&host == source && source_is_silent)
@@ -160,7 +162,14 @@
         lease_ack.node = host.node;
         lease_ack.sequence = renew.sequence;
         lease_ack.table = 7;
+        lease_ack.logged = logged;
         link->send(lease_ack);
+        EndpointReport endpoint;
+        endpoint.id = "i";
+        endpoint.service = "app";
+        endpoint.address = "127.0.0.9:80";
+        if (renew.wants_restored)
+            link->send(EndpointsRestored{{endpoint}});
     }
     void run_for(Duration time) {
         for (const Time end = BootClock::now() + time; BootClock::now() < end;) {
@@ -175,6 +184,7 @@
     const ClusterKeys keys = ClusterKeys::none();
     Host* source = nullptr;
     bool source_is_silent = true;
+    Version logged = 0; // newest settings that the control hosts announce
     Host first{*this, "127.0.0.1", 1};
     Host second{*this, "127.0.0.2", 2};
     NoCallers callers;
@@ -201,5 +211,19 @@
     EXPECT_GT(other.document_requests, 0);
 }
 
+// A host without settings asks one control host for them again and again, and the others at the
+// usual interval only.
+TEST_F(TwoControlHosts, OnlyTheSourceIsAskedOftenWhileSettingsAreMissing) {
+    logged = 7;
+    source_is_silent = false;
+    gateway.start();
+    run_for(milliseconds(2500));
+    ASSERT_NE(source, nullptr);
+    Host& other = source == &first ? second : first;
+    // One for the new link, one for its first answer, and one a second.
+    EXPECT_LE(other.renewals, 5);
+    EXPECT_GE(source->renewals, 8);
+}
+
 } // namespace
 } // namespace liftweir
--- a/tests/unit/groupplanner_test.cpp
+++ b/tests/unit/groupplanner_test.cpp
@@ -335,6 +335,29 @@
     EXPECT_GE(fleet_.open("big"), 2u);
 }
 
+// All control hosts have started again and know the groups from the log. Callers' streams stall
+// while the entry hosts start, so these suspect every group before most endpoints have reported.
+TEST(GroupPlanner, ANewLeaderDissolvesNoGroupBeforeItsMembersHaveReported) {
+    Fleet fleet(40, 75);
+    fleet.planner.configure(engine());
+    fleet.planner.take_over(1, fleet.now);
+    fleet.run(seconds(12));
+    fleet.planner.traffic_began();
+    const std::size_t open_groups = fleet.open("big") + fleet.open("small");
+    ASSERT_GT(open_groups, 700u);
+    fleet.planner = GroupPlanner("llm", GroupPlannerConfig{seconds(5)}, false);
+    fleet.registry = Registry(true, HeartbeatTimes{seconds(5)});
+    fleet.planner.configure(engine());
+    fleet.planner.take_over(2, fleet.now, fleet.log);
+    for (int round = 0; round < 5; ++round) {
+        for (const auto& [epoch, group] : PlannedGroups(fleet.log))
+            fleet.planner.suspect(epoch, fleet.now);
+        fleet.run(milliseconds(300));
+    }
+    EXPECT_EQ(fleet.open("big") + fleet.open("small"), open_groups);
+    EXPECT_TRUE(fleet.violations.empty());
+}
+
 // Each domain is a zone of its own. Its groups stay as they are while the zone is out of use, and
 // neither they nor its spares count.
 TEST_F(PlannerTest, AZoneOutOfUseIsReplacedByTheOthersAndReturnsAsItWas) {
--- a/tests/unit/leaderchange_test.cpp
+++ b/tests/unit/leaderchange_test.cpp
@@ -226,7 +226,7 @@
         if (host.replica->ready() && host.groups->plan(*host.replica, host.registry, now_))
             pump(node);
         for (const GroupController::Probe& probe : host.groups->take_probes())
-            host.groups->probed(probe, true, now_);
+            host.groups->probed(probe, ProbeResult::Alive, now_);
         (void)host.groups->take_events();
         send_orders(node);
     }
--- a/tests/unit/plannerfleet.h
+++ b/tests/unit/plannerfleet.h
@@ -52,7 +52,8 @@
         Endpoint e;
         e.report.id = "i" + std::string(number < 10 ? "0" : "") + std::to_string(number);
         e.report.service = "llm";
-        e.report.address = "10.0.0." + std::to_string(number + 1) + ":80";
+        e.report.address =
+            "10.0." + std::to_string(number / 250) + "." + std::to_string(number % 250 + 1) + ":80";
         e.report.domain = domain;
         endpoints.emplace(e.report.id, e);
         return e.report.id;
@@ -103,7 +104,7 @@
         execute(planner.plan(registry, now));
         commit(planner.take_changes());
         for (const EndpointId& id : planner.take_probes())
-            planner.probed(id, !endpoints.at(id).unreachable, now);
+            planner.probed(id, probe(id), now);
         (void)planner.take_events();
     }
 
@@ -158,6 +159,13 @@
         execute(planner.recorded(changes, registry, now));
     }
 
+    // As a control host probes: it needs a report that names the address.
+    ProbeResult probe(const EndpointId& id) const {
+        if (registry.find(id) == nullptr)
+            return ProbeResult::Unknown;
+        return endpoints.at(id).unreachable ? ProbeResult::Silent : ProbeResult::Alive;
+    }
+
     // Answers the address checks of the registry with the endpoint that is at each address.
     void answer_address_checks() {
         for (const Registry::AddressCheck& check : registry.take_address_checks(now))
--- a/tests/unit/takeover_test.cpp
+++ b/tests/unit/takeover_test.cpp
@@ -127,7 +127,7 @@
             send_order(control, order);
         propose(control);
         for (const EndpointId& id : control.planner.take_probes())
-            control.planner.probed(id, true, now_);
+            control.planner.probed(id, ProbeResult::Alive, now_);
         (void)control.planner.take_events();
     }
 
