Requests of many entry hosts spread over equally idle groups

A host that has sent nothing lately expects no inflow and took the lowest level; of equal ones, as all idle groups are, the first by name, like hundreds of other hosts. The inflow was also too small: a host's share of all calls had a floor of 0.02, more than the share of one of 123. Change: equally low groups are drawn from; the estimate of the inflow includes the request itself; the floor of the share falls with the number of entry hosts (unchanged up to 25 of them).

--- a/src/process/gatewaycontrol.cpp
+++ b/src/process/gatewaycontrol.cpp
@@ -16,8 +16,11 @@
 // Renewal interval while a control host has newer settings than this host.
 constexpr Duration RenewalIntervalWhenBehind = std::chrono::milliseconds(150);
 constexpr double LoadShareSmoothing = 0.3;
-// Lower bound of this host's share of all calls.
+// Lower bounds of this host's share of all calls, absolute and as a part of an equal share; the
+// lower one applies. A host that has few calls at the moment must not expect hundreds of times its
+// own load.
 constexpr double MinLoadShare = 0.02;
+constexpr double MinPartOfEqualShare = 0.5;
 
 } // namespace
 
@@ -222,7 +225,9 @@
     } else if (lease_ack.sequence != 0 && lease_ack.entries > 0 && calls_.empty()) {
         load_share_ += LoadShareSmoothing * (1.0 / lease_ack.entries - load_share_);
     }
-    directory_.set_total_load_ratio(1 / std::max(load_share_, MinLoadShare));
+    const double equal_share = lease_ack.entries > 0 ? 1.0 / lease_ack.entries : 1.0;
+    const double least = std::min(MinLoadShare, MinPartOfEqualShare * equal_share);
+    directory_.set_total_load_ratio(1 / std::max(load_share_, least));
     for (auto& [service, budget] : budgets_)
         budget.set_share(load_share_);
 }
--- a/src/request/directory.cpp
+++ b/src/request/directory.cpp
@@ -249,16 +249,19 @@
 }
 
 // Load reports of the other entry hosts are old, so the tokens that all hosts send meanwhile are
-// estimated and added.
+// estimated and added. The estimate includes this request: one of hundreds of hosts may have sent
+// no other one lately, and without any inflow they would all take the same lowest group.
 const Directory::Candidate& Directory::choose_levelled(const std::vector<Candidate>& candidates,
                                                        const ModelShape& model,
-                                                       const EngineCost& engine, Time now) {
+                                                       const EngineCost& engine,
+                                                       const EngineDemand& demand, Time now) {
     std::vector<double> levels;
     levels.reserve(candidates.size());
     for (const Candidate& candidate : candidates)
         levels.push_back(candidate.level_ms);
-    const double tokens =
-        total_load_ratio_ * sent_tokens_[model.name].per_second(now) * LevelingSeconds;
+    const double tokens = total_load_ratio_ *
+                          sent_tokens_[model.name].per_second_with(demand.prompt_tokens, now) *
+                          LevelingSeconds;
     const double inflow_ms = model.time_factor * tokens / engine.prefill_tokens_per_ms;
     const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
     return candidates[choose_by_level(levels, inflow_ms, draw)];
@@ -322,7 +325,7 @@
     }
     if (candidates.empty())
         return tl::make_unexpected(excluded.no_pick());
-    return (with_others ? choose_levelled(candidates, *shape, engine, now)
+    return (with_others ? choose_levelled(candidates, *shape, engine, demand.engine, now)
                         : choose_lowest(candidates))
         .pick;
 }
--- a/src/request/directory.h
+++ b/src/request/directory.h
@@ -184,7 +184,8 @@
                              const EngineDemand& demand, bool with_others) const;
     const Candidate& choose_lowest(const std::vector<Candidate>& candidates);
     const Candidate& choose_levelled(const std::vector<Candidate>& candidates,
-                                     const ModelShape& model, const EngineCost& engine, Time now);
+                                     const ModelShape& model, const EngineCost& engine,
+                                     const EngineDemand& demand, Time now);
 
     Registry registry_{false};
     std::map<EndpointId, EndpointUse> uses_;
--- a/src/request/leveling.cpp
+++ b/src/request/leveling.cpp
@@ -31,13 +31,34 @@
     return 0; // no targets
 }
 
+// The lowest target. Where several are equally low, as all idle ones are, hundreds of choosers with
+// the same information would all take the first.
+std::size_t lowest_target(const std::vector<double>& levels, double draw) {
+    const double lowest = *std::min_element(levels.begin(), levels.end());
+    const auto equal = static_cast<double>(std::count(levels.begin(), levels.end(), lowest));
+    auto skip = static_cast<std::size_t>(std::min(draw, 1.0) * equal);
+    std::size_t last = 0;
+    for (std::size_t n = 0; n < levels.size(); ++n) {
+        if (levels[n] != lowest)
+            continue;
+        last = n;
+        if (skip-- == 0)
+            break;
+    }
+    return last;
+}
+
 } // namespace
 
 void ArrivalRate::add(double amount, Time now) {
-    per_second_ = per_second(now) + amount / SmoothedOverSeconds;
+    per_second_ = per_second_with(amount, now);
     last_ = now;
 }
 
+double ArrivalRate::per_second_with(double amount, Time now) const {
+    return per_second(now) + amount / SmoothedOverSeconds;
+}
+
 double ArrivalRate::per_second(Time now) const {
     return per_second_ * std::exp(-seconds_between(last_, now) / SmoothedOverSeconds);
 }
@@ -51,16 +72,15 @@
     std::transform(levels.begin(), levels.end(), room.begin(),
                    [level](double at) { return std::max(0.0, level - at); });
     const double total = std::accumulate(room.begin(), room.end(), 0.0);
-    const auto lowest = std::min_element(levels.begin(), levels.end()) - levels.begin();
     if (total <= 0)
-        return static_cast<std::size_t>(lowest);
+        return lowest_target(levels, draw);
     double left = draw * total;
     for (std::size_t n = 0; n < room.size(); ++n) {
         left -= room[n];
         if (left < 0)
             return n;
     }
-    return static_cast<std::size_t>(lowest);
+    return lowest_target(levels, draw);
 }
 
 } // namespace liftweir
--- a/tests/unit/leveling_test.cpp
+++ b/tests/unit/leveling_test.cpp
@@ -46,6 +46,19 @@
     EXPECT_EQ(choose_by_level({5}, 10, 1.0), 0u);
 }
 
+// All groups are idle, and each of hundreds of hosts chooses for its first request.
+TEST(Leveling, SpreadsChoicesOverEquallyLowTargets) {
+    const std::vector<double> levels = {5, 3, 3, 7, 3};
+    std::minstd_rand random(1);
+    std::vector<int> chosen(levels.size());
+    for (int n = 0; n < 3000; ++n)
+        ++chosen[choose_by_level(levels, 0, std::uniform_real_distribution<double>()(random))];
+    for (const std::size_t lowest : {1, 2, 4})
+        EXPECT_NEAR(chosen[lowest], 1000, 150);
+    EXPECT_EQ(chosen[0] + chosen[3], 0);
+    EXPECT_EQ(choose_by_level(levels, 0, 1.0), 4u);
+}
+
 RC_GTEST_PROP(Leveling, NeverChoosesATargetAboveTheFilledLevel, ()) {
     const auto raw = *rc::gen::nonEmpty(rc::gen::arbitrary<std::vector<std::uint16_t>>());
     const std::vector<double> levels(raw.begin(), raw.end());
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -68,5 +68,15 @@
     EXPECT_GT(sum[1].in_time_part(), 0.88);
 }
 
+// Traffic begins, far below what the groups take: all of them are idle, and each of 300 entry
+// hosts knows as little as the others and receives a request every 1.5 s.
+TEST(Overload, TheFirstRequestsOfManyHostsSpreadOverAllGroups) {
+    GroupSimulator player(simulated_engine(), 60, 300, 1);
+    player.exchange_shares();
+    const auto results = player.simulate({{200, 1000, 5}}, milliseconds(500), milliseconds(400),
+                                         seconds(4), {}, milliseconds(900));
+    EXPECT_GT(results[0].in_time_part(), 0.95);
+}
+
 } // namespace
 } // namespace liftweir
