Log event loops of control hosts that are late

Cause: an election without a loss could not be explained from the logs. Change: a control host whose tick is 200 ms late logs the longest step of its loop since; a counter.

--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -17,6 +17,8 @@
 
 // Half of the Raft heartbeat interval. Finer ticks only cost wake-ups on hosts that share a core.
 constexpr Duration TickInterval = std::chrono::milliseconds(50);
+// A leader whose ticks are this late is close to losing its leadership.
+constexpr Duration LateTick = std::chrono::milliseconds(200);
 constexpr Duration HousekeepingInterval = std::chrono::milliseconds(1000);
 // A full or failing disk is retried this often. The log is then read from it as after a restart.
 constexpr Duration ReopenInterval = std::chrono::milliseconds(700);
@@ -167,8 +169,23 @@
             connect_to(ip + ":" + std::to_string(config_.link_port));
 }
 
+// Logged so that an election without a loss can be explained afterwards.
+void Coordinator::note_late_tick(Time now) {
+    const Duration since = last_tick_ == Time{} ? Duration::zero() : now - last_tick_;
+    last_tick_ = now;
+    const LongestStep::Step longest = steps_.take();
+    if (since - TickInterval < LateTick)
+        return;
+    Metrics::instance().counter("liftweir_late_ticks").add();
+    log(LogLevel::Warning, "event loop late",
+        {{"late_ms", std::to_string(to_millis(since - TickInterval))},
+         {"longest_step", std::string(longest.name)},
+         {"longest_ms", std::to_string(to_millis(longest.took))}});
+}
+
 void Coordinator::tick() {
     const Time now = BootClock::now();
+    note_late_tick(now);
     if (!replica_ && now >= reopen_due_) {
         if (auto opened = open_replica(); !opened)
             storage_failed(opened.error());
@@ -244,6 +261,7 @@
 void Coordinator::pump() {
     if (!replica_)
         return;
+    const LongestStep::Scope step(steps_, "pump");
     const auto messages = replica_->pump();
     if (!messages) {
         storage_failed(messages.error());
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -10,6 +10,7 @@
 #include "process/endpointcachefile.h"
 #include "process/groupcontroller.h"
 #include "process/limitallocator.h"
+#include "process/longeststep.h"
 #include "process/metrics.h"
 #include "process/probequeue.h"
 #include "process/quarantine.h"
@@ -229,6 +230,7 @@
     void send_load(Time now);
 
     void tick();
+    void note_late_tick(Time now);
     void run_housekeeping();
     void log_peers_behind() const;
 
@@ -281,6 +283,8 @@
     LimitAllocator allocator_;
     EntryLoadTable loads_;
     Time load_due_{};
+    Time last_tick_{};
+    LongestStep steps_; // of this event loop, since the last tick
     Time housekeeping_due_{};
     Time alive_due_{};
     Time plan_due_{};
--- a/src/process/coordinatorlinks.cpp
+++ b/src/process/coordinatorlinks.cpp
@@ -109,6 +109,7 @@
 }
 
 void Coordinator::on_message(const Link::Ptr& link, WireMessage&& message) {
+    const LongestStep::Scope step(steps_, MessageNames[message.index()]);
     const Time now = BootClock::now();
     if (const auto* packet = std::get_if<RaftPacket>(&message)) {
         on_raft(link, *packet, now);
@@ -286,6 +287,7 @@
 }
 
 void Coordinator::plan() {
+    const LongestStep::Scope step(steps_, "plan");
     const Time now = BootClock::now();
     plan_due_ = planning_.due(now + PlanInterval);
     if (!replica_ || !replica_->ready())
--- a/src/process/coordinatorregistry.cpp
+++ b/src/process/coordinatorregistry.cpp
@@ -190,6 +190,7 @@
 // Paced, since a message to each of hundreds of entry hosts in every turn of the event loop used up
 // the whole CPU share of the process while thousands of endpoints registered.
 void Coordinator::send_changes() {
+    const LongestStep::Scope step(steps_, "send_changes");
     const EndpointChanges to_entries{changes_.take_for_entries(), {}, {}};
     const EndpointChanges to_peers{changes_.take_for_peers(), {}, {}};
     if (!to_entries.reports.empty())
--- a/src/process/metricnames.cpp
+++ b/src/process/metricnames.cpp
@@ -55,6 +55,8 @@
          "Requests rejected because requests of the same content crashed endpoints."},
         {"liftweir_requests_quarantined", Gauge, "requests", "", "liftweir-site-*",
          "Distinct requests that are under quarantine."},
+        {"liftweir_late_ticks", Counter, "ticks", "", SiteControl,
+         "Times that the event loop was 200 ms late or more; a leader may lose its leadership."},
         {"liftweir_zones_out_of_use", Gauge, "zones", "", "liftweir-site-*",
          "Availability zones whose endpoints get no new requests."},
         {"liftweir_endpoints_limited", Gauge, "endpoints", "", SiteEntry,
