--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -152,6 +152,7 @@
     std::string restored_from_; // control host that is asked for the endpoints it knew before
     Time restored_due_{};       // when another one is asked
     std::size_t restored_tries_ = 0;
+    bool restored_received_ = false;
     StoredDocument document_;
     std::shared_ptr<const RouteTable> table_;
     std::map<std::string, WindowedRetryBudget> budgets_; // by service
--- a/src/process/gatewaycontrol.cpp
+++ b/src/process/gatewaycontrol.cpp
@@ -103,11 +103,11 @@
     source_ = candidates.empty() ? "" : candidates[random_() % candidates.size()];
 }
 
-// Where no endpoint is known, asks one control host after the other for those that it knew before
-// its own start: one whose disk was lost has none.
+// After a start, asks one control host after the other for the endpoints that it knew before its
+// own start, until one has sent them: a host whose disk was lost has none. Changes that arrive
+// meanwhile name few endpoints.
 void Gateway::choose_restored_from(Time now) {
-    const bool wanted =
-        directory_.registry().items().empty() && (!ever_in_service_ || discovering_endpoints(now));
+    const bool wanted = !restored_received_ && (!ever_in_service_ || discovering_endpoints(now));
     if (!wanted) {
         restored_from_.clear();
         return;
@@ -295,6 +295,7 @@
     const Time now = BootClock::now();
     if (ever_in_service_ && !discovering_endpoints(now))
         return;
+    restored_received_ = true;
     std::size_t added = 0;
     for (const EndpointReport& report : remembered.reports) {
         if (!directory_.registry().add_cached(report, now))
--- a/tests/unit/gatewaylink_test.cpp
+++ b/tests/unit/gatewaylink_test.cpp
@@ -143,6 +143,7 @@
         LinkListener listener;
         int document_requests = 0;
         int renewals = 0;
+        int restored_requests = 0;
     };
 
     static SiteConfig config_for(std::uint16_t port) {
@@ -168,7 +169,10 @@
         endpoint.id = "i";
         endpoint.service = "app";
         endpoint.address = "127.0.0.9:80";
-        if (renew.wants_restored)
+        if (host.renewals == 1)
+            link->send(EndpointChanges{{endpoint}, {}, {}});
+        host.restored_requests += renew.wants_restored ? 1 : 0;
+        if (renew.wants_restored && &host == restored_at)
             link->send(EndpointsRestored{{endpoint}});
     }
     void run_for(Duration time) {
@@ -184,7 +188,8 @@
     const ClusterKeys keys = ClusterKeys::none();
     Host* source = nullptr;
     bool source_is_silent = true;
-    Version logged = 0; // newest settings that the control hosts announce
+    Host* restored_at = nullptr; // the control host that still has the endpoints it stored
+    Version logged = 0;          // newest settings that the control hosts announce
     Host first{*this, "127.0.0.1", 1};
     Host second{*this, "127.0.0.2", 2};
     NoCallers callers;
@@ -216,6 +221,7 @@
 TEST_F(TwoControlHosts, OnlyTheSourceIsAskedOftenWhileSettingsAreMissing) {
     logged = 7;
     source_is_silent = false;
+    restored_at = &first;
     gateway.start();
     run_for(milliseconds(2500));
     ASSERT_NE(source, nullptr);
@@ -225,5 +231,19 @@
     EXPECT_GE(source->renewals, 8);
 }
 
+// A change arrives before the endpoints that were stored, and only one control host has these.
+TEST_F(TwoControlHosts, StoredEndpointsAreAskedForThoughOneEndpointIsKnown) {
+    source_is_silent = false;
+    restored_at = &second;
+    gateway.start();
+    run_for(milliseconds(2500));
+    EXPECT_GE(second.restored_requests, 1);
+    const int first_asked = first.restored_requests;
+    const int second_asked = second.restored_requests;
+    run_for(milliseconds(1500));
+    EXPECT_EQ(first.restored_requests, first_asked);
+    EXPECT_EQ(second.restored_requests, second_asked);
+}
+
 } // namespace
 } // namespace liftweir
