Messages for demand by model and for admission under overload

Change: ModelDemand, AdmissionLevel and the messages DemandReports and AdmissionPlan, appended to the variant; nothing sends them yet. Measured: compiled only.

--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -8,6 +8,7 @@
 #include "process/raft.h"
 #include "process/registry.h"
 #include "request/groupload.h"
+#include "request/modeldemand.h"
 #include "request/outcome.h"
 #include "version/state.h"
 
@@ -367,13 +368,27 @@
     MSGPACK_DEFINE(ids)
 };
 
+// What callers ask of the sending entry host. An entry host without callers sends one empty message.
+struct DemandReports {
+    std::string entry;
+    std::uint32_t interval_ms = 0; // of these messages
+    std::vector<ModelDemand> lines;
+    MSGPACK_DEFINE(entry, interval_ms, lines)
+};
+
+// From the leading control host to all entry hosts while models are overloaded; empty once none is.
+struct AdmissionPlan {
+    std::vector<AdmissionLevel> levels;
+    MSGPACK_DEFINE(levels)
+};
+
 using WireMessage =
     std::variant<RaftPacket, AgentStatus, AgentOrder, NotLeaderReply, LeaseRenewal, LeaseAck,
                  CommandRequest, CommandReply, Attempt, CancelAttempt, Credit, GateState, Refused,
                  Head, Chunk, End, Broken, PeerHello, EndpointChanges, EndpointsAlive, DocumentPush,
                  GroupSuspected, GroupsDissolved, EndpointsRestored, GroupLoadReports,
                  RegistryDigests, RangesRequested, RequestsAborted, SuspectRequests, LimitReports,
-                 LimitShares, EndpointsLeaving>;
+                 LimitShares, EndpointsLeaving, DemandReports, AdmissionPlan>;
 
 // Names of the alternatives in their order, as metrics label them.
 constexpr std::array<std::string_view, std::variant_size_v<WireMessage>> MessageNames = {
@@ -408,7 +423,9 @@
     "suspicions",
     "limit_words",
     "limit_loans",
-    "leaving"};
+    "leaving",
+    "demand_reports",
+    "admission_plan"};
 
 // ---- member to member, by UDP
 
