--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -368,7 +368,7 @@
     MSGPACK_DEFINE(ids)
 };
 
-// What callers ask of the sending entry host. An entry host without callers sends one empty message.
+// What callers ask of the sending entry host. One without callers sends a single empty message.
 struct DemandReports {
     std::string entry;
     std::uint32_t interval_ms = 0; // of these messages
