Numbers of groups follow demand; first layout spread over domains where a zone may be lost

Cause: targets follow the document's fixed shares, and all groups of a model may be in one domain. Change: capacityplan (groups that serve the most callers, and the move of one group's hosts that pays), groupmoves (targets, moves), assign_models_spread where tolerated_zones is set, setting planning (demand or share). Measured: compiled; nothing sets demand yet. Conclusion: to be measured with the demand reports.

--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -44,7 +44,9 @@
       identity_{ProcessRole::Control, config_.name, new_incarnation()},
       voter_selector_(2 * config_.tolerated_hosts + 1),
       registry_(true, heartbeats()),
-      groups_({config_.bounds.heartbeat_interval, config_.bounds.load_window}, config_.first_start),
+      groups_({config_.bounds.heartbeat_interval, config_.bounds.load_window,
+               config_.plan_by_demand, config_.tolerated_zones > 0},
+              config_.first_start),
       planning_(io, [this] { plan(); }),
       sending_changes_(io, [this] { send_changes(); }),
       ticker_(io, TickInterval, [this] { tick(); }) {}
--- a/src/process/firstlayout.cpp
+++ b/src/process/firstlayout.cpp
@@ -58,19 +58,16 @@
     }
 }
 
-} // namespace
-
-std::map<EndpointId, std::string> assign_models(const std::vector<ColdHost>& hosts,
-                                                const std::vector<ModelShape>& models) {
-    std::map<EndpointId, std::string> assignment;
-    if (models.empty())
-        return assignment;
+std::map<std::string, double> wanted_hosts(std::size_t hosts,
+                                           const std::vector<ModelShape>& models) {
     std::map<std::string, double> wanted;
     for (const ModelShape& model : models)
-        wanted[model.name] = model.share * static_cast<double>(hosts.size());
-    std::vector<DomainPlan> domains = group_by_domain(hosts);
-    for (DomainPlan& domain : domains)
-        fill(domain, models, wanted);
+        wanted[model.name] = model.share * static_cast<double>(hosts);
+    return wanted;
+}
+
+std::map<EndpointId, std::string> assignment_of(const std::vector<DomainPlan>& domains) {
+    std::map<EndpointId, std::string> assignment;
     for (const DomainPlan& domain : domains) {
         auto host = domain.hosts.begin();
         for (const auto& [model, count] : domain.quota)
@@ -80,4 +77,79 @@
     return assignment;
 }
 
+std::size_t unassigned(const DomainPlan& domain) {
+    std::size_t left = domain.hosts.size();
+    for (const auto& [model, count] : domain.quota)
+        left -= count;
+    return left;
+}
+
+// The domain with the fewest hosts of the model among those that can hold another group of it, and
+// of several such domains the emptiest; null if none can.
+DomainPlan* least_used(std::vector<DomainPlan>& domains, const std::string& model,
+                       std::size_t size) {
+    DomainPlan* best = nullptr;
+    for (DomainPlan& domain : domains) {
+        if (unassigned(domain) < size)
+            continue;
+        const std::size_t have = domain.quota[model];
+        if (best == nullptr || have < best->quota[model] ||
+            (have == best->quota[model] && unassigned(domain) > unassigned(*best)))
+            best = &domain;
+    }
+    return best;
+}
+
+// Hosts that complete no group are spares, shared out in proportion to the hosts of each model that
+// serve in the domain.
+void add_spares(DomainPlan& domain, const std::vector<ModelShape>& models) {
+    const Quota serving = domain.quota;
+    for (std::size_t left = unassigned(domain); left > 0; --left) {
+        const auto need = [&](const ModelShape& model) {
+            const auto found = serving.find(model.name);
+            const std::size_t hosts = found == serving.end() ? 0 : found->second;
+            const std::size_t spares = domain.quota[model.name] - hosts;
+            return static_cast<double>(hosts) / static_cast<double>(1 + spares);
+        };
+        const auto model = std::max_element(
+            models.begin(), models.end(),
+            [&](const ModelShape& a, const ModelShape& b) { return need(a) < need(b); });
+        ++domain.quota[model->name];
+    }
+}
+
+} // namespace
+
+std::map<EndpointId, std::string> assign_models(const std::vector<ColdHost>& hosts,
+                                                const std::vector<ModelShape>& models) {
+    if (models.empty())
+        return {};
+    std::map<std::string, double> wanted = wanted_hosts(hosts.size(), models);
+    std::vector<DomainPlan> domains = group_by_domain(hosts);
+    for (DomainPlan& domain : domains)
+        fill(domain, models, wanted);
+    return assignment_of(domains);
+}
+
+std::map<EndpointId, std::string> assign_models_spread(const std::vector<ColdHost>& hosts,
+                                                       const std::vector<ModelShape>& models) {
+    std::map<std::string, double> wanted = wanted_hosts(hosts.size(), models);
+    std::vector<DomainPlan> domains = group_by_domain(hosts);
+    std::vector<ModelShape> placeable = models;
+    while (!placeable.empty()) {
+        const ModelShape model = most_wanted_model(placeable, wanted);
+        DomainPlan* domain = least_used(domains, model.name, std::max(1u, model.size));
+        if (domain == nullptr) {
+            std::erase(placeable, model);
+            continue;
+        }
+        domain->quota[model.name] += std::max(1u, model.size);
+        wanted[model.name] -= model.size;
+    }
+    if (!models.empty())
+        for (DomainPlan& domain : domains)
+            add_spares(domain, models);
+    return assignment_of(domains);
+}
+
 } // namespace liftweir
--- a/src/process/firstlayout.h
+++ b/src/process/firstlayout.h
@@ -28,6 +28,11 @@
 std::map<EndpointId, std::string> assign_models(const std::vector<ColdHost>& hosts,
                                                 const std::vector<ModelShape>& models);
 
+// The same, with the groups of each model spread over all domains, so that no model fails with one
+// of them. For deployments that have to tolerate the loss of an availability zone.
+std::map<EndpointId, std::string> assign_models_spread(const std::vector<ColdHost>& hosts,
+                                                       const std::vector<ModelShape>& models);
+
 } // namespace liftweir
 
 #endif // FIRSTLAYOUT_H_INCLUDED
--- a/src/process/groupformation.cpp
+++ b/src/process/groupformation.cpp
@@ -26,7 +26,8 @@
     if (models_opened_.empty() && now - hosts_changed_ < SettleTime)
         return;
     if (models_opened_.empty() && !traffic_started_ && assignment_.empty())
-        assignment_ = assign_models(cold_hosts(now), engine_.models);
+        assignment_ = config_.spread_models ? assign_models_spread(cold_hosts(now), engine_.models)
+                                            : assign_models(cold_hosts(now), engine_.models);
     std::set<std::string> unformable;
     while (const ModelShape* model = least_supplied(unformable))
         if (!form_one(*shape(model->name), now))
@@ -96,8 +97,9 @@
     const bool first_of_model = !models_opened_.contains(model.name);
     for (const auto& [domain, hosts] : free_by_domain(now))
         for (const EndpointReport* report : hosts)
-            if (staged(*report, model.name) ||
-                (first_of_model && !traffic_started_ && assigned(*report, model.name)))
+            if (!is_moved_to_other(*report, model.name) &&
+                (staged(*report, model.name) ||
+                 (first_of_model && !traffic_started_ && assigned(*report, model.name))))
                 eligible[domain].push_back(report);
     return eligible;
 }
@@ -135,7 +137,7 @@
         return hosts;
     for (const auto& [domain, free] : free_by_domain(now))
         for (const EndpointReport* report : free)
-            if (staged(*report, model.name))
+            if (staged(*report, model.name) && !is_moved_to_other(*report, model.name))
                 hosts.push_back(report);
     if (hosts.size() < model.size)
         return {};
@@ -334,6 +336,8 @@
     std::size_t ready = 0;
     std::map<std::string, Hosts> others;
     for (const EndpointReport* report : free) {
+        if (moved_.contains(report->id))
+            continue;
         if (staged(*report, model.name))
             ++ready;
         else if (!report->staged.empty())
@@ -368,7 +372,7 @@
 // host that has them only on its disk.
 void GroupPlanner::warm_spares(Time now) {
     for (const EndpointReport* report : free_hosts(now)) {
-        if (report->staged.empty())
+        if (report->staged.empty() || is_moved_to_other(*report, report->staged.back()))
             continue;
         const ModelShape* model = shape(report->staged.back());
         const bool forming = is_warming(report->id);
--- a/src/process/groupplanner.cpp
+++ b/src/process/groupplanner.cpp
@@ -119,6 +119,8 @@
     if (traffic_started_)
         loads_.assume_started(several_recent_leaders, now);
     changes_ = {};
+    moved_.clear();
+    moving_group_ = NoEpoch;
     for (auto& [id, host] : hosts_)
         host.order_in_flight = false;
     std::erase_if(groups_, [&](const auto& pair) {
@@ -459,6 +461,8 @@
 }
 
 std::size_t GroupPlanner::target(const ModelShape& model) const {
+    if (targets_)
+        return std::max<std::size_t>(1, targets_->at(model.name));
     const double groups = model.share * static_cast<double>(serving_) / model.size;
     return std::max<std::size_t>(1, static_cast<std::size_t>(std::lround(groups)));
 }
@@ -529,7 +533,11 @@
         advance(group, now);
     end_settled_groups(now);
     forget_old_groups(now);
+    update_demand(now);
+    update_targets(now);
+    move_hosts(now);
     form_groups(now);
+    stage_moved(now);
     stage_spares(now);
     restage_stranded(now);
     warm_spares(now);
--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -4,6 +4,7 @@
 #ifndef GROUPPLANNER_H_INCLUDED
 #define GROUPPLANNER_H_INCLUDED
 
+#include "process/capacityplan.h"
 #include "process/endpointorder.h"
 #include "process/firstlayout.h"
 #include "process/groupname.h"
@@ -34,6 +35,8 @@
 struct GroupPlannerConfig {
     Duration heartbeat_interval = std::chrono::milliseconds(1200);
     Duration load_window = std::chrono::seconds(5);
+    bool plan_by_demand = true; // otherwise by the shares of the document alone
+    bool spread_models = false; // no model may depend on a single domain at the first layout
 
     auto operator<=>(const GroupPlannerConfig&) const = default;
 };
@@ -69,6 +72,8 @@
     void traffic_began() { traffic_started_ = true; }
     // Endpoints of these zones get no requests.
     void set_zones_out_of_use(std::set<std::string> zones) { zones_out_of_use_ = std::move(zones); }
+    // Sets what callers ask of the service's models, over all entry hosts.
+    void set_demand(std::vector<ModelDemand> demand) { demand_ = std::move(demand); }
     // An entry host reports that all streams of a group are stalled.
     void suspect(Epoch epoch, Time now);
 
@@ -186,6 +191,18 @@
     bool is_staging(const EndpointId& id, const std::string& model, Time now) const;
     void warm_spares(Time now);
     bool is_warming(const EndpointId& id) const;
+
+    // moves of hosts between models
+    void update_demand(Time now);
+    ModelNeed need_of(const ModelShape& model) const;
+    std::vector<ModelNeed> smoothed_needs() const;
+    GroupCounts live_counts() const;
+    void update_targets(Time now);
+    void move_hosts(Time now);
+    bool move_in_progress(Time now);
+    Group* group_to_move(const std::string& model);
+    void stage_moved(Time now);
+    bool is_moved_to_other(const EndpointReport& report, const std::string& model) const;
     std::string model_to_stage(const EndpointReport& report, Time now) const;
     double staging_score(const EndpointReport& report, const ModelShape& model, Time now) const;
     std::size_t other_spares(const EndpointReport& report, const std::string& model,
@@ -263,6 +280,15 @@
     std::map<EndpointId, Host> hosts_;
     std::set<std::string> models_opened_;          // models that have had an open group
     std::map<EndpointId, std::string> assignment_; // models of hosts that started without weights
+    std::vector<ModelDemand> demand_;              // current, over all entry hosts
+    SmoothedDemand smoothed_demand_;
+    std::optional<GroupCounts> targets_; // by demand; empty while that is unknown
+    Time targets_due_{};                 // next update
+    GroupMove proposed_move_;            // that pays since move_proposed_
+    Time move_proposed_{};
+    Epoch moving_group_ = NoEpoch;            // closes so that its hosts can load another model
+    std::map<EndpointId, std::string> moved_; // hosts that are to load this model
+    Time moved_until_{};                      // the move is given up then
     LoadBudget loads_;
     GroupChanges changes_;
     Time removal_due_{}; // next removal of groups from the log
--- a/src/process/siteconfig.cpp
+++ b/src/process/siteconfig.cpp
@@ -6,6 +6,7 @@
 
 #include <json/json.h>
 
+#include <algorithm>
 #include <charconv>
 #include <fstream>
 #include <sstream>
@@ -78,6 +79,15 @@
         else if (!value.isNull() && !(value.isString() && value.asString().empty()))
             set_error(key, "true or false");
     }
+    void choice(const char* key, const std::vector<std::string>& allowed, std::string& out) {
+        text(key, out, false);
+        if (std::find(allowed.begin(), allowed.end(), out) != allowed.end())
+            return;
+        std::string all;
+        for (const std::string& one : allowed)
+            all += (all.empty() ? "" : " or ") + one;
+        set_error(key, all);
+    }
     void texts(const char* key, std::vector<std::string>& out) {
         const Json::Value& value = root_[key];
         if (!value.isArray()) {
@@ -126,6 +136,7 @@
         return fail(FailureKind::BadSettings, file + ": " + errors);
     SiteConfig config;
     SiteBounds& bounds = config.bounds;
+    std::string planning = "demand";
     Reader reader(file, root);
     reader.text("name", config.name, true);
     reader.text("zone", config.zone, false);
@@ -142,6 +153,9 @@
     reader.address("ready", config.ready);
     reader.address("metrics", config.metrics);
     reader.integer("tolerated_hosts", config.tolerated_hosts, 10);
+    reader.integer("tolerated_zones", config.tolerated_zones, 10);
+    reader.choice("planning", {"demand", "share"}, planning);
+    config.plan_by_demand = planning != "share";
     reader.millis("beat_ms", bounds.heartbeat_interval);
     reader.millis("drain_ms", bounds.drain);
     reader.seconds("grace_s", bounds.grace);
--- a/src/process/siteconfig.h
+++ b/src/process/siteconfig.h
@@ -48,6 +48,8 @@
     std::string ready;                 // ip:port for the load balancer's readiness check
     std::string metrics;               // ip:port
     std::uint32_t tolerated_hosts = 1; // control hosts that may fail at the same time
+    std::uint32_t tolerated_zones = 0; // availability zones that may be lost at the same time
+    bool plan_by_demand = true;        // numbers of groups follow the callers' demand
     SiteBounds bounds;
 
     auto operator<=>(const SiteConfig&) const = default;
