Demand table of the leading control host, and its way to the planners

Cause: the planner needs what callers ask for by model. Change: DemandTable sums the reports of entry hosts, the coordinator stores them and sets the sums before each planning round, GroupController passes them on by service, and GroupPlanner keeps them in demand_.

--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -224,6 +224,8 @@
     send_hellos();
     if (leads())
         log_peers_behind();
+    if (leads())
+        log_demand();
     if (leads())
         for (const auto& [service, line] : groups_.layouts(registry_, now))
             log(LogLevel::Info, "layout", {{"service", service}, {"groups", line}});
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -7,6 +7,7 @@
 
 #include "connection/link.h"
 #include "process/changefeed.h"
+#include "process/demandtable.h"
 #include "process/endpointcachefile.h"
 #include "process/groupcontroller.h"
 #include "process/limitallocator.h"
@@ -229,6 +230,10 @@
     void on_load_reports(const GroupLoadReports& shares, Time now);
     void send_load(Time now);
 
+    // demand that the entry hosts report
+    void update_demand(Time now);
+    void log_demand();
+
     void tick();
     void note_late_tick(Time now);
     void run_housekeeping();
@@ -283,6 +288,8 @@
     LimitAllocator allocator_;
     EntryLoadTable loads_;
     Time load_due_{};
+    DemandTable demand_;
+    std::map<std::string, double> logged_demand_; // work by model, of the last line in the log
     Time last_tick_{};
     LongestStep steps_; // of this event loop, since the last tick
     Time housekeeping_due_{};
--- a/src/process/coordinatorlinks.cpp
+++ b/src/process/coordinatorlinks.cpp
@@ -8,6 +8,8 @@
 #include "process/node.h"
 
 #include <algorithm>
+#include <cmath>
+#include <cstdio>
 
 namespace liftweir {
 
@@ -18,6 +20,17 @@
 // its lease more often than that.
 constexpr Duration DigestInterval = std::chrono::milliseconds(800);
 
+// A model's work is logged when it changes by this part. Changes of less work than a hundredth of a
+// group's are noise.
+constexpr double LoggedChange = 0.25;
+constexpr double MinLoggedWork = 0.04;
+
+std::string two_decimals(double value) {
+    char text[32];
+    (void)std::snprintf(text, sizeof text, "%.2f", value);
+    return text;
+}
+
 } // namespace
 
 // ---- links
@@ -133,6 +146,9 @@
         on_limit_reports(link, *limit_reports, now);
     } else if (const auto* shares = std::get_if<GroupLoadReports>(&message)) {
         on_load_reports(*shares, now);
+    } else if (const auto* demand = std::get_if<DemandReports>(&message)) {
+        if (link->peer().role == ProcessRole::Entry)
+            demand_.store(demand->entry, demand->lines, now);
     } else if (const auto* digests = std::get_if<RegistryDigests>(&message)) {
         on_digests(link, *digests, now);
     } else if (const auto* wanted = std::get_if<RangesRequested>(&message)) {
@@ -277,6 +293,29 @@
             session.link->send(GroupLoadReports{"", interval_ms, loads_.load_of_others(name)});
 }
 
+// ---- demand
+
+// Set on hosts that do not lead as well: they get no reports, so what they know expires.
+void Coordinator::update_demand(Time now) {
+    demand_.expire(now);
+    groups_.set_demand(demand_.totals(now));
+}
+
+// Logs the models whose work has changed by a quarter since their last line. Runs once a second.
+void Coordinator::log_demand() {
+    for (const auto& [model, work] : groups_.demand_work()) {
+        double& logged = logged_demand_[model];
+        const double change = std::abs(work - logged);
+        if (change < LoggedChange * std::max(logged, MinLoggedWork))
+            continue;
+        log(LogLevel::Info, "demand",
+            {{"model", model},
+             {"work_groups", two_decimals(work)},
+             {"before", two_decimals(logged)}});
+        logged = work;
+    }
+}
+
 // ---- groups
 
 // Each change requests a planning round. Where thousands of endpoints report changes, the rounds
@@ -290,6 +329,7 @@
     const LongestStep::Scope step(steps_, "plan");
     const Time now = BootClock::now();
     plan_due_ = planning_.due(now + PlanInterval);
+    update_demand(now);
     if (!replica_ || !replica_->ready())
         return;
     if (groups_.plan(*replica_, registry_, now))
--- a/src/process/groupcontroller.cpp
+++ b/src/process/groupcontroller.cpp
@@ -48,6 +48,22 @@
         planner.suspect(epoch, now);
 }
 
+void GroupController::set_demand(const std::vector<ModelDemand>& lines) {
+    std::map<std::string, std::vector<ModelDemand>> by_service;
+    for (const ModelDemand& line : lines)
+        by_service[line.service].push_back(line);
+    for (auto& [service, planner] : planners_)
+        planner.set_demand(std::move(by_service[service]));
+}
+
+std::map<std::string, double> GroupController::demand_work() const {
+    std::map<std::string, double> sums;
+    for (const auto& [service, planner] : planners_)
+        for (const auto& [model, work] : planner.demand_work())
+            sums[model] += work;
+    return sums;
+}
+
 // ---- leadership
 
 void GroupController::take_over(const Leadership& leadership, const State& state) {
--- a/src/process/groupcontroller.h
+++ b/src/process/groupcontroller.h
@@ -50,6 +50,10 @@
     // Endpoints of these zones get no requests.
     void set_zones_out_of_use(const std::set<std::string>& zones);
     void suspect(Epoch epoch, Time now);
+    // Sets what callers ask of the models of all services, summed over the entry hosts.
+    void set_demand(const std::vector<ModelDemand>& lines);
+    // Demand by model, as the number of groups that it keeps busy all the time.
+    std::map<std::string, double> demand_work() const;
 
     // Starts leading. `state` has all entries applied that earlier leaders committed.
     void take_over(const Leadership& leadership, const State& state);
--- a/src/process/groupplanner.cpp
+++ b/src/process/groupplanner.cpp
@@ -29,9 +29,7 @@
 }
 
 const ModelShape* GroupPlanner::shape(const std::string& model) const {
-    const auto found = std::find_if(engine_.models.begin(), engine_.models.end(),
-                                    [&](const ModelShape& m) { return m.name == model; });
-    return found == engine_.models.end() ? nullptr : &*found;
+    return engine_.model(model);
 }
 
 // ---- reports of endpoints
--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -10,6 +10,7 @@
 #include "process/heartbeat.h"
 #include "process/loadbudget.h"
 #include "process/registry.h"
+#include "request/modeldemand.h"
 #include "version/deployment.h"
 
 #include <map>
@@ -69,6 +70,10 @@
     void traffic_began() { traffic_started_ = true; }
     // Endpoints of these zones get no requests.
     void set_zones_out_of_use(std::set<std::string> zones) { zones_out_of_use_ = std::move(zones); }
+    // Sets what callers ask of the service's models, summed over the entry hosts.
+    void set_demand(std::vector<ModelDemand> lines) { demand_ = std::move(lines); }
+    // Demand by model, as the number of groups that it keeps busy all the time.
+    std::map<std::string, double> demand_work() const { return work_by_model(demand_, engine_); }
     // An entry host reports that all streams of a group are stalled.
     void suspect(Epoch epoch, Time now);
 
@@ -259,6 +264,7 @@
     mutable std::map<std::string, std::map<std::string, Hosts>> eligible_;
     mutable std::optional<std::map<std::string, LiveGroups>> live_; // by model
     std::set<std::string> zones_out_of_use_;
+    std::vector<ModelDemand> demand_;
     std::map<Epoch, Group> groups_;
     std::map<EndpointId, Host> hosts_;
     std::set<std::string> models_opened_;          // models that have had an open group
--- a/src/request/modeldemand.cpp
+++ b/src/request/modeldemand.cpp
@@ -26,4 +26,16 @@
     return model.time_factor * (prefill_ms + decode_ms) / MillisPerSecond;
 }
 
+std::map<std::string, double> work_by_model(const std::vector<ModelDemand>& lines,
+                                            const EngineCost& engine) {
+    std::map<std::string, double> work;
+    for (const ModelShape& model : engine.models)
+        work[model.name] = 0;
+    for (const ModelDemand& line : lines)
+        if (const ModelShape* model = engine.model(line.model);
+            model != nullptr && line.customer.empty())
+            work[line.model] += work_of(line, engine, *model);
+    return work;
+}
+
 } // namespace liftweir
--- a/src/request/modeldemand.h
+++ b/src/request/modeldemand.h
@@ -6,7 +6,9 @@
 #include "version/deployment.h"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <msgpack.hpp>
 #include <string>
 #include <vector>
@@ -35,8 +37,15 @@
                    refused, abandoned)
 };
 
+// Most lines of one entry host's report. A host has a few aggregate lines and, while it rejects
+// requests, some for its largest customers.
+constexpr std::size_t MaxDemandLines = 32;
+
 // Number of groups of the model that the demand keeps busy all the time.
 double work_of(const ModelDemand& demand, const EngineCost& engine, const ModelShape& model);
+// The same for each model of the engine, over the lines for all customers together.
+std::map<std::string, double> work_by_model(const std::vector<ModelDemand>& lines,
+                                            const EngineCost& engine);
 
 // A customer's part of the class that is admitted partly.
 struct CustomerPart {
--- a/src/version/deployment.cpp
+++ b/src/version/deployment.cpp
@@ -55,6 +55,12 @@
     return canonical;
 }
 
+const ModelShape* EngineCost::model(std::string_view name) const {
+    const auto found = std::find_if(models.begin(), models.end(),
+                                    [&](const ModelShape& m) { return m.name == name; });
+    return found == models.end() ? nullptr : &*found;
+}
+
 const Service* Deployment::service(std::string_view name) const {
     const auto found = std::find_if(services.begin(), services.end(),
                                     [&](const Service& s) { return s.name == name; });
--- a/src/version/deployment.h
+++ b/src/version/deployment.h
@@ -78,6 +78,8 @@
     std::vector<ModelShape> models;
 
     auto operator<=>(const EngineCost&) const = default;
+    // The model with this name; null if there is none.
+    const ModelShape* model(std::string_view name) const;
 };
 
 // Canonical form of a route's host and prefix: the host in lower case, and the prefix with a
