--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -11,6 +11,7 @@
 #include "process/heartbeat.h"
 #include "process/loadbudget.h"
 #include "process/registry.h"
+#include "request/modeldemand.h"
 #include "version/deployment.h"
 
 #include <map>
@@ -72,8 +73,10 @@
     void traffic_began() { traffic_started_ = true; }
     // Endpoints of these zones get no requests.
     void set_zones_out_of_use(std::set<std::string> zones) { zones_out_of_use_ = std::move(zones); }
-    // Sets what callers ask of the service's models, over all entry hosts.
-    void set_demand(std::vector<ModelDemand> demand) { demand_ = std::move(demand); }
+    // Sets what callers ask of the service's models, summed over the entry hosts.
+    void set_demand(std::vector<ModelDemand> lines) { demand_ = std::move(lines); }
+    // Demand by model, as the number of groups that it keeps busy all the time.
+    std::map<std::string, double> demand_work() const { return work_by_model(demand_, engine_); }
     // An entry host reports that all streams of a group are stalled.
     void suspect(Epoch epoch, Time now);
 
