Entry hosts report callers' first attempts by model, urgency and customer

Cause: the leader knows nothing of what callers ask for. Gauges may have labels, for liftweir_demand_work; log line demand. Unit tests not run yet.

--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -462,6 +462,8 @@
         if (service.engine)
             groups_.configure(service.name, *service.engine, replica_->state(), registry_,
                               BootClock::now());
+        if (service.engine)
+            add_demand_gauges(*service.engine);
     }
     push_document();
     plan_soon();
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -233,6 +233,7 @@
     // demand that the entry hosts report
     void update_demand(Time now);
     void log_demand();
+    void add_demand_gauges(const EngineCost& engine);
 
     void tick();
     void note_late_tick(Time now);
--- a/src/process/coordinatorlinks.cpp
+++ b/src/process/coordinatorlinks.cpp
@@ -301,6 +301,19 @@
     groups_.set_demand(demand_.totals(now));
 }
 
+// Adding a gauge again replaces it. Models that a later document lacks read as zero.
+void Coordinator::add_demand_gauges(const EngineCost& engine) {
+    for (const ModelShape& model : engine.models)
+        gauges_.add(
+            "liftweir_demand_work",
+            [this, name = model.name] {
+                const std::map<std::string, double> work = groups_.demand_work();
+                const auto found = work.find(name);
+                return found == work.end() ? 0 : found->second;
+            },
+            "model=\"" + model.name + "\"");
+}
+
 // Logs the models whose work has changed by a quarter since their last line. Runs once a second.
 void Coordinator::log_demand() {
     for (const auto& [model, work] : groups_.demand_work()) {
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -145,9 +145,10 @@
     return nullptr;
 }
 
-// Sets the customer in the plan and returns true, or rejects the request and returns false.
+// Sets customer and urgency in the plan and returns true, or rejects the request and returns false.
 bool Gateway::authorise(HttpExchange& exchange, const CallerRequest& request, Time now,
                         RelayedCallRoute& plan) {
+    plan.urgency = urgency_of(0, plan.route->priority);
     if (!plan.route->needs_key || plan.table->deployment().customers.empty())
         return true;
     if (!lease_holds(now)) {
@@ -160,6 +161,7 @@
         return false;
     }
     plan.customer = customer->name;
+    plan.urgency = urgency_of(customer->priority, plan.route->priority);
     return true;
 }
 
@@ -246,6 +248,15 @@
         calls_.erase(call);
 }
 
+void Gateway::count_demand(const MeteredRequest& request, DemandEvent event) {
+    demand_.count(request, event, BootClock::now());
+    if (request.retry)
+        return;
+    Metrics::instance()
+        .counter("liftweir_first_attempts", "event=\"" + std::string(name_of(event)) + "\"")
+        .add();
+}
+
 void Gateway::ended(const CallSummary& summary) {
     Metrics& metrics = Metrics::instance();
     const std::string labels = "route=\"" + summary.route + "\",class=\"" +
@@ -271,6 +282,8 @@
     close_unresponsive_links(now);
     if (now >= load_report_due_)
         send_load(now);
+    if (now >= demand_report_due_)
+        send_demand(now);
     if (now >= housekeeping_due_) {
         housekeeping_due_ = now + HousekeepingInterval;
         directory_.expire(now);
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -12,6 +12,7 @@
 #include "process/siteconfig.h"
 #include "process/ticker.h"
 #include "request/callerwait.h"
+#include "request/demandmeter.h"
 #include "request/entryloadtable.h"
 #include "request/relayedcall.h"
 #include "request/startupqueue.h"
@@ -56,6 +57,7 @@
     const Quarantine& quarantine() const override { return quarantine_; }
     void aborted(const AbortedRequest& request, const EndpointId& id) override;
     void cleared(const Fingerprint& content) override;
+    void count_demand(const MeteredRequest& request, DemandEvent event) override;
     void ended(const CallSummary& summary) override;
 
     // links to control hosts
@@ -74,6 +76,8 @@
     void update_load_share(const LeaseAck& lease_ack);
     void record_lease_change(Time now);
     void send_load(Time now);
+    void send_demand(Time now);
+    Dialer* leader_link();
     void on_document(const DocumentPush& push);
     void on_zones(const ZonesOutOfUse& zones, Version document, Time now);
     void send_to_control(const WireMessage& message);
@@ -169,6 +173,9 @@
     Duration load_report_interval_{}; // interval of the load reports
     bool sent_load_ = false;          // the last load report was not empty
     Time load_report_due_{};
+    DemandMeter demand_;
+    bool sent_demand_ = false; // the last demand report was not empty
+    Time demand_report_due_{};
     Time renew_due_{};                           // of the source, or of any other control host
     std::map<std::string, Time> link_renew_due_; // by link address
     Time housekeeping_due_{};
--- a/src/process/gatewaycontrol.cpp
+++ b/src/process/gatewaycontrol.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr Duration RenewalInterval = std::chrono::milliseconds(1000);
+constexpr Duration DemandReportInterval = std::chrono::milliseconds(500);
 // Renewal interval while a control host has newer settings than this host.
 constexpr Duration RenewalIntervalWhenBehind = std::chrono::milliseconds(150);
 constexpr double LoadShareSmoothing = 0.3;
@@ -244,16 +245,39 @@
 // of the others. A host that becomes idle sends one empty report.
 void Gateway::send_load(Time now) {
     load_report_due_ = now + std::max(LoadReportInterval, load_report_interval_);
-    const auto leader = control_.find(address_of(leader_, config_.link_port));
-    if (leader == control_.end() || !leader->second->up() || leader->second->backed_up())
+    Dialer* leader = leader_link();
+    if (leader == nullptr)
         return;
     GroupLoadReports message{config_.name, 0, directory_.own_load()};
     const bool has_some = !message.reports.empty();
     if (has_some || sent_load_)
-        leader->second->send(message);
+        leader->send(message);
     sent_load_ = has_some;
 }
 
+// The link to the leading control host; null while none can be sent a report.
+Dialer* Gateway::leader_link() {
+    const auto leader = control_.find(address_of(leader_, config_.link_port));
+    const bool usable =
+        leader != control_.end() && leader->second->up() && !leader->second->backed_up();
+    return usable ? leader->second.get() : nullptr;
+}
+
+// Sends what callers ask of this host to the leading control host. A host that becomes idle sends
+// one empty report.
+void Gateway::send_demand(Time now) {
+    demand_report_due_ = now + DemandReportInterval;
+    Dialer* leader = leader_link();
+    if (leader == nullptr || table_ == nullptr)
+        return;
+    DemandReports message{config_.name, static_cast<std::uint32_t>(to_millis(DemandReportInterval)),
+                          demand_.report(table_->deployment(), now)};
+    const bool has_some = !message.lines.empty();
+    if (has_some || sent_demand_)
+        leader->send(message);
+    sent_demand_ = has_some;
+}
+
 // Requests in flight in a zone that is taken out of use continue.
 void Gateway::on_zones(const ZonesOutOfUse& zones, Version document, Time now) {
     if (!directory_.zones().take(zones, document, now))
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -111,9 +111,10 @@
     return histograms_[{name, labels}];
 }
 
-void Metrics::gauge(const std::string& name, std::function<double()> read, const void* owner) {
+void Metrics::gauge(const std::string& name, std::function<double()> read, const void* owner,
+                    const std::string& labels) {
     const std::lock_guard lock(mutex_);
-    gauges_[name] = {std::move(read), owner};
+    gauges_[{name, labels}] = {std::move(read), owner};
 }
 
 void Metrics::drop_gauges(const void* owner) {
@@ -136,9 +137,9 @@
         header(key.first, "counter");
         out << with_labels(key.first, key.second) << " " << counter.value() << "\n";
     }
-    for (const auto& [name, gauge] : gauges_) {
-        header(name, "gauge");
-        out << name << " " << gauge.read() << "\n";
+    for (const auto& [key, gauge] : gauges_) {
+        header(key.first, "gauge");
+        out << with_labels(key.first, key.second) << " " << gauge.read() << "\n";
     }
     for (const auto& [key, histogram] : histograms_) {
         header(key.first, "histogram");
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -47,7 +47,8 @@
     // `labels` in Prometheus form, e.g. class="standard".
     Counter& counter(const std::string& name, const std::string& labels = "");
     LatencyHistogram& histogram(const std::string& name, const std::string& labels = "");
-    void gauge(const std::string& name, std::function<double()> read, const void* owner = nullptr);
+    void gauge(const std::string& name, std::function<double()> read, const void* owner = nullptr,
+               const std::string& labels = "");
     // Removes the gauges that the owner registered.
     void drop_gauges(const void* owner);
     // All metrics in the Prometheus text format.
@@ -63,7 +64,7 @@
         std::function<double()> read;
         const void* owner = nullptr;
     };
-    std::map<std::string, Gauge> gauges_;
+    std::map<Key, Gauge> gauges_;
 };
 
 // Gauges that read from an object. Declared as its last member, so that they are removed before the
@@ -74,8 +75,9 @@
     ~OwnedGauges() { Metrics::instance().drop_gauges(this); }
     OwnedGauges(const OwnedGauges&) = delete;
     OwnedGauges& operator=(const OwnedGauges&) = delete;
-    void add(const std::string& name, std::function<double()> read) {
-        Metrics::instance().gauge(name, std::move(read), this);
+    void add(const std::string& name, std::function<double()> read,
+             const std::string& labels = "") {
+        Metrics::instance().gauge(name, std::move(read), this, labels);
     }
 };
 
--- a/src/request/callerprotocol.h
+++ b/src/request/callerprotocol.h
@@ -24,7 +24,8 @@
     std::optional<Duration> time_limit; // how long the caller will wait from now
     std::string model;                  // empty for plain services
     std::uint32_t prompt_tokens = 0;
-    std::string last_event; // the caller resumes a stream after this event
+    std::uint32_t answer_tokens = 0; // most that may be generated; 0 if the caller names no number
+    std::string last_event;          // the caller resumes a stream after this event
     bool wellformed = true;
 
     auto operator<=>(const CallerRequest&) const = default;
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -39,9 +39,23 @@
 void RelayedCall::start() {
     host_.budget(plan_.service->name).request(received_);
     exchange_->on_disconnect([self = shared_from_this()] { self->on_caller_disconnected(); });
+    count_demand(DemandEvent::Arrived);
     attempt(received_);
 }
 
+// Only models of the document are counted, so that callers can not add classes at will. A caller
+// that resumes a stream has been counted at its first attempt.
+void RelayedCall::count_demand(DemandEvent event) {
+    if (!uses_engine() || plan_.service->engine->model(request_.model) == nullptr)
+        return;
+    const bool retry = plan_.waited_before > Duration::zero() || !request_.last_event.empty();
+    host_.count_demand({{plan_.service->name, request_.model, plan_.urgency, plan_.customer},
+                        request_.prompt_tokens,
+                        request_.answer_tokens,
+                        retry},
+                       event);
+}
+
 Demand RelayedCall::demand(Time now) const {
     Demand demand;
     demand.service = plan_.service;
@@ -146,6 +160,8 @@
     }
     if (sends_++ > 0)
         log_retry(pick, now);
+    else if (!std::exchange(admitted_, true))
+        count_demand(DemandEvent::Admitted);
     begin_attempt(pick, now);
     occupy_endpoint(pick, now);
     const ForwardedFields fields{endpoint_, plan_.customer, deadline_ - now, last_event_,
@@ -262,6 +278,7 @@
 
 // Retry-After names the time when an endpoint is expected to accept requests, if it is known.
 void RelayedCall::refuse_without_endpoint(const NoPick& none, Time now) {
+    count_demand(DemandEvent::Refused);
     if (none == PickFailure::AllFull) {
         refuse(full_reason(), RetryAfterFull);
     } else if (none == PickFailure::AllThrottled) {
@@ -294,6 +311,8 @@
 void RelayedCall::on_caller_disconnected() {
     if (done_)
         return;
+    if (!response_started_)
+        count_demand(DemandEvent::Abandoned);
     const bool at_endpoint = !endpoint_.empty();
     release_endpoint();
     if (const auto left = exchange_->disconnected_at(); left && at_endpoint)
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -9,6 +9,7 @@
 #include "process/quarantine.h"
 #include "request/callerprotocol.h"
 #include "request/callerwait.h"
+#include "request/demandmeter.h"
 #include "request/directory.h"
 #include "request/windowedretrybudget.h"
 #include "version/fingerprint.h"
@@ -61,6 +62,8 @@
     virtual void mark_leaving(const EndpointId& id) = 0;
     // An endpoint did not accept a connection.
     virtual void unreachable(const EndpointId& id) = 0;
+    // Counts what callers ask for.
+    virtual void count_demand(const MeteredRequest& request, DemandEvent event) = 0;
     // The call has ended; the host may destroy it from now on.
     virtual void ended(const CallSummary& summary) = 0;
 };
@@ -71,7 +74,8 @@
     const Route* route = nullptr;
     const Service* service = nullptr;
     std::string customer;
-    Duration waited_before{}; // by the caller, in earlier attempts
+    std::uint32_t urgency = 0; // among the requests of the service; lower is more urgent
+    Duration waited_before{};  // by the caller, in earlier attempts
 };
 
 // One caller's request from its arrival to the last byte of the response: sends it to an endpoint,
@@ -110,6 +114,7 @@
     EngineDemand engine_demand() const { return {request_.prompt_tokens, low_priority_}; }
     CallEvents events_of_attempt();
     Demand demand(Time now) const;
+    void count_demand(DemandEvent event);
     // How long the caller has been waiting.
     Duration waited(Time now) const { return plan_.waited_before + (now - received_); }
     bool low_priority(Time now) const;
@@ -177,6 +182,7 @@
     std::set<EndpointId> tried_;
     std::uint32_t sends_ = 0; // attempts that reached an endpoint, or may have
     std::uint32_t runs_ = 0;  // attempts that may have run
+    bool admitted_ = false;   // an endpoint was chosen
     Time sent_at_{};
     LoadForecast forecast_;     // of the last pick
     bool low_priority_ = false; // at the present endpoint
--- a/src/request/relayedwait.cpp
+++ b/src/request/relayedwait.cpp
@@ -38,6 +38,8 @@
 }
 
 void RelayedCall::out_of_time() {
+    if (!response_started_)
+        count_demand(sends_ == 0 ? DemandEvent::Refused : DemandEvent::Abandoned);
     if (response_started_)
         abort_response("the time limit has passed");
     else if (sends_ == 0)
