--- a/tests/site/test_site.py
+++ b/tests/site/test_site.py
@@ -41,6 +41,19 @@
     run_scenario(scenario)
 
 
+# A planner that hears of no demand keeps to the shares of the document.
+def test_demand_of_callers_reaches_the_leading_control_host():
+    async def scenario(site):
+        async def is_seen():
+            await site.serves()
+            name = 'liftweir_demand_work{model="m"}'
+            return max([await site.metric(control, name) for control in site.controls]) > 0
+
+        assert await site.until(is_seen)
+
+    run_scenario(scenario)
+
+
 # The streams of a plain service were once counted as those of an engine and never left the stall
 # detector.
 def test_streams_of_a_plain_service_have_no_stall_detection():
--- a/tests/unit/metrics_test.cpp
+++ b/tests/unit/metrics_test.cpp
@@ -40,5 +40,18 @@
     EXPECT_NE(Metrics::instance().text().find("liftweir_voters 7"), std::string::npos);
 }
 
+// A repeated header, or labels in it, makes the page unreadable for Prometheus.
+TEST(MetricTable, GaugesThatDifferByLabelShareOneHeader) {
+    OwnedGauges gauges;
+    gauges.add(
+        "liftweir_demand_work", [] { return 1.0; }, "model=\"a\"");
+    gauges.add(
+        "liftweir_demand_work", [] { return 2.0; }, "model=\"b\"");
+    EXPECT_NE(Metrics::instance().text().find("# TYPE liftweir_demand_work gauge\n"
+                                              "liftweir_demand_work{model=\"a\"} 1\n"
+                                              "liftweir_demand_work{model=\"b\"} 2\n"),
+              std::string::npos);
+}
+
 } // namespace
 } // namespace liftweir
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -189,6 +189,7 @@
     const CallerRequest request = protocol.read(exchange);
     EXPECT_EQ(request.key, "k1");
     EXPECT_EQ(request.prompt_tokens, 1460u);
+    EXPECT_EQ(request.answer_tokens, 80u);
     EXPECT_EQ(request.time_limit, milliseconds(8000));
     const HttpRequestHead head = protocol.forward(exchange, {"i-1", "t", milliseconds(7500), "12"});
     EXPECT_EQ(find_header(head.headers, "Target-Instance"), "i-1");
