Book retries for refused callers, and serve callers that return

Cause: refused callers were told a fixed time, and at their return were admitted only if the forecast was below 0.4 of the goal, so that nearly all of them were refused again. A caller that returns when it was told is recognised by its time limit at any entry host, has normal priority if it was booked, and is admitted while a slot is free and the forecast is below 0.6 of the goal. New requests leave room for the retries due. RelayedCallContext::opens_in, zero for now. Metrics liftweir_returns and liftweir_retries_told. The simulator plays bursts and returns at the told time.

--- a/src/process/metricnames.cpp
+++ b/src/process/metricnames.cpp
@@ -67,6 +67,11 @@
          "Answers of endpoints that rejected a request and named a back-off time."},
         {"liftweir_held_back_refused", Counter, "requests", "", SiteEntry,
          "Requests rejected because all endpoints were at their limits or in back-off."},
+        {"liftweir_retries_told", Counter, "requests", "booked", SiteEntry,
+         "Requests rejected for lack of a group with capacity, with and without a booked retry."},
+        {"liftweir_returns", Counter, "requests", "due, served, told", SiteEntry,
+         "Retries of rejected callers by the time in seconds that they waited; due: before the "
+         "longest wait."},
         {"liftweir_calls_in_flight", Gauge, "calls", "", SiteEntry, "Calls in flight."},
         {"liftweir_taken_while_leaving", Counter, "requests", "connection", SiteEntry,
          "Requests that arrived after the signal to stop, on a kept or on a new connection."},
--- a/src/request/directory.cpp
+++ b/src/request/directory.cpp
@@ -25,6 +25,12 @@
 // Requests of normal priority are rejected only if more than this part of the group's slots is in
 // use, whatever their forecast.
 constexpr double RefuseAboveLoad = 0.35;
+// A caller that returns after a refusal is admitted only if the forecast is below this part of the
+// goal: more than for other late requests, since another refusal leaves it without any answer. With
+// 0.7, a lasting overload loses about one answer in time for each late one.
+constexpr double ReturnPartOfGoal = 0.6;
+// Part of the requests that groups serve for which retries can be booked.
+constexpr double RetryPart = 0.1;
 // Random noise on each forecast decides between forecasts that differ by less than this, so that
 // entry hosts with the same information do not all choose the same group.
 constexpr double ForecastNoise = 0.15;
@@ -50,6 +56,12 @@
 bool admits(const Demand& demand, const LoadForecast& predicted) {
     const EngineCost& engine = *demand.service->engine;
     const double goal = to_exact_millis(demand.latency_goal);
+    if (demand.caller != CallerReturn::New) {
+        const double left = to_exact_millis(demand.time_left);
+        return predicted.in_flight < engine.slots &&
+               predicted.first_event_ms <=
+                   (goal > 0 ? std::min(ReturnPartOfGoal * goal, left) : left);
+    }
     const double latest = demand.engine.low_priority
                               ? LowPriorityPartOfGoal * goal
                               : GoalTolerance * (goal - to_exact_millis(demand.waited));
@@ -219,6 +231,33 @@
     return none.wait + scaled(RetrySpread, draw);
 }
 
+// A group that opens is idle at first, so that all it serves can be retries.
+BookedRetry Directory::book_retry(const Demand& demand, Duration opens_in, Time now) {
+    const double served = sent_requests_[demand.model].per_second(now);
+    const auto groups = registry_.index().open_leads(demand.model).size();
+    RetryRequest request;
+    request.model = demand.model;
+    request.waited = demand.waited;
+    request.time_left = demand.time_left;
+    request.per_second = RetryPart * served;
+    request.per_second_once_open =
+        std::max(request.per_second, served / std::max<double>(1, static_cast<double>(groups)));
+    request.opens_in = opens_in;
+    request.draw = std::uniform_real_distribution<double>(0, 1)(random_);
+    return retries_.book(request, now);
+}
+
+// The retries arrive at any entry host, and each host has booked its share of them.
+void Directory::add_due_retries(LoadForecast& predicted, const Demand& demand,
+                                const ModelShape& model, std::size_t groups, Time now) const {
+    const double due =
+        total_load_ratio_ * retries_.due(demand.model, now) / static_cast<double>(groups);
+    const EngineCost& engine = *demand.service->engine;
+    predicted.in_flight += due;
+    predicted.first_event_ms +=
+        due * model.time_factor * demand.engine.prompt_tokens / engine.prefill_tokens_per_ms;
+}
+
 void Directory::Excluded::add(const EndpointId& endpoint, Duration throttled_for) {
     if (!soonest_.empty() && throttled_for >= wait_)
         return;
@@ -312,9 +351,13 @@
             continue;
         const ModelShape model = shape_at(*lead.report, *shape, engine);
         const LoadForecast predicted = forecast_at(lead, model, engine, demand.engine, with_others);
-        if (!admits(demand, admitted_demand == demand.engine
-                                ? predicted
-                                : forecast_at(lead, model, engine, admitted_demand, with_others)))
+        LoadForecast admission =
+            admitted_demand == demand.engine
+                ? predicted
+                : forecast_at(lead, model, engine, admitted_demand, with_others);
+        if (demand.caller == CallerReturn::New && demand.time_left > Duration::zero())
+            add_due_retries(admission, demand, model, leads.size(), now);
+        if (!admits(demand, admission))
             continue;
         candidates.push_back(
             {{lead.report->id, lead.report->address, predicted, longest_pass(engine, model),
--- a/src/request/directory.h
+++ b/src/request/directory.h
@@ -5,6 +5,7 @@
 #define DIRECTORY_H_INCLUDED
 
 #include "process/registry.h"
+#include "request/appointments.h"
 #include "request/coldpace.h"
 #include "request/endpointlimits.h"
 #include "request/groupload.h"
@@ -52,6 +53,8 @@
     EngineDemand engine;
     Duration latency_goal{}; // until the first event
     Duration waited{};       // how long the caller has been waiting
+    Duration time_left{};    // until the caller gives up; zero once its response has started
+    CallerReturn caller = CallerReturn::New;
 };
 
 // Why no endpoint was picked.
@@ -114,11 +117,15 @@
     // A prompt was sent to a group of the model.
     void note_sent(const std::string& model, std::uint32_t prompt_tokens, Time now) {
         sent_tokens_[model].add(prompt_tokens, now);
+        sent_requests_[model].add(1, now);
     }
     // Control dissolved these groups; what their leads reported last no longer counts.
     void dissolve(const std::vector<Epoch>& epochs) {
         dissolved_.insert(epochs.begin(), epochs.end());
     }
+    // Time for the retry of a caller that found all groups full. `opens_in` is the time until the
+    // next group of the model opens; zero if unknown.
+    BookedRetry book_retry(const Demand& demand, Duration opens_in, Time now);
     // Forgets endpoints that the registry has dropped and that have no request of this host.
     void expire(Time now);
 
@@ -182,6 +189,9 @@
     // Forecast for one more request at the group.
     LoadForecast forecast_at(const Lead& lead, const ModelShape& model, const EngineCost& engine,
                              const EngineDemand& demand, bool with_others) const;
+    // Adds the booked retries that are due now, which the groups of the model share.
+    void add_due_retries(LoadForecast& predicted, const Demand& demand, const ModelShape& model,
+                         std::size_t groups, Time now) const;
     const Candidate& choose_lowest(const std::vector<Candidate>& candidates);
     const Candidate& choose_levelled(const std::vector<Candidate>& candidates,
                                      const ModelShape& model, const EngineCost& engine,
@@ -195,6 +205,8 @@
     Time load_of_others_received_{};
     Duration load_report_interval_{};
     std::map<std::string, ArrivalRate> sent_tokens_; // prompt tokens that this host sent, by model
+    std::map<std::string, ArrivalRate> sent_requests_; // that this host sent, by model
+    RetryBook retries_;
     std::set<Epoch> dissolved_;
     EndpointLimits limits_;
     ZoneUse zones_;
--- a/src/request/precedence.cpp
+++ b/src/request/precedence.cpp
@@ -13,10 +13,13 @@
 } // namespace
 
 // The streams of a lost group are late as soon as the loss is detected, but their callers wait for
-// seconds. If their prompts were prefilled first, new requests would become late as well.
+// seconds. If their prompts were prefilled first, new requests would become late as well. A caller
+// with a booking is late too, but a second refusal would leave it without any answer.
 bool is_bound_to_be_late(const CallProgress& call) {
     if (call.streaming)
         return call.pause_goal > Duration::zero() && call.stalled_for > call.pause_goal;
+    if (call.booked)
+        return false;
     return call.latency_goal > Duration::zero() &&
            call.waited > call.latency_goal / LowPriorityGoalDivisor;
 }
--- a/src/request/precedence.h
+++ b/src/request/precedence.h
@@ -10,6 +10,7 @@
 // Progress of a caller's request.
 struct CallProgress {
     bool streaming = false;  // the caller has received the first event
+    bool booked = false;     // the caller returns when it was told to, and was probably booked
     Duration waited{};       // since the caller's first attempt
     Duration stalled_for{};  // since the last event, if the stream has begun
     Duration latency_goal{}; // until the first event; zero if none is set
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -19,6 +19,16 @@
 // Beyond the permitted number of runs, one attempt that provably did not run may be retried.
 constexpr std::uint32_t ExtraAttempts = 1;
 
+// Times that callers were told, from which they have returned.
+std::string_view bucket_of(Duration told) {
+    using std::chrono::milliseconds;
+    if (told < milliseconds(1200))
+        return "1.0-1.2";
+    if (told < milliseconds(1600))
+        return "1.2-1.6";
+    return told < milliseconds(2000) ? "1.6-2.0" : "above";
+}
+
 std::string millis_text(Duration d) {
     return std::to_string(to_millis(d));
 }
@@ -49,11 +59,21 @@
     demand.engine = {request_.prompt_tokens, low_priority(now)};
     demand.latency_goal = plan_.route->latency_goal;
     demand.waited = waited(now);
+    if (!response_started_) {
+        demand.time_left = deadline_ - now;
+        demand.caller = caller_return();
+    }
     return demand;
 }
 
+// By the wait before this call alone: a long time within the call is no return.
+CallerReturn RelayedCall::caller_return() const {
+    return classify_return(plan_.waited_before, deadline_ - received_);
+}
+
 bool RelayedCall::low_priority(Time now) const {
-    return is_bound_to_be_late({response_started_, waited(now),
+    return is_bound_to_be_late({response_started_, caller_return() == CallerReturn::Booked,
+                                waited(now),
                                 response_started_ ? now - last_forwarded_ : Duration::zero(),
                                 plan_.route->latency_goal, plan_.route->pause_goal});
 }
@@ -263,7 +283,7 @@
 // Retry-After names the time when an endpoint is expected to accept requests, if it is known.
 void RelayedCall::refuse_without_endpoint(const NoPick& none, Time now) {
     if (none == PickFailure::AllFull) {
-        refuse(full_reason(), RetryAfterFull);
+        refuse(full_reason(), uses_engine() ? book_retry(now) : RetryAfterFull);
     } else if (none == PickFailure::AllThrottled) {
         Metrics::instance().counter("liftweir_held_back_refused").add();
         const Duration after = host_.directory().retry_delay(none, now);
@@ -271,10 +291,31 @@
                std::max(after, CallerWaitEstimator::MinRetryDelay));
     } else {
         refuse(sends_ == 0 ? "no endpoint is in service" : "no other endpoint is in service",
-               RetryAfterNoGroup);
+               opens_in() > Duration::zero() ? book_retry(now) : RetryAfterNoGroup);
     }
 }
 
+Duration RelayedCall::book_retry(Time now) {
+    const BookedRetry retry = host_.directory().book_retry(demand(now), opens_in(), now);
+    Metrics::instance()
+        .counter("liftweir_retries_told", retry.booked ? "booked=\"yes\"" : "booked=\"no\"")
+        .add();
+    return retry.retry_after;
+}
+
+// The wait before this call is a little longer than the time that the caller was told, as the
+// refused call may have been held.
+void RelayedCall::count_return(int status) const {
+    const CallerReturn caller = caller_return();
+    if (caller == CallerReturn::New)
+        return;
+    const std::string labels = std::string("due=\"") +
+                               (caller == CallerReturn::Booked ? "yes" : "no") + "\",served=\"" +
+                               (status_class(status) == 2 ? "yes" : "no") + "\",told=\"" +
+                               std::string(bucket_of(plan_.waited_before)) + "\"";
+    Metrics::instance().counter("liftweir_returns", labels).add();
+}
+
 void RelayedCall::fail(int status, const char* why) {
     if (done_)
         return;
@@ -314,6 +355,7 @@
     if (std::exchange(done_, true))
         return;
     release_endpoint();
+    count_return(status);
     const Duration took = BootClock::now() - received_;
     log(LogLevel::Info, "call",
         {{"request", request_.id},
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -61,6 +61,12 @@
     virtual void mark_leaving(const EndpointId& id) = 0;
     // An endpoint did not accept a connection.
     virtual void unreachable(const EndpointId& id) = 0;
+    // Time until the next group of the model opens; zero if unknown.
+    virtual Duration opens_in(const std::string& service, const std::string& model) const {
+        (void)service;
+        (void)model;
+        return Duration::zero();
+    }
     // The call has ended; the host may destroy it from now on.
     virtual void ended(const CallSummary& summary) = 0;
 };
@@ -113,6 +119,7 @@
     // How long the caller has been waiting.
     Duration waited(Time now) const { return plan_.waited_before + (now - received_); }
     bool low_priority(Time now) const;
+    CallerReturn caller_return() const;
     bool can_send_to_another(Time now);
     std::uint32_t runs_allowed() const;
     const char* full_reason() const {
@@ -153,6 +160,9 @@
     void fail_or_abort(const char* why);
     void refuse(const char* why, Duration retry_after);
     void refuse_without_endpoint(const NoPick& none, Time now);
+    Duration book_retry(Time now);
+    Duration opens_in() const { return host_.opens_in(plan_.service->name, request_.model); }
+    void count_return(int status) const;
     void fail(int status, const char* why);
     void abort_response(const char* why);
     void on_caller_disconnected();
--- a/tests/unit/groupsimulator.cpp
+++ b/tests/unit/groupsimulator.cpp
@@ -140,32 +140,55 @@
         ++results_[request.kind].refused;
         return;
     }
-    request.retry_at = now + RetryAfter;
+    request.retry_at = now + retry_delay(request, now);
     refused_.push_back(request);
 }
 
+Duration GroupSimulator::retry_delay(const Request& request, Time now) {
+    if (time_limit_ == Duration::zero())
+        return RetryAfter;
+    return hosts_[request.host].book_retry(demand_of(request, now), {}, now).retry_after;
+}
+
 void GroupSimulator::retry_refused(Time now) {
-    while (!refused_.empty() && refused_.front().retry_at <= now) {
-        Request request = refused_.front();
-        refused_.pop_front();
+    for (auto next = refused_.begin(); next != refused_.end();) {
+        if (next->retry_at > now) {
+            ++next;
+            continue;
+        }
+        Request request = *next;
+        next = refused_.erase(next);
+        ++results_[request.kind].returned;
         request.host = random_() % hosts_.size();
+        if (time_limit_ > Duration::zero())
+            request.caller =
+                classify_return(now - request.asked, request.asked + time_limit_ - now);
         if (!send(request, now))
             refuse(request, now);
     }
 }
 
-// Sends the request to a group. False if no group accepts it now.
-bool GroupSimulator::send(Request request, Time now) {
-    request.demand.low_priority = is_bound_to_be_late(
-        {request.started, now - request.asked, now - request.last, goal_, pause_goal_});
+Demand GroupSimulator::demand_of(const Request& request, Time now) const {
     Demand demand;
     demand.service = &service_;
     demand.model = Model;
     demand.engine = request.demand;
     demand.latency_goal = goal_;
     demand.waited = now - request.asked;
+    if (time_limit_ > Duration::zero() && !request.started) {
+        demand.time_left = request.asked + time_limit_ - now;
+        demand.caller = request.caller;
+    }
+    return demand;
+}
+
+// Sends the request to a group. False if no group accepts it now.
+bool GroupSimulator::send(Request request, Time now) {
+    request.demand.low_priority =
+        is_bound_to_be_late({request.started, request.caller == CallerReturn::Booked,
+                             now - request.asked, now - request.last, goal_, pause_goal_});
     Directory& host = hosts_[request.host];
-    const auto pick = host.pick(demand, {}, now);
+    const auto pick = host.pick(demand_of(request, now), {}, now);
     if (!pick)
         return false;
     EndpointUse& use = host.use(pick->endpoint);
@@ -222,6 +245,9 @@
         request->late = request->late || (request->started ? now - request->last > pause_goal_
                                                            : now - request->asked > goal_);
         hosts_[request->host].use(group.lead).on_event(request->demand, !request->decoding, now);
+        request->given_up =
+            request->given_up || (!request->started && time_limit_ > Duration::zero() &&
+                                  now - request->asked > time_limit_);
         request->started = request->decoding = true;
         request->last = now;
         if (--request->events_left > 0) {
@@ -229,7 +255,12 @@
             continue;
         }
         SimulatedResult& result = results_[request->kind];
-        ++(request->late ? result.late : result.in_time);
+        if (request->given_up) {
+            ++result.refused;
+        } else {
+            ++(request->late ? result.late : result.in_time);
+            result.served_on_return += request->retried ? 1 : 0;
+        }
         finish(group, *request);
         request = group.requests.erase(request);
     }
@@ -270,9 +301,10 @@
         if (exchanges_shares_ && at % LoadReportInterval == Duration::zero())
             report_load(now);
         retry_refused(now);
+        const double load = at >= burst_.begin && at < burst_.end ? burst_.factor : 1;
         for (std::size_t i = 0; i < kinds_.size(); ++i)
             if (std::uniform_real_distribution<double>(0, 1)(random_) <
-                kinds_[i].per_second * step_s)
+                kinds_[i].per_second * load * step_s)
                 ask(i, now);
         for (Group& group : groups_)
             step(group, now);
--- a/tests/unit/groupsimulator.h
+++ b/tests/unit/groupsimulator.h
@@ -30,6 +30,8 @@
     int in_time = 0; // first event and every pause between events within their goals
     int late = 0;
     int refused = 0;
+    int returned = 0;         // callers that retried after a rejection
+    int served_on_return = 0; // of these
 
     double in_time_part() const { return static_cast<double>(in_time) / std::max(1, asked); }
     double refused_part() const { return static_cast<double>(refused) / std::max(1, asked); }
@@ -46,11 +48,16 @@
     // Sends each entry host the load of the others, as the control host does.
     void exchange_shares() { exchanges_shares_ = true; }
 
+    // Callers have this time limit and return at the time that they are told.
+    void book_retries(Duration time_limit) { time_limit_ = time_limit; }
+
     // Simulates `length`. At each time in `losses` a group is lost; another one serves `repair`
     // later.
     std::vector<SimulatedResult> simulate(const std::vector<SimulatedRequestKind>& kinds,
                                           Duration goal, Duration pause_goal, Duration length,
                                           const std::vector<Duration>& losses, Duration repair);
+    // In this period the load is multiplied by the factor.
+    void add_burst(Duration begin, Duration end, double factor) { burst_ = {begin, end, factor}; }
 
   private:
     struct Request {
@@ -63,9 +70,17 @@
         Time last{};     // time of the last event, or of the first attempt
         Time retry_at{}; // time of the retry after a rejection
         bool retried = false;
+        CallerReturn caller = CallerReturn::New;
         bool started = false;  // its caller has received the first event
         bool decoding = false; // at its present group
         bool late = false;
+        bool given_up = false; // its caller left before the first event
+    };
+
+    struct Burst {
+        Duration begin{};
+        Duration end{};
+        double factor = 1;
     };
 
     struct Group {
@@ -81,6 +96,8 @@
     void ask(std::size_t kind, Time now);
     bool send(Request request, Time now);
     void refuse(Request request, Time now);
+    Duration retry_delay(const Request& request, Time now);
+    Demand demand_of(const Request& request, Time now) const;
     void leave_stalled_groups(Time now);
     void move_requests(Group& group, std::size_t host, Time now);
     void resume_waiting(Time now);
@@ -102,6 +119,8 @@
     EntryLoadTable load_table_;
     Duration goal_{};
     Duration pause_goal_{};
+    Duration time_limit_{}; // zero: rejected callers return after a fixed time
+    Burst burst_;
     std::vector<SimulatedRequestKind> kinds_;
     std::vector<SimulatedResult> results_; // by kind
     Epoch next_epoch_ = 1;
