End answers that callers do not read

Cause: an entry host held up to 256 KiB of each stream and 8 MiB of each whole answer for a caller that does not read, each twice (queue and write buffer), and no sum was bounded. A whole answer was held until 60 s without a finished write, which also cut off callers that read slowly; a stream kept its endpoint waiting until the route's time limit.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -49,6 +49,8 @@
     }
     Time received() const override { return received_; }
     bool on_reused_connection() const override { return message_.on_reused_connection; }
+    ConnectionId connection() const override { return connection_->id(); }
+    void set_label(std::string label) override { connection_->set_label(std::move(label)); }
 
     void respond(int status, const HttpHeaders& headers, std::string body) override {
         if (std::exchange(done_, true))
@@ -186,6 +188,22 @@
     }
     void set_limits(const HttpServerLimits& limits) override { core_->limits = limits; }
     std::size_t connections() const override { return core_->connections.size(); }
+    std::size_t held_bytes() const override { return core_->held_bytes; }
+    std::vector<HeldResponse> held_responses() const override {
+        std::vector<HeldResponse> out;
+        for (const ConnectionPtr& connection : core_->connections)
+            if (const HeldResponse held = connection->held(); held.bytes > 0)
+                out.push_back(held);
+        return out;
+    }
+    std::string reset(ConnectionId id) override {
+        for (const ConnectionPtr& connection : core_->connections)
+            if (connection->id() == id) {
+                connection->reset();
+                return connection->label();
+            }
+        return {};
+    }
 
   private:
     std::shared_ptr<ServerCore> core_;
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -18,6 +18,18 @@
 
 namespace liftweir {
 
+// Number of a connection, unique within its server.
+using ConnectionId = std::uint64_t;
+
+// What is held of the responses on one connection.
+struct HeldResponse {
+    ConnectionId connection = 0;
+    std::size_t bytes = 0; // in this process and, not acknowledged yet, in the kernel's send buffer
+    std::uint64_t acknowledged = 0; // bytes, by the caller's host since the connection was opened
+
+    auto operator<=>(const HeldResponse&) const = default;
+};
+
 // One request and the means to respond to it. All calls are made on the server's io_context thread.
 class HttpExchange {
   public:
@@ -36,6 +48,9 @@
     virtual Time received() const = 0;
     // True if an earlier request was answered on the same connection.
     virtual bool on_reused_connection() const = 0;
+    virtual ConnectionId connection() const = 0;
+    // Names the request in what the server reports about its connection.
+    virtual void set_label(std::string label) = 0;
 
     // Sends a complete response.
     virtual void respond(int status, const HttpHeaders& headers, std::string body) = 0;
@@ -88,6 +103,14 @@
     // Takes effect with the next request on every connection.
     virtual void set_limits(const HttpServerLimits& limits) = 0;
     virtual std::size_t connections() const = 0;
+    // Bytes of responses that this process holds on all connections, without the kernel's.
+    virtual std::size_t held_bytes() const = 0;
+    // The connections with a response in progress, or not fully passed to the kernel, of which
+    // bytes are held.
+    virtual std::vector<HeldResponse> held_responses() const = 0;
+    // Closes a connection and discards what the kernel holds for it. Returns the label of its last
+    // request; empty if there is none.
+    virtual std::string reset(ConnectionId connection) = 0;
 };
 
 // Throws std::system_error if the address can not be bound.
--- a/src/connection/serverconnection.cpp
+++ b/src/connection/serverconnection.cpp
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <climits>
 #include <cstdio>
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <utility>
 
 namespace liftweir {
@@ -20,15 +22,24 @@
 // Bytes of later requests that are buffered while one is processed.
 constexpr std::size_t MaxBufferedBytes = 64u << 10;
 constexpr std::size_t MaxHeaderCount = 128;
+// The kernel holds at most about this many bytes that are not in transit. Without it, it accepts
+// megabytes for a caller that does not read, which no limit of this process covers.
+constexpr int MaxUnsentInKernel = 128 << 10;
+// Larger write buffers are freed after use: an idle connection would keep the size of its largest
+// response.
+constexpr std::size_t MaxKeptBuffer = 16u << 10;
+
+using UnsentLimit = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
 
 } // namespace
 
 ServerConnection::ServerConnection(asio::ip::tcp::socket socket, std::shared_ptr<ServerCore> core)
-    : socket_(std::move(socket)), core_(std::move(core)) {
+    : socket_(std::move(socket)), core_(std::move(core)), id_(++core_->last_id) {
     http_parser_init(&parser_, HTTP_REQUEST);
     parser_.data = this;
     asio::error_code ignored;
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket_.set_option(UnsentLimit(MaxUnsentInKernel), ignored);
 }
 
 void ServerConnection::start() {
@@ -242,6 +253,7 @@
             asio::post(core_->io, [on_written = std::move(on_written)] { on_written(false); });
         return;
     }
+    set_held(held_ + bytes.size());
     queue_.push_back({std::move(bytes), std::move(on_written)});
     if (std::exchange(write_active_, true))
         return;
@@ -252,26 +264,68 @@
 void ServerConnection::write_next() {
     if (phase_ == Phase::Closed || queue_.empty()) {
         write_active_ = false;
-        write_since_ = {};
+        read_last_ = {};
         if (close_when_written_)
             close();
         return;
     }
     writing_ = std::exchange(queue_, {});
     wire_.clear();
-    for (const PendingWrite& item : writing_)
-        wire_ += item.bytes;
-    write_since_ = BootClock::now();
-    asio::async_write(socket_, asio::buffer(wire_),
-                      [self = shared_from_this()](asio::error_code error, std::size_t) {
-                          const auto written = std::exchange(self->writing_, {});
-                          if (error)
-                              self->close();
-                          for (const PendingWrite& item : written)
-                              if (item.on_written)
-                                  item.on_written(!error);
-                          self->write_next();
-                      });
+    for (PendingWrite& item : writing_)
+        wire_ += std::exchange(item.bytes, {});
+    wire_sent_ = 0;
+    if (read_last_ == Time{})
+        read_last_ = BootClock::now();
+    write_rest();
+}
+
+void ServerConnection::write_rest() {
+    socket_.async_write_some(
+        asio::buffer(wire_) + wire_sent_,
+        [self = shared_from_this()](asio::error_code error, std::size_t bytes) {
+            self->wire_sent_ += bytes;
+            self->accepted_ += bytes;
+            const bool complete = self->wire_sent_ == self->wire_.size();
+            if (!error && !complete && self->phase_ != Phase::Closed) {
+                self->write_rest();
+                return;
+            }
+            if (error)
+                self->close();
+            self->on_batch_written(complete);
+        });
+}
+
+void ServerConnection::on_batch_written(bool complete) {
+    const auto written = std::exchange(writing_, {});
+    set_held(held_ - wire_.size());
+    wire_.clear();
+    if (wire_.capacity() > MaxKeptBuffer)
+        wire_.shrink_to_fit();
+    for (const PendingWrite& item : written)
+        if (item.on_written)
+            item.on_written(complete);
+    write_next();
+}
+
+void ServerConnection::set_held(std::size_t bytes) {
+    core_->held_bytes += bytes - held_;
+    held_ = bytes;
+}
+
+// Bytes that the kernel has accepted and the caller's host has not acknowledged.
+std::size_t ServerConnection::unacknowledged() {
+    int bytes = 0;
+    if (phase_ == Phase::Closed || ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) != 0)
+        return 0;
+    return std::min<std::uint64_t>(static_cast<std::uint64_t>(std::max(bytes, 0)), accepted_);
+}
+
+HeldResponse ServerConnection::held() {
+    if (phase_ != Phase::Working && !write_active_)
+        return {id_, 0, 0};
+    const std::size_t in_kernel = unacknowledged();
+    return {id_, held_ + in_kernel, accepted_ - in_kernel};
 }
 
 // The complete response is in the write queue; the next request may be parsed.
@@ -321,7 +375,7 @@
         close();
         return;
     }
-    if (write_active_ && write_since_ != Time{} && now - write_since_ > WriteTimeout) {
+    if (write_active_ && !reads(now)) {
         close();
         return;
     }
@@ -337,6 +391,22 @@
         close();
 }
 
+// Whether the caller's host has acknowledged any byte within the time limit. The kernel accepts
+// further bytes only once much of its buffer is free, so a slow caller shows here first.
+bool ServerConnection::reads(Time now) {
+    const std::uint64_t acked = accepted_ - unacknowledged();
+    if (acked != last_acked_ || read_last_ == Time{})
+        read_last_ = now;
+    last_acked_ = acked;
+    return now - read_last_ <= WriteTimeout;
+}
+
+void ServerConnection::reset() {
+    asio::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 void ServerConnection::notify_disconnect() {
     if (const auto callback = std::exchange(on_disconnect_, nullptr))
         callback();
@@ -353,9 +423,11 @@
     socket_.close(ignored);
     asio::post(core_->io, [self] {
         self->core_->connections.erase(self);
-        for (const PendingWrite& item : std::exchange(self->queue_, {}))
+        for (const PendingWrite& item : std::exchange(self->queue_, {})) {
+            self->set_held(self->held_ - item.bytes.size());
             if (item.on_written)
                 item.on_written(false);
+        }
         self->notify_disconnect();
     });
 }
--- a/src/connection/serverconnection.h
+++ b/src/connection/serverconnection.h
@@ -44,6 +44,8 @@
     std::function<void(const ConnectionPtr&, RequestMessage&&)> on_request;
     ServerConnections connections{};
     bool closing = false; // connections are closed after their next response
+    ConnectionId last_id = 0;
+    std::size_t held_bytes = 0; // of responses, on all connections
 };
 
 // One caller's connection: reads one request at a time and writes its response.
@@ -55,6 +57,13 @@
     // Applies the server's time limits.
     void sweep(Time now);
     void close();
+    // Closes the connection and discards what the kernel holds for it.
+    void reset();
+    ConnectionId id() const { return id_; }
+    const std::string& label() const { return label_; }
+    void set_label(std::string label) { label_ = std::move(label); }
+    // What is held of a response that is in progress or not fully passed to the kernel.
+    HeldResponse held();
     // True between two requests, with nothing left to send.
     bool idle() const { return phase_ == Phase::Idle && reused_ && !write_active_; }
     // True while a request is being read or processed, or a response is not fully written.
@@ -86,6 +95,12 @@
         std::function<void(bool)> on_written;
     };
 
+    void set_held(std::size_t bytes);
+    std::size_t unacknowledged();
+    bool reads(Time now);
+    void write_rest();
+    void on_batch_written(bool complete);
+
     static const http_parser_settings& parser_settings();
     static ServerConnection& of(http_parser* parser) {
         return *static_cast<ServerConnection*>(parser->data);
@@ -110,6 +125,8 @@
     asio::ip::tcp::socket socket_;
     // Outlives the server while this connection has pending handlers in the event loop.
     std::shared_ptr<ServerCore> core_;
+    ConnectionId id_;
+    std::string label_; // of the last request
     http_parser parser_{};
     Phase phase_ = Phase::Idle;
     Time deadline_{};
@@ -125,10 +142,14 @@
     bool reused_ = false;             // an earlier request was answered on this connection
     bool continue_sent_ = false;      // 100 Continue was sent for this request
     std::vector<PendingWrite> queue_;
-    std::vector<PendingWrite> writing_;
+    std::vector<PendingWrite> writing_; // their bytes are in wire_
     std::string wire_;
+    std::size_t wire_sent_ = 0;    // bytes of wire_ that the kernel has accepted
+    std::size_t held_ = 0;         // bytes in queue_ and wire_
+    std::uint64_t accepted_ = 0;   // bytes that the kernel has accepted since the start
+    std::uint64_t last_acked_ = 0; // at the last sweep
     bool write_active_ = false;
-    Time write_since_{};
+    Time read_last_{}; // when the caller's host was last seen to acknowledge bytes
     std::optional<Time> disconnected_at_; // when the caller's close was noticed
     std::function<void()> on_disconnect_;
 };
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -41,6 +41,14 @@
 // without a stall.
 constexpr int StallRecordIntervals = 10;
 
+// Callers that do not read may take this part of the process's memory. Answers that are read may
+// take as much again for a moment, and the kernel's buffers need up to twice what they hold.
+constexpr std::size_t UnreadPartOfMemory = 4;
+
+std::size_t max_unread_bytes(std::uint32_t memory_mb) {
+    return (std::size_t{memory_mb} << 20) / UnreadPartOfMemory;
+}
+
 HttpServerLimits limits_of(const CallerLimits& limits) {
     HttpServerLimits out;
     out.header_bytes = limits.header_bytes;
@@ -63,6 +71,7 @@
       directory_(identity_.incarnation),
       pool_(make_channel_pool(io)),
       random_(static_cast<std::minstd_rand::result_type>(identity_.incarnation)),
+      unread_(max_unread_bytes(config_.memory_mb)),
       ticker_(io, TickInterval, [this] { tick(); }) {
     directory_.zones().set_return_delay(config_.bounds.heartbeat_interval + HeartbeatSlack);
 }
@@ -87,6 +96,7 @@
                 [this] { return static_cast<double>(directory_.limits().book().limited()); });
     gauges_.add("liftweir_zones_out_of_use",
                 [this] { return static_cast<double>(directory_.zones().current().zones.size()); });
+    gauges_.add("liftweir_unread_bytes", [this] { return static_cast<double>(unread_.bytes()); });
     gauges_.add("liftweir_document_version",
                 [this] { return static_cast<double>(document_.version); });
     gauges_.add("liftweir_connections_opened",
@@ -166,6 +176,7 @@
 void Gateway::on_request(const std::shared_ptr<HttpExchange>& exchange) {
     const CallerRequest request = protocol_.read(*exchange);
     const Time now = BootClock::now();
+    exchange->set_label(request.id);
     if (!request.wellformed) {
         respond_error(*exchange, request, 400, "bad_request", Duration::zero());
         return;
@@ -283,6 +294,7 @@
     admit_queued(now);
     request_agreed_ranges(now);
     check_stalls(now);
+    end_unread(now);
     for (const auto& call : calls())
         call->tick(now);
     std::erase_if(calls_, [](const auto& call) { return call->done(); });
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -15,6 +15,7 @@
 #include "request/entryloadtable.h"
 #include "request/relayedcall.h"
 #include "request/startupqueue.h"
+#include "request/unreadanswers.h"
 #include "version/deployment.h"
 
 #include <functional>
@@ -119,6 +120,8 @@
     void tick();
     void check_stalls(Time now);
     void report_stall(const EndpointId& id, Time now);
+    void end_unread(Time now);
+    void end_unread(const EndedAnswer& ended);
 
     // shutdown
     bool ready() const;
@@ -172,6 +175,8 @@
     Time renew_due_{};                           // of the source, or of any other control host
     std::map<std::string, Time> link_renew_due_; // by link address
     Time housekeeping_due_{};
+    UnreadAnswers unread_;
+    Time unread_due_{}; // of the next measurement of the answers that callers have not read
     Time leaving_since_{};
     Time drained_since_{};
     bool stopped_ = false; // the last answers are being sent; no request is admitted any more
--- a/src/process/siteconfig.cpp
+++ b/src/process/siteconfig.cpp
@@ -61,11 +61,13 @@
         out = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
     }
     template <typename Integer>
-    void integer(const char* key, Integer& out, double max) {
+    void integer(const char* key, Integer& out, double max, double min = 0) {
         double value = static_cast<double>(out);
         number(key, value);
         if (value > max)
             set_error(key, "a whole number of at most " + std::to_string(max));
+        else if (value < min)
+            set_error(key, "a whole number of at least " + std::to_string(min));
         else
             out = static_cast<Integer>(value);
     }
@@ -142,6 +144,7 @@
     reader.address("ready", config.ready);
     reader.address("metrics", config.metrics);
     reader.integer("tolerated_hosts", config.tolerated_hosts, 10);
+    reader.integer("memory_mb", config.memory_mb, 1e9, 1);
     reader.millis("beat_ms", bounds.heartbeat_interval);
     reader.millis("drain_ms", bounds.drain);
     reader.seconds("grace_s", bounds.grace);
--- a/src/process/siteconfig.h
+++ b/src/process/siteconfig.h
@@ -48,6 +48,7 @@
     std::string ready;                 // ip:port for the load balancer's readiness check
     std::string metrics;               // ip:port
     std::uint32_t tolerated_hosts = 1; // control hosts that may fail at the same time
+    std::uint32_t memory_mb = 256;     // that this process may use
     SiteBounds bounds;
 
     auto operator<=>(const SiteConfig&) const = default;
--- a/src/request/relayedanswer.cpp
+++ b/src/request/relayedanswer.cpp
@@ -111,15 +111,19 @@
 void RelayedCall::forward_bytes(std::string bytes) {
     const std::size_t size = bytes.size();
     unwritten_ += size;
-    if (unwritten_ > MaxUnwritten && call_)
+    if (unwritten_ > MaxUnwritten && call_) {
         call_->pause();
+        endpoint_waits_ = true;
+    }
     exchange_->write(std::move(bytes), [weak = weak_from_this(), size](bool) {
         const auto self = weak.lock();
         if (!self)
             return;
         self->unwritten_ -= size;
-        if (self->unwritten_ < MaxUnwritten / 2 && self->call_)
+        if (self->unwritten_ < MaxUnwritten / 2 && self->call_) {
             self->call_->resume();
+            self->endpoint_waits_ = false;
+        }
     });
 }
 
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -176,6 +176,7 @@
     sent_at_ = now;
     low_priority_ = low_priority(now);
     first_seen_ = false;
+    endpoint_waits_ = false;
     head_ = {};
     signals_ = {};
     body_.clear();
@@ -310,6 +311,10 @@
         fail(502, "the process is shutting down");
 }
 
+void RelayedCall::end_unread() {
+    finish(0, "caller does not read");
+}
+
 void RelayedCall::finish(int status, const char* why) {
     if (std::exchange(done_, true))
         return;
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -92,6 +92,11 @@
     void stalled(const EndpointId& lead, Time now);
     // Ends the call at once, since the process is shutting down.
     void abandon();
+    // Ends the call after its connection was reset, and cancels the work of the endpoint.
+    void end_unread();
+    ConnectionId connection() const { return exchange_->connection(); }
+    // The endpoint's response is not read until the caller reads.
+    bool endpoint_waits() const { return endpoint_waits_; }
     bool done() const { return done_; }
 
   private:
@@ -195,6 +200,7 @@
     Duration longest_pause_{};
     std::uint32_t resumed_ = 0;
     std::size_t unwritten_ = 0;
+    bool endpoint_waits_ = false;
     std::optional<Duration> cancel_delay_; // from the caller's disconnect to the cancellation
     std::optional<Fingerprint> fingerprint_;
 };
