A paused call keeps its connection to the endpoint

Cause: only handlers of the event loop owned a connection in use. Once a slow caller paused a stream, no read was pending, so the connection was destroyed and closed; resume() found nothing, and the caller hung until its time limit. Found because the stand-in saw connections closed that nothing had ended. Change: the handle of a call owns its connection. Measured: ChannelTest.APausedCallGoesOnWhenItIsResumed fails without the change (the call never ends) and passes with it. Conclusion: backpressure to endpoints works now, which makes their own limit on unread answers matter.

--- a/src/connection/httpchannel.cpp
+++ b/src/connection/httpchannel.cpp
@@ -36,33 +36,34 @@
     std::uint64_t opened_ = 0;
 };
 
-// The handle of a call. The call may have ended, and its connection may serve another call.
+// The handle of a call. The call may have ended, and its connection may serve another call. It owns
+// the connection, since no handler of the event loop refers to one that is paused.
 class Handle final : public HttpCallHandle {
   public:
     Handle(const ChannelPtr& channel, std::uint64_t call) : channel_(channel), call_(call) {}
     ~Handle() override {
-        if (const auto channel = channel_.lock())
-            channel->cancel(call_);
+        if (channel_)
+            channel_->cancel(call_);
     }
     Handle(const Handle&) = delete;
     Handle& operator=(const Handle&) = delete;
 
     void cancel() override {
-        if (const auto channel = channel_.lock())
-            channel->cancel(call_);
+        if (channel_)
+            channel_->cancel(call_);
         channel_.reset();
     }
     void pause() override {
-        if (const auto channel = channel_.lock())
-            channel->pause();
+        if (channel_)
+            channel_->pause();
     }
     void resume() override {
-        if (const auto channel = channel_.lock())
-            channel->resume();
+        if (channel_)
+            channel_->resume();
     }
 
   private:
-    std::weak_ptr<Channel> channel_;
+    ChannelPtr channel_;
     std::uint64_t call_;
 };
 
--- a/tests/unit/httpchannel_test.cpp
+++ b/tests/unit/httpchannel_test.cpp
@@ -94,6 +94,33 @@
     EXPECT_EQ(accepted_, 1);
 }
 
+// Guards against a connection that nothing refers to while it is paused: it was closed without a
+// word, and its call never ended.
+TEST_F(ChannelTest, APausedCallGoesOnWhenItIsResumed) {
+    const std::string body(100000, 'x');
+    scripts_ = {{"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + body}};
+    std::size_t got = 0;
+    std::optional<CallEnd> end;
+    std::unique_ptr<HttpCallHandle> handle;
+    CallEvents events;
+    events.on_body = [&](std::string_view bytes) {
+        if (got == 0)
+            handle->pause();
+        got += bytes.size();
+    };
+    events.on_end = [&](CallEnd how, bool) { end = how; };
+    handle = pool_->start(address_, {"GET", "/", {{"Host", "x"}}}, "", {}, std::move(events));
+    io_.run_for(std::chrono::milliseconds(50));
+    EXPECT_GT(got, 0u);
+    EXPECT_LT(got, body.size());
+    EXPECT_FALSE(end);
+    handle->resume();
+    for (int i = 0; i < 200 && !end; ++i)
+        io_.run_for(std::chrono::milliseconds(5));
+    EXPECT_EQ(end, CallEnd::Complete);
+    EXPECT_EQ(got, body.size());
+}
+
 // An endpoint accepts a bounded number of connections from all entry hosts, idle ones included.
 TEST_F(ChannelTest, KeepsNoMoreIdleConnectionsThanAllowed) {
     scripts_ = {{Good}, {Good}};
