Tests for callers that do not read; the soak plays them too

Cause: nothing showed what callers that do not read cost an entry host, its other callers and endpoints.

--- a/tests/site/sitefleet.py
+++ b/tests/site/sitefleet.py
@@ -99,6 +99,7 @@
         self.controls, self.entries, self.endpoints = [], [], []
         self.version, self.acked, self.revoked = 0, 0, {}
         self.zones = list(zones)
+        self.route_timeout_ms = 6000
         self.more_routes = 0  # unused routes that make the document larger
         self.truncated = []  # ids of requests whose responses began and were not completed
         self.once = set()  # ids of requests that may run at most once
@@ -170,7 +171,7 @@
     def document(self):
         def route(name, kind, service, **more):
             return {"name": name, "hostname": "site.example", "path-prefix": "/%s/" % name,
-                    "route-type": kind, "timeout-ms": 6000, "target-latency-ms": 400,
+                    "route-type": kind, "timeout-ms": self.route_timeout_ms, "target-latency-ms": 400,
                     "service": service, "max-attempts": 2, **more}
         engine = {"slots": 48, "stride": 3, "chunk": 2048, "step_ms": 5, "per_seq_ms": 0.2,
                   "read_per_s": 46000, "loads_per_s": 30, "loads_at_once": 20, "form_ms": 100,
@@ -280,6 +281,25 @@
             self.fleet.retry_after.append((time.monotonic(), float(got.get("retry-after", "0"))))
         return status
 
+    async def send_unread(self, route, entry=0, timeout=30.0, receive_buffer=4096):
+        """Sends a request for a large answer and reads nothing of it. Returns the request's id and
+        its open socket, which the caller closes."""
+        request = "%016x" % self.fleet.random.getrandbits(64)
+        self.fleet.entry_of[request] = entry
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        body = self.fleet.large_body
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.sock_connect(sock, ("127.%d.2.%d" % (self.net, entry + 1), CALLERS))
+            await loop.sock_sendall(sock, http1.head("POST /%s/x HTTP/1.1" % route, {
+                "Host": "site.example", "Request-Id": request, "Content-Length": str(len(body)),
+                "Deadline-Ms": str(int(timeout * 1000)), "Authorization": "Bearer key-1"}) + body)
+        except OSError:
+            pass
+        return request, sock
+
     def check(self, route, request, key, sent, status, headers, body):
         runs = self.fleet.runs.get(request, [])
         if status in (429, 503) and runs and route == "save":
--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -283,6 +283,16 @@
         await asyncio.sleep(0.02 if status else 0.1)
 
 
+async def unread_caller(site, stop):
+    """Asks for large answers and reads none of them, until `stop` is set."""
+    turn = 0
+    while not stop.is_set():
+        turn += 1
+        _, sock = await site.send_unread(("feed", "look")[turn % 2], turn % len(site.entries))
+        await asyncio.sleep(1.0)
+        sock.close()
+
+
 def plant(site, what):
     """Records a violation of one rule on purpose, to show that the checks report it."""
     if what == "twice":
@@ -316,6 +326,7 @@
         if not await site.until(site.serves, 20):
             site.fleet.break_rule("start", "the site served no stream in time")
         load = [asyncio.ensure_future(callers(site, stop, counts)) for _ in range(6)]
+        load += [asyncio.ensure_future(unread_caller(site, stop)) for _ in range(2)]
         await schedule.run(seconds)
         proxy.heal()
         if not await site.until(site.serves, 25):
--- a/tests/site/standin.py
+++ b/tests/site/standin.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import socket
 import time
 
 import http1
@@ -28,6 +29,8 @@
         self.heartbeat_s = HEARTBEAT_S
         self.event_s = EVENT_S  # seconds between two events of a stream
         self.events, self.event_bytes = EVENTS, 0  # events of a stream; padding bytes of each
+        self.large_body = b"large"  # request body that is answered with much more than buffers hold
+        self.large_event_bytes, self.large_bytes = 32 << 10, 6 << 20  # of streams; of plain calls
         self.work_s = WORK_S  # duration of a plain call
         self.stopped = {}   # request id -> when the endpoint noticed that its connection was closed
         self.leaving = {}   # endpoint id -> when a control host acknowledged its drain
@@ -281,9 +284,13 @@
         signature = "%s.%s.%d" % (self.id, request, len(self.fleet.runs[request]))
         own = {"Request-Id": request, "Response-Signature": signature, **self.added_headers}
         if path.startswith("/feed/"):
+            if body == self.fleet.large_body:
+                return await self.endless_stream(own, writer)
             return await self.stream(int(headers.get("last-event-id", "0")), own, writer)
         if not self.domain:
             respond = b"done:" + request.encode()
+            if body == self.fleet.large_body:
+                respond += b"." * self.fleet.large_bytes
             await self.work(request, self.fleet.work_s, writer)
             self.fleet.signatures[signature] = respond
             return self.respond(writer, 200, own, respond)
@@ -315,6 +322,20 @@
             self.fleet.stopped[request] = time.monotonic()
             raise
 
+    async def endless_stream(self, own, writer):
+        """Sends large events until the connection is closed. A small send buffer, as on a slow
+        network, lets this side wait as soon as the other one stops reading."""
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 64 << 10)
+        writer.write(http1.head("HTTP/1.1 200 OK", {
+            **own, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}))
+        number = 0
+        while True:
+            number += 1
+            event = b"id: %d\ndata: word%s\n\n" % (number, b"." * self.fleet.large_event_bytes)
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await self.drain(own["Request-Id"], writer)
+            await asyncio.sleep(self.fleet.event_s)
+
     async def stream(self, after, own, writer):
         group, stalled_since = self.group, None
         writer.write(http1.head("HTTP/1.1 200 OK", {
--- a/tests/site/test_site.py
+++ b/tests/site/test_site.py
@@ -13,9 +13,11 @@
 from standin import MalformedReporter
 
 
-def run_scenario(scenario, **shape):
+def run_scenario(scenario, prepare=None, **shape):
     async def run():
         site = Site(**shape)
+        if prepare:
+            prepare(site)
         try:
             await site.start()
             assert await site.until(site.serves), "the site served no stream in time"
--- a/tests/unit/callerapi_test.cpp
+++ b/tests/unit/callerapi_test.cpp
@@ -25,6 +25,8 @@
     }
     Time received() const override { return {}; }
     bool on_reused_connection() const override { return false; }
+    ConnectionId connection() const override { return 0; }
+    void set_label(std::string) override {}
     void respond(int, const HttpHeaders&, std::string) override {}
     void begin(int, const HttpHeaders&) override {}
     void write(std::string, std::function<void(bool)>) override {}
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -159,6 +159,8 @@
         return std::string(find_header(headers_, name));
     }
     bool on_reused_connection() const override { return false; }
+    ConnectionId connection() const override { return 0; }
+    void set_label(std::string) override {}
     Time received() const override { return {}; }
     void respond(int, const HttpHeaders&, std::string) override {}
     void begin(int, const HttpHeaders&) override {}
