Which slow callers can not be told from those that have stopped

Cause: a caller's host may announce room only once its receive buffer is read empty, since received segments are merged. Conclusion: open; a longer time limit would trade it against endpoints.

--- a/src/request/unreadanswers.cpp
+++ b/src/request/unreadanswers.cpp
@@ -12,6 +12,9 @@
 // A link that loses all packets for 3 s may be silent for more than 6 s: the sender doubles its
 // retransmission interval, so the first retransmission that arrives comes up to as long after the
 // loss as the loss lasted.
+// A caller's host may announce no room before its receive buffer has been read empty, so that a
+// caller slower than its buffer's size divided by this time can not be told from one that has
+// stopped. This concerns only answers larger than that buffer.
 constexpr Duration MaxUnreadTime = std::chrono::milliseconds(6500);
 // Endpoints cut answers that are not read for some seconds, and hold memory for them until then.
 // An endpoint waits only once hundreds of kilobytes are held, far more than a stream of tokens
