--- a/src/process/siteconfig.cpp
+++ b/src/process/siteconfig.cpp
@@ -62,11 +62,13 @@
         out = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
     }
     template <typename Integer>
-    void integer(const char* key, Integer& out, double max) {
+    void integer(const char* key, Integer& out, double max, double min = 0) {
         double value = static_cast<double>(out);
         number(key, value);
         if (value > max)
             set_error(key, "a whole number of at most " + std::to_string(max));
+        else if (value < min)
+            set_error(key, "a whole number of at least " + std::to_string(min));
         else
             out = static_cast<Integer>(value);
     }
@@ -156,6 +158,7 @@
     reader.integer("tolerated_zones", config.tolerated_zones, 10);
     reader.choice("planning", {"demand", "share"}, planning);
     config.plan_by_demand = planning != "share";
+    reader.integer("memory_mb", config.memory_mb, 1e9, 1);
     reader.millis("beat_ms", bounds.heartbeat_interval);
     reader.millis("drain_ms", bounds.drain);
     reader.seconds("grace_s", bounds.grace);
