--- /dev/null
+++ b/src/process/admissionplan.cpp
@@ -0,0 +1,168 @@
+// Admission levels from demand and supply: classes in the order of urgency, and max-min fairness by
+// work among the customers of the class that is admitted partly.
+
+#include "process/admissionplan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+#include <cstdint>
+
+namespace liftweir {
+
+namespace {
+
+// A group that is kept busy for this part of the time still answers within the goals of its
+// callers; beyond it the queue in front of the group takes the time that the goal leaves.
+constexpr double UsablePart = 0.7;
+// Loads are requested work divided by the usable capacity. Admission starts above the usable
+// capacity, since the smoothed rates of a load close to it vary by a few percent. It ends below it,
+// so that a load that varies around either threshold does not start and end it in turn.
+constexpr double StartLoad = 1.1;
+constexpr double EndLoad = 0.95;
+// A part changes with the noise of the rates; operators see a change of at least this much.
+constexpr double VisibleChange = 0.1;
+
+// Work of one class, in groups.
+struct ClassWork {
+    double all = 0; // of all customers
+    std::map<std::string, double> customers;
+};
+
+// By urgency, so that the first is the most urgent.
+using ModelWork = std::map<std::uint32_t, ClassWork>;
+
+const ModelShape* shape_of(const EngineCost& engine, const std::string& model) {
+    const auto found = std::find_if(engine.models.begin(), engine.models.end(),
+                                    [&](const ModelShape& shape) { return shape.name == model; });
+    return found == engine.models.end() ? nullptr : &*found;
+}
+
+// Entry hosts that reported at different times can give a sum over the named customers that is
+// larger than the one over all of them.
+double total_of(const ClassWork& work) {
+    double named = 0;
+    for (const auto& [customer, amount] : work.customers)
+        named += amount;
+    return std::max(work.all, named);
+}
+
+double total_of(const ModelWork& model) {
+    double sum = 0;
+    for (const auto& [urgency, work] : model)
+        sum += total_of(work);
+    return sum;
+}
+
+double median_of(std::vector<double> values) {
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+double part_of(double granted, double work) {
+    return work > 0 ? std::clamp(granted / work, 0.0, 1.0) : 1.0;
+}
+
+// The number of customers without lines is unknown. Each is taken to ask for the median of the
+// named ones: treated as one customer, many small ones would get next to nothing.
+void share_out(const ClassWork& work, double capacity, AdmissionLevel& level) {
+    const double total = total_of(work);
+    std::vector<double> works;
+    for (const auto& [customer, amount] : work.customers)
+        if (amount > 0)
+            works.push_back(amount);
+    if (works.empty()) {
+        level.part = part_of(capacity, total);
+        return;
+    }
+    const double typical = median_of(works);
+    double unnamed = total;
+    for (const double amount : works)
+        unnamed -= amount;
+    for (; unnamed > 0; unnamed -= typical)
+        works.push_back(std::min(unnamed, typical));
+    const double granted = fair_work(std::move(works), capacity);
+    level.part = part_of(granted, typical);
+    for (const auto& [customer, amount] : work.customers)
+        level.customers.push_back({customer, part_of(granted, amount)});
+}
+
+void admit_most_urgent(const ModelWork& model, double capacity, AdmissionLevel& level) {
+    double left = capacity;
+    for (const auto& [urgency, work] : model) {
+        level.urgency = urgency;
+        level.part = 1;
+        const double asked = total_of(work);
+        if (asked > left) {
+            share_out(work, left, level);
+            return;
+        }
+        left -= asked;
+    }
+}
+
+} // namespace
+
+double fair_work(std::vector<double> works, double capacity) {
+    std::sort(works.begin(), works.end());
+    double left = std::max(0.0, capacity);
+    for (std::size_t n = 0; n < works.size(); ++n) {
+        const double equal = left / static_cast<double>(works.size() - n);
+        if (works[n] > equal)
+            return equal;
+        left -= works[n];
+    }
+    return works.empty() ? 0 : works.back();
+}
+
+// A model without an open group gets no level: its callers are refused for that reason, and a
+// leader that has just taken over may not have heard of the group yet.
+std::vector<AdmissionLevel>
+AdmissionPlanner::plan(const std::vector<ModelDemand>& demand,
+                       const std::vector<ModelSupply>& supply,
+                       const std::map<std::string, EngineCost>& engines) {
+    std::map<ModelKey, ModelWork> works;
+    for (const ModelDemand& line : demand) {
+        const auto engine = engines.find(line.service);
+        const ModelShape* shape =
+            engine == engines.end() ? nullptr : shape_of(engine->second, line.model);
+        if (shape == nullptr)
+            continue;
+        ClassWork& work = works[{line.service, line.model}][line.urgency];
+        (line.customer.empty() ? work.all : work.customers[line.customer]) +=
+            std::max(0.0, work_of(line, engine->second, *shape));
+    }
+    std::set<ModelKey> overloaded;
+    std::vector<AdmissionLevel> levels;
+    for (const ModelSupply& model : supply) {
+        const ModelKey key{model.service, model.model};
+        const auto work = works.find(key);
+        if (work == works.end() || model.groups <= 0)
+            continue;
+        const double capacity = UsablePart * model.groups;
+        const double load = total_of(work->second) / capacity;
+        if (load <= (overloaded_.contains(key) ? EndLoad : StartLoad))
+            continue;
+        overloaded.insert(key);
+        AdmissionLevel level;
+        level.service = model.service;
+        level.model = model.model;
+        level.load = load;
+        // Zero stands for an unknown time, so a group that opens at once is announced for the next
+        // millisecond.
+        if (model.opening)
+            level.opens_in_ms =
+                static_cast<std::uint32_t>(std::max<std::int64_t>(1, to_millis(model.opens_in)));
+        admit_most_urgent(work->second, capacity, level);
+        levels.push_back(std::move(level));
+    }
+    overloaded_ = std::move(overloaded);
+    return levels;
+}
+
+bool differs_clearly(const AdmissionLevel& from, const AdmissionLevel& to) {
+    return from.urgency != to.urgency || std::abs(from.part - to.part) >= VisibleChange;
+}
+
+} // namespace liftweir
