Supply of each model, as the leader's planner knows it

Cause: the admission plan needs the groups that take requests and the time until the next one opens.

--- a/src/process/groupcontroller.cpp
+++ b/src/process/groupcontroller.cpp
@@ -160,6 +160,14 @@
     return all;
 }
 
+std::vector<ModelSupply> GroupController::supplies(const Registry& registry, Time now) {
+    std::vector<ModelSupply> all;
+    for (auto& [service, planner] : planners_)
+        for (ModelSupply& supply : planner.supply(registry, now))
+            all.push_back(std::move(supply));
+    return all;
+}
+
 std::map<std::string, std::string> GroupController::layouts(const Registry& registry, Time now) {
     std::map<std::string, std::string> lines;
     for (auto& [service, planner] : planners_)
--- a/src/process/groupcontroller.h
+++ b/src/process/groupcontroller.h
@@ -76,6 +76,8 @@
     // Returns the decisions since the last call.
     std::vector<PlanEvent> take_events();
 
+    // What the open groups of all services can serve.
+    std::vector<ModelSupply> supplies(const Registry& registry, Time now);
     // Dissolved groups whose leads still serve according to their last reports.
     std::set<Epoch> dissolved(const Registry& registry) const;
     // A line for the log for each service.
--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -9,6 +9,7 @@
 #include "process/groupname.h"
 #include "process/heartbeat.h"
 #include "process/loadbudget.h"
+#include "process/modelsupply.h"
 #include "process/registry.h"
 #include "request/modeldemand.h"
 #include "version/deployment.h"
@@ -96,6 +97,8 @@
     std::vector<Epoch> dissolved(const Registry& registry) const;
     // A line for the log: open groups per model, and free hosts per domain by the staged model.
     std::string layout(const Registry& registry, Time now);
+    // Open groups by model that take requests, and when the next one is expected to open.
+    std::vector<ModelSupply> supply(const Registry& registry, Time now);
 
   private:
     enum class Phase : std::uint8_t {
