Admission plan: sent by the leader, applied by entry hosts; engine priority by urgency and lateness

Cause: under overload the priority of routes and customers had no effect on refusals, and engines knew late requests only. Change: the leader sends AdmissionPlan every 500 ms and when an open group is added or lost; an entry host refuses a first attempt that the plan does not admit; requests carry an engine priority by the rank of their urgency within the service. Where all requests of a service are equally urgent, the header is the same as before: none, or 7 for late ones. Log lines, two metrics and the operators' page follow the plan from a request's id. Conclusion: retries pass the plan, so their part of the load depends on the scheduled retries.

--- a/src/process/admissionplan.cpp
+++ b/src/process/admissionplan.cpp
@@ -4,7 +4,6 @@
 #include "process/admissionplan.h"
 
 #include <algorithm>
-#include <cmath>
 #include <cstddef>
 #include <cstdint>
 
@@ -20,8 +19,8 @@
 // so that a load that varies around either threshold does not start and end it in turn.
 constexpr double StartLoad = 1.1;
 constexpr double EndLoad = 0.95;
-// A part changes with the noise of the rates; operators see a change of at least this much.
-constexpr double VisibleChange = 0.1;
+// Bounds the time of a computation where the named customers ask for next to nothing.
+constexpr double MaxUnnamedCustomers = 1000;
 
 // Work of one class, in groups.
 struct ClassWork {
@@ -32,12 +31,6 @@
 // By urgency, so that the first is the most urgent.
 using ModelWork = std::map<std::uint32_t, ClassWork>;
 
-const ModelShape* shape_of(const EngineCost& engine, const std::string& model) {
-    const auto found = std::find_if(engine.models.begin(), engine.models.end(),
-                                    [&](const ModelShape& shape) { return shape.name == model; });
-    return found == engine.models.end() ? nullptr : &*found;
-}
-
 // Entry hosts that reported at different times can give a sum over the named customers that is
 // larger than the one over all of them.
 double total_of(const ClassWork& work) {
@@ -76,10 +69,10 @@
         level.part = part_of(capacity, total);
         return;
     }
-    const double typical = median_of(works);
     double unnamed = total;
     for (const double amount : works)
         unnamed -= amount;
+    const double typical = std::max(median_of(works), unnamed / MaxUnnamedCustomers);
     for (; unnamed > 0; unnamed -= typical)
         works.push_back(std::min(unnamed, typical));
     const double granted = fair_work(std::move(works), capacity);
@@ -126,7 +119,7 @@
     for (const ModelDemand& line : demand) {
         const auto engine = engines.find(line.service);
         const ModelShape* shape =
-            engine == engines.end() ? nullptr : shape_of(engine->second, line.model);
+            engine == engines.end() ? nullptr : engine->second.model(line.model);
         if (shape == nullptr)
             continue;
         ClassWork& work = works[{line.service, line.model}][line.urgency];
@@ -161,8 +154,4 @@
     return levels;
 }
 
-bool differs_clearly(const AdmissionLevel& from, const AdmissionLevel& to) {
-    return from.urgency != to.urgency || std::abs(from.part - to.part) >= VisibleChange;
-}
-
 } // namespace liftweir
--- a/src/process/admissionplan.h
+++ b/src/process/admissionplan.h
@@ -7,6 +7,7 @@
 #include "request/modeldemand.h"
 #include "version/deployment.h"
 
+#include <cstddef>
 #include <map>
 #include <set>
 #include <string>
@@ -29,6 +30,8 @@
     std::vector<AdmissionLevel> plan(const std::vector<ModelDemand>& demand,
                                      const std::vector<ModelSupply>& supply,
                                      const std::map<std::string, EngineCost>& engines);
+    // Number of models that are overloaded.
+    std::size_t overloaded() const { return overloaded_.size(); }
     // Forgets which models are overloaded.
     void reset() { overloaded_.clear(); }
 
@@ -38,10 +41,6 @@
     std::set<ModelKey> overloaded_;
 };
 
-// Whether an operator should see the new level of a model: its urgency has changed, or its part has
-// changed by a tenth.
-bool differs_clearly(const AdmissionLevel& from, const AdmissionLevel& to);
-
 } // namespace liftweir
 
 #endif // ADMISSIONPLAN_H_INCLUDED
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -153,6 +153,8 @@
     gauges_.add("liftweir_voters", [this] {
         return replica_ ? static_cast<double>(replica_->raft().voters().size()) : 0.0;
     });
+    gauges_.add("liftweir_models_overloaded",
+                [this] { return static_cast<double>(admission_.overloaded()); });
     gauges_.add("liftweir_zones_out_of_use",
                 [this] { return static_cast<double>(zones_out_of_use().zones.size()); });
     gauges_.add("liftweir_requests_quarantined", [this] {
@@ -199,6 +201,8 @@
     }
     if (now >= load_due_)
         send_load(now);
+    if (now >= admission_due_)
+        send_admission(now);
     if (now >= housekeeping_due_) {
         housekeeping_due_ = now + HousekeepingInterval;
         run_housekeeping();
@@ -457,8 +461,11 @@
         return;
     }
     services_.clear();
+    engines_.clear();
     for (const Service& service : deployment->services) {
         services_.insert(service.name);
+        if (service.engine)
+            engines_.emplace(service.name, *service.engine);
         if (service.engine)
             groups_.configure(service.name, *service.engine, replica_->state(), registry_,
                               BootClock::now());
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -6,6 +6,8 @@
 #define COORDINATOR_H_INCLUDED
 
 #include "connection/link.h"
+#include "process/admissionlog.h"
+#include "process/admissionplan.h"
 #include "process/changefeed.h"
 #include "process/demandtable.h"
 #include "process/endpointcachefile.h"
@@ -233,6 +235,9 @@
     // demand that the entry hosts report
     void update_demand(Time now);
     void log_demand();
+    // admission under overload
+    void send_admission(Time now);
+    void send_admission_if_supply_changed(Time now);
 
     void tick();
     void note_late_tick(Time now);
@@ -289,6 +294,12 @@
     EntryLoadTable loads_;
     Time load_due_{};
     DemandTable demand_;
+    std::map<std::string, EngineCost> engines_; // of the document in force, by service
+    AdmissionPlanner admission_;
+    AdmissionLog admission_log_;
+    std::map<std::pair<std::string, std::string>, double> planned_groups_; // by service and model
+    bool sent_levels_ = false; // the last admission plan was not empty
+    Time admission_due_{};
     std::map<std::string, double> logged_demand_; // work by model, of the last line in the log
     Time last_tick_{};
     LongestStep steps_; // of this event loop, since the last tick
--- a/src/process/coordinatorlinks.cpp
+++ b/src/process/coordinatorlinks.cpp
@@ -345,6 +345,7 @@
              {"term", std::to_string(replica_->raft().term())}});
     send_orders();
     send_dissolved(nullptr);
+    send_admission_if_supply_changed(now);
 }
 
 void Coordinator::send_probes() {
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -85,6 +85,8 @@
     });
     gauges_.add("liftweir_endpoints_limited",
                 [this] { return static_cast<double>(directory_.limits().book().limited()); });
+    gauges_.add("liftweir_models_overloaded",
+                [this] { return static_cast<double>(admission_.models(BootClock::now())); });
     gauges_.add("liftweir_zones_out_of_use",
                 [this] { return static_cast<double>(directory_.zones().current().zones.size()); });
     gauges_.add("liftweir_document_version",
@@ -106,6 +108,7 @@
 
 void Gateway::put_in_force(Deployment deployment) {
     table_ = std::make_shared<const RouteTable>(std::move(deployment));
+    urgency_ranks_ = UrgencyRanks(table_->deployment());
     callers_->set_limits(limits_of(table_->deployment().limits));
     for (const Service& service : table_->deployment().services)
         if (!budgets_.contains(service.name))
@@ -145,7 +148,8 @@
     return nullptr;
 }
 
-// Sets the customer in the plan and returns true, or rejects the request and returns false.
+// Sets the customer and its urgency in the plan and returns true, or rejects the request and
+// returns false.
 bool Gateway::authorise(HttpExchange& exchange, const CallerRequest& request, Time now,
                         RelayedCallRoute& plan) {
     if (!plan.route->needs_key || plan.table->deployment().customers.empty())
@@ -160,6 +164,7 @@
         return false;
     }
     plan.customer = customer->name;
+    plan.urgency = urgency_of(customer->priority, plan.route->priority);
     return true;
 }
 
@@ -232,9 +237,11 @@
                       has_lease ? Duration::zero() : RetryAfterUnready);
         return;
     }
+    plan.urgency = urgency_of(0, plan.route->priority);
     if (!authorise(*exchange, request, now, plan))
         return;
     plan.service = choose_service(*table_, *plan.route);
+    plan.urgency_rank = urgency_ranks_.rank(plan.service->name, plan.urgency);
     if (request.time_limit)
         plan.waited_before =
             waits_.waited(plan.route->name, *request.time_limit, plan.route->timeout, now);
@@ -246,6 +253,11 @@
         calls_.erase(call);
 }
 
+AdmissionRefusal Gateway::check_admission(const RelayedCallRoute& route, const std::string& model) {
+    return admission_.refusal(route.service->name, model, route.urgency, route.customer,
+                              std::uniform_real_distribution<double>()(random_), BootClock::now());
+}
+
 void Gateway::ended(const CallSummary& summary) {
     Metrics& metrics = Metrics::instance();
     const std::string labels = "route=\"" + summary.route + "\",class=\"" +
@@ -274,6 +286,8 @@
     if (now >= housekeeping_due_) {
         housekeeping_due_ = now + HousekeepingInterval;
         directory_.expire(now);
+        if (!admission_.valid(now))
+            admission_log_.note({});
         quarantine_.expire(now);
         directory_.limits().expire(
             [this](const EndpointId& id) { return directory_.registry().find(id) != nullptr; },
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -5,16 +5,19 @@
 #define GATEWAY_H_INCLUDED
 
 #include "connection/link.h"
+#include "process/admissionlog.h"
 #include "process/leaseholder.h"
 #include "process/metrics.h"
 #include "process/quarantine.h"
 #include "process/registryrepair.h"
 #include "process/siteconfig.h"
 #include "process/ticker.h"
+#include "request/admissionlevels.h"
 #include "request/callerwait.h"
 #include "request/entryloadtable.h"
 #include "request/relayedcall.h"
 #include "request/startupqueue.h"
+#include "request/urgencyranks.h"
 #include "version/deployment.h"
 
 #include <functional>
@@ -54,6 +57,8 @@
     void note_backoff(const EndpointId& id, const ResponseSignals& note) override;
     void unreachable(const EndpointId& id) override;
     const Quarantine& quarantine() const override { return quarantine_; }
+    AdmissionRefusal check_admission(const RelayedCallRoute& route,
+                                     const std::string& model) override;
     void aborted(const AbortedRequest& request, const EndpointId& id) override;
     void cleared(const Fingerprint& content) override;
     void ended(const CallSummary& summary) override;
@@ -76,6 +81,7 @@
     void send_load(Time now);
     void on_document(const DocumentPush& push);
     void on_zones(const ZonesOutOfUse& zones, Version document, Time now);
+    void on_admission_plan(const AdmissionPlan& plan);
     void send_to_control(const WireMessage& message);
     bool lease_holds(Time now) const;
 
@@ -155,6 +161,9 @@
     bool restored_received_ = false;
     StoredDocument document_;
     std::shared_ptr<const RouteTable> table_;
+    UrgencyRanks urgency_ranks_; // by the document in force
+    AdmissionLevels admission_;
+    AdmissionLog admission_log_;
     std::map<std::string, WindowedRetryBudget> budgets_; // by service
     std::set<std::shared_ptr<RelayedCall>> calls_;
     RegistryRepair repair_;
--- a/src/process/gatewaycontrol.cpp
+++ b/src/process/gatewaycontrol.cpp
@@ -182,6 +182,8 @@
         on_leaving(*leaving);
     } else if (const auto* limit_shares = std::get_if<LimitShares>(&message)) {
         on_limit_shares(address, *limit_shares);
+    } else if (const auto* plan = std::get_if<AdmissionPlan>(&message)) {
+        on_admission_plan(*plan);
     } else if (const auto* shares = std::get_if<GroupLoadReports>(&message)) {
         load_report_interval_ = std::chrono::milliseconds(shares->interval_ms);
         directory_.set_load_of_others(shares->reports, load_report_interval_, BootClock::now());
@@ -262,6 +264,11 @@
         {{"zones", text_of(zones)}, {"index", std::to_string(zones.index)}});
 }
 
+void Gateway::on_admission_plan(const AdmissionPlan& plan) {
+    admission_.store(plan.levels, BootClock::now());
+    admission_log_.note(plan.levels);
+}
+
 // Ignores a document that is older than the one in force.
 void Gateway::on_document(const DocumentPush& push) {
     on_zones(push.zones, push.document.index, BootClock::now());
--- a/src/process/metricnames.cpp
+++ b/src/process/metricnames.cpp
@@ -57,6 +57,12 @@
          "Distinct requests that are under quarantine."},
         {"liftweir_late_ticks", Counter, "ticks", "", SiteControl,
          "Times that the event loop was 200 ms late or more; a leader may lose its leadership."},
+        {"liftweir_models_overloaded", Gauge, "models", "", "liftweir-site-*",
+         "Models whose admission is limited by the leader's plan; 0 at control hosts that do not "
+         "lead."},
+        {"liftweir_admission_refused", Counter, "requests", "reason", SiteEntry,
+         "Requests rejected by the admission plan: less urgent than what the groups can take "
+         "(urgency), or over the customer's share (share)."},
         {"liftweir_zones_out_of_use", Gauge, "zones", "", "liftweir-site-*",
          "Availability zones whose endpoints get no new requests."},
         {"liftweir_endpoints_limited", Gauge, "endpoints", "", SiteEntry,
--- a/src/request/admissionlevels.cpp
+++ b/src/request/admissionlevels.cpp
@@ -26,7 +26,7 @@
 
 const AdmissionLevel* AdmissionLevels::find(const std::string& service, const std::string& model,
                                             Time now) const {
-    if (now - received_ >= Validity)
+    if (!valid(now))
         return nullptr;
     const auto found = std::find_if(levels_.begin(), levels_.end(), [&](const auto& level) {
         return level.service == service && level.model == model;
--- a/src/request/admissionlevels.h
+++ b/src/request/admissionlevels.h
@@ -6,6 +6,7 @@
 #include "process/clock.h"
 #include "request/modeldemand.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -33,6 +34,11 @@
     // Replaces the plan. One without levels ends the overload.
     void store(std::vector<AdmissionLevel> levels, Time now);
 
+    // Whether the newest plan still counts.
+    bool valid(Time now) const { return now - received_ < Validity; }
+    // Number of models that are overloaded.
+    std::size_t models(Time now) const { return valid(now) ? levels_.size() : 0; }
+
     // `draw` is uniform in 0 to 1. Only for callers' first attempts: a fraction that was applied to
     // each retry as well would hold for none of them.
     AdmissionRefusal refusal(const std::string& service, const std::string& model,
--- a/src/request/callerprotocol.h
+++ b/src/request/callerprotocol.h
@@ -7,6 +7,7 @@
 #include "connection/httpserver.h"
 #include "process/failure.h"
 #include "process/registry.h"
+#include "request/urgencyranks.h"
 
 #include <cstdint>
 #include <optional>
@@ -35,8 +36,8 @@
     EndpointId endpoint;
     std::string customer; // empty if the route needs no key
     Duration time_left{};
-    std::string last_event;    // empty: from the beginning
-    bool low_priority = false; // requests that can still meet their goal take precedence
+    std::string last_event; // empty: from the beginning
+    std::uint32_t engine_priority = DefaultEnginePriority;
 
     auto operator<=>(const ForwardedFields&) const = default;
 };
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -39,7 +39,25 @@
 void RelayedCall::start() {
     host_.budget(plan_.service->name).request(received_);
     exchange_->on_disconnect([self = shared_from_this()] { self->on_caller_disconnected(); });
-    attempt(received_);
+    if (!refused_by_admission())
+        attempt(received_);
+}
+
+// A caller that returns, or resumes a stream, is the same demand once more: the plan's fractions
+// apply to its first attempt.
+bool RelayedCall::refused_by_admission() {
+    if (!uses_engine() || plan_.waited_before > Duration::zero() || !last_event_.empty())
+        return false;
+    const AdmissionRefusal refusal = host_.check_admission(plan_, request_.model);
+    if (refusal == AdmissionRefusal::None)
+        return false;
+    Metrics::instance()
+        .counter("liftweir_admission_refused", "reason=\"" + std::string(name_of(refusal)) + "\"")
+        .add();
+    refuse(refusal == AdmissionRefusal::Share ? "over the customer's share"
+                                              : "less urgent than what the groups can take",
+           RetryAfterFull);
+    return true;
 }
 
 Demand RelayedCall::demand(Time now) const {
@@ -149,7 +167,7 @@
     begin_attempt(pick, now);
     occupy_endpoint(pick, now);
     const ForwardedFields fields{endpoint_, plan_.customer, deadline_ - now, last_event_,
-                                 low_priority_};
+                                 engine_priority(plan_.urgency_rank, low_priority_)};
     ChannelOptions options;
     options.new_connection = !plan_.route->repeatable();
     options.connect_timeout = ConnectTimeout;
@@ -318,6 +336,9 @@
     log(LogLevel::Info, "call",
         {{"request", request_.id},
          {"route", plan_.route->name},
+         {"model", request_.model},
+         {"urgency", std::to_string(plan_.urgency)},
+         {"customer", plan_.customer},
          {"document", std::to_string(plan_.table->deployment().version)},
          {"endpoints", endpoints_},
          {"status", std::to_string(status)},
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -7,9 +7,11 @@
 #include "connection/httpchannel.h"
 #include "connection/httpserver.h"
 #include "process/quarantine.h"
+#include "request/admissionlevels.h"
 #include "request/callerprotocol.h"
 #include "request/callerwait.h"
 #include "request/directory.h"
+#include "request/urgencyranks.h"
 #include "request/windowedretrybudget.h"
 #include "version/fingerprint.h"
 #include "version/routetable.h"
@@ -37,6 +39,17 @@
     auto operator<=>(const CallSummary&) const = default;
 };
 
+// The route, service and customer of a caller's request.
+struct RelayedCallRoute {
+    std::shared_ptr<const RouteTable> table; // keeps route and service alive
+    const Route* route = nullptr;
+    const Service* service = nullptr;
+    std::string customer;
+    Duration waited_before{};  // by the caller, in earlier attempts
+    std::uint32_t urgency = 0; // lower is more urgent
+    UrgencyRank urgency_rank;  // among the requests for the service
+};
+
 // What calls need from the entry host that they run on.
 class RelayedCallContext {
   public:
@@ -48,6 +61,9 @@
     // This process has started recently and may not know all endpoints yet.
     virtual bool discovering_endpoints(Time now) const = 0;
     virtual const Quarantine& quarantine() const = 0;
+    // Whether the admission plan admits a caller's first attempt for the model now.
+    virtual AdmissionRefusal check_admission(const RelayedCallRoute& route,
+                                             const std::string& model) = 0;
     // The endpoint aborted the request.
     virtual void aborted(const AbortedRequest& request, const EndpointId& id) = 0;
     // An endpoint completed a request that it or another endpoint had aborted before.
@@ -65,15 +81,6 @@
     virtual void ended(const CallSummary& summary) = 0;
 };
 
-// The route, service and customer of a caller's request.
-struct RelayedCallRoute {
-    std::shared_ptr<const RouteTable> table; // keeps route and service alive
-    const Route* route = nullptr;
-    const Service* service = nullptr;
-    std::string customer;
-    Duration waited_before{}; // by the caller, in earlier attempts
-};
-
 // One caller's request from its arrival to the last byte of the response: sends it to an endpoint,
 // forwards the response, and, where the route allows it, retries the request or resumes a broken
 // stream at another endpoint.
@@ -101,6 +108,7 @@
     tl::expected<void, NoPick> send_to_best(Time now);
     bool may_retry(Time now);
     bool refused_by_quarantine(Time now);
+    bool refused_by_admission();
     void send(const Pick& pick, Time now);
     void log_retry(const Pick& pick, Time now) const;
     void begin_attempt(const Pick& pick, Time now);
--- a/tests/unit/admissionlevels_test.cpp
+++ b/tests/unit/admissionlevels_test.cpp
@@ -115,10 +115,10 @@
 }
 
 Deployment deployment(std::vector<Route> routes) {
-    Service llm{.name = "llm"};
+    Service llm{.name = "llm", .engine = {}};
     llm.engine.emplace();
     Deployment deployment;
-    deployment.services = {llm, {.name = "plain"}};
+    deployment.services = {llm, {.name = "plain", .engine = {}}};
     deployment.routes = std::move(routes);
     return deployment;
 }
--- a/tests/unit/admissionplan_test.cpp
+++ b/tests/unit/admissionplan_test.cpp
@@ -1,3 +1,4 @@
+#include "process/admissionlog.h"
 #include "process/admissionplan.h"
 #include "request/admissionlevels.h"
 
@@ -192,18 +193,22 @@
     EXPECT_EQ(planned({asks("small", 0, 2)}, {supply}).at(0).opens_in_ms, 1u);
 }
 
-TEST(AdmissionPlan, ShowsOperatorsChangesOfUrgencyAndOfATenth) {
+// Guards against a log that grows with each plan, and against a change that an operator misses.
+TEST(AdmissionLog, ShowsChangesOfUrgencyAndOfATenth) {
     AdmissionLevel level;
+    level.model = "small";
     level.part = 0.5;
-    AdmissionLevel next = level;
-    next.part = 0.55;
-    next.load = 1.9;
-    EXPECT_FALSE(differs_clearly(level, next));
-    next.part = 0.61;
-    EXPECT_TRUE(differs_clearly(level, next));
-    next.part = 0.5;
-    next.urgency = 1;
-    EXPECT_TRUE(differs_clearly(level, next));
+    AdmissionLog log;
+    EXPECT_EQ(log.note({level}), 1u);
+    level.part = 0.55;
+    level.load = 1.9;
+    EXPECT_EQ(log.note({level}), 0u);
+    level.part = 0.61;
+    EXPECT_EQ(log.note({level}), 1u);
+    level.urgency = 1;
+    EXPECT_EQ(log.note({level}), 1u);
+    EXPECT_EQ(log.note({}), 1u);
+    EXPECT_EQ(log.note({}), 0u);
 }
 
 // Guards against a total that drifts because each entry host draws for itself.
