--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -5,18 +5,21 @@
 #define GATEWAY_H_INCLUDED
 
 #include "connection/link.h"
+#include "process/admissionlog.h"
 #include "process/leaseholder.h"
 #include "process/metrics.h"
 #include "process/quarantine.h"
 #include "process/registryrepair.h"
 #include "process/siteconfig.h"
 #include "process/ticker.h"
+#include "request/admissionlevels.h"
 #include "request/callerwait.h"
 #include "request/demandmeter.h"
 #include "request/entryloadtable.h"
 #include "request/relayedcall.h"
 #include "request/startupqueue.h"
 #include "request/unreadanswers.h"
+#include "request/urgencyranks.h"
 #include "version/deployment.h"
 
 #include <functional>
@@ -56,9 +59,12 @@
     void note_backoff(const EndpointId& id, const ResponseSignals& note) override;
     void unreachable(const EndpointId& id) override;
     const Quarantine& quarantine() const override { return quarantine_; }
+    AdmissionRefusal check_admission(const RelayedCallRoute& route,
+                                     const std::string& model) override;
     void aborted(const AbortedRequest& request, const EndpointId& id) override;
     void cleared(const Fingerprint& content) override;
     void count_demand(const MeteredRequest& request, DemandEvent event) override;
+    Duration opens_in(const std::string& service, const std::string& model) const override;
     void ended(const CallSummary& summary) override;
 
     // links to control hosts
@@ -81,6 +87,7 @@
     Dialer* leader_link();
     void on_document(const DocumentPush& push);
     void on_zones(const ZonesOutOfUse& zones, Version document, Time now);
+    void on_admission_plan(const AdmissionPlan& plan);
     void send_to_control(const WireMessage& message);
     bool lease_holds(Time now) const;
 
@@ -162,6 +169,9 @@
     bool restored_received_ = false;
     StoredDocument document_;
     std::shared_ptr<const RouteTable> table_;
+    UrgencyRanks urgency_ranks_; // by the document in force
+    AdmissionLevels admission_;
+    AdmissionLog admission_log_;
     std::map<std::string, WindowedRetryBudget> budgets_; // by service
     std::set<std::shared_ptr<RelayedCall>> calls_;
     RegistryRepair repair_;
