Settings that switch the admission plan and booked retries

Change: settings admission_plan (off) and book_retries (on). Conclusion: the plan stays off until its capacity is measured rather than computed.

--- a/src/process/coordinatoradmission.cpp
+++ b/src/process/coordinatoradmission.cpp
@@ -24,7 +24,7 @@
 // yet would take groups that it has not heard of for lost.
 void Coordinator::send_admission(Time now) {
     admission_due_ = now + AdmissionInterval;
-    if (!leads() || !knows_all_endpoints(now)) {
+    if (!config_.plan_admission || !leads() || !knows_all_endpoints(now)) {
         admission_.reset();
         admission_log_.reset();
         sent_levels_ = false;
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -64,6 +64,7 @@
     void aborted(const AbortedRequest& request, const EndpointId& id) override;
     void cleared(const Fingerprint& content) override;
     void count_demand(const MeteredRequest& request, DemandEvent event) override;
+    bool books_retries() const override { return config_.book_retries; }
     Duration opens_in(const std::string& service, const std::string& model) const override;
     void ended(const CallSummary& summary) override;
 
--- a/src/process/siteconfig.cpp
+++ b/src/process/siteconfig.cpp
@@ -157,6 +157,8 @@
     reader.integer("tolerated_hosts", config.tolerated_hosts, 10);
     reader.integer("tolerated_zones", config.tolerated_zones, 10);
     reader.choice("planning", {"demand", "share"}, planning);
+    reader.flag("admission_plan", config.plan_admission);
+    reader.flag("book_retries", config.book_retries);
     config.plan_by_demand = planning != "share";
     reader.integer("memory_mb", config.memory_mb, 1e9, 1);
     reader.millis("beat_ms", bounds.heartbeat_interval);
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -68,6 +68,7 @@
     refuse(refusal == AdmissionRefusal::Share ? "over the customer's share"
                                               : "less urgent than what the groups can take",
            book_retry(received_));
+    count_demand(DemandEvent::Refused);
     return true;
 }
 
@@ -100,6 +101,8 @@
 
 // By the wait before this call alone: a long time within the call is no return.
 CallerReturn RelayedCall::caller_return() const {
+    if (!host_.books_retries())
+        return CallerReturn::New;
     return classify_return(plan_.waited_before, deadline_ - received_);
 }
 
@@ -332,6 +335,8 @@
 }
 
 Duration RelayedCall::book_retry(Time now) {
+    if (!host_.books_retries())
+        return RetryAfterFull;
     const BookedRetry retry = host_.directory().book_retry(demand(now), opens_in(), now);
     Metrics::instance()
         .counter("liftweir_retries_told", retry.booked ? "booked=\"yes\"" : "booked=\"no\"")
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -80,6 +80,8 @@
     virtual void unreachable(const EndpointId& id) = 0;
     // Counts what callers ask for.
     virtual void count_demand(const MeteredRequest& request, DemandEvent event) = 0;
+    // Whether refused callers get a time at which there is capacity for them.
+    virtual bool books_retries() const = 0;
     // Time until the next group of the model opens; zero if unknown.
     virtual Duration opens_in(const std::string& service, const std::string& model) const = 0;
     // The call has ended; the host may destroy it from now on.
--- a/tests/unit/relayedadmission_test.cpp
+++ b/tests/unit/relayedadmission_test.cpp
@@ -18,6 +18,8 @@
 // A request without a connection.
 class Exchange final : public HttpExchange {
   public:
+    ConnectionId connection() const override { return {}; }
+    void set_label(std::string) override {}
     std::string_view method() const override { return "POST"; }
     std::string_view target() const override { return "/v1/generate"; }
     std::string_view path() const override { return target(); }
@@ -67,6 +69,8 @@
     void note_backoff(const EndpointId&, const ResponseSignals&) override {}
     void mark_leaving(const EndpointId&) override {}
     void unreachable(const EndpointId&) override {}
+    void count_demand(const MeteredRequest&, DemandEvent) override {}
+    bool books_retries() const override { return false; }
     Duration opens_in(const std::string&, const std::string&) const override { return {}; }
     void ended(const CallSummary& summary) override { status_ = summary.status; }
 
