--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -235,6 +235,7 @@
     // demand that the entry hosts report
     void update_demand(Time now);
     void log_demand();
+    void add_demand_gauges(const EngineCost& engine);
     // admission under overload
     void send_admission(Time now);
     void send_admission_if_supply_changed(Time now);
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -152,6 +152,7 @@
 // returns false.
 bool Gateway::authorise(HttpExchange& exchange, const CallerRequest& request, Time now,
                         RelayedCallRoute& plan) {
+    plan.urgency = urgency_of(0, plan.route->priority);
     if (!plan.route->needs_key || plan.table->deployment().customers.empty())
         return true;
     if (!lease_holds(now)) {
@@ -237,7 +238,6 @@
                       has_lease ? Duration::zero() : RetryAfterUnready);
         return;
     }
-    plan.urgency = urgency_of(0, plan.route->priority);
     if (!authorise(*exchange, request, now, plan))
         return;
     plan.service = choose_service(*table_, *plan.route);
@@ -258,6 +258,15 @@
                               std::uniform_real_distribution<double>()(random_), BootClock::now());
 }
 
+void Gateway::count_demand(const MeteredRequest& request, DemandEvent event) {
+    demand_.count(request, event, BootClock::now());
+    if (request.retry)
+        return;
+    Metrics::instance()
+        .counter("liftweir_first_attempts", "event=\"" + std::string(name_of(event)) + "\"")
+        .add();
+}
+
 void Gateway::ended(const CallSummary& summary) {
     Metrics& metrics = Metrics::instance();
     const std::string labels = "route=\"" + summary.route + "\",class=\"" +
@@ -283,6 +292,8 @@
     close_unresponsive_links(now);
     if (now >= load_report_due_)
         send_load(now);
+    if (now >= demand_report_due_)
+        send_demand(now);
     if (now >= housekeeping_due_) {
         housekeeping_due_ = now + HousekeepingInterval;
         directory_.expire(now);
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -14,6 +14,7 @@
 #include "process/ticker.h"
 #include "request/admissionlevels.h"
 #include "request/callerwait.h"
+#include "request/demandmeter.h"
 #include "request/entryloadtable.h"
 #include "request/relayedcall.h"
 #include "request/startupqueue.h"
@@ -61,6 +62,7 @@
                                      const std::string& model) override;
     void aborted(const AbortedRequest& request, const EndpointId& id) override;
     void cleared(const Fingerprint& content) override;
+    void count_demand(const MeteredRequest& request, DemandEvent event) override;
     void ended(const CallSummary& summary) override;
 
     // links to control hosts
@@ -79,6 +81,8 @@
     void update_load_share(const LeaseAck& lease_ack);
     void record_lease_change(Time now);
     void send_load(Time now);
+    void send_demand(Time now);
+    Dialer* leader_link();
     void on_document(const DocumentPush& push);
     void on_zones(const ZonesOutOfUse& zones, Version document, Time now);
     void on_admission_plan(const AdmissionPlan& plan);
@@ -178,6 +182,9 @@
     Duration load_report_interval_{}; // interval of the load reports
     bool sent_load_ = false;          // the last load report was not empty
     Time load_report_due_{};
+    DemandMeter demand_;
+    bool sent_demand_ = false; // the last demand report was not empty
+    Time demand_report_due_{};
     Time renew_due_{};                           // of the source, or of any other control host
     std::map<std::string, Time> link_renew_due_; // by link address
     Time housekeeping_due_{};
