--- a/src/process/capacityplan.cpp
+++ b/src/process/capacityplan.cpp
@@ -30,8 +30,8 @@
 constexpr double MinGain = 0.03;
 
 constexpr Duration SmoothingTime = std::chrono::seconds(10);
-// Shorter observations may be a burst.
-constexpr Duration MinObservation = std::chrono::seconds(3);
+// Shorter observations may be a burst, or one phase of a load that goes back and forth.
+constexpr Duration MinObservation = std::chrono::seconds(8);
 
 double served_if_open(double work, double groups) {
     double served = 0;
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -249,7 +249,6 @@
                       has_lease ? Duration::zero() : RetryAfterUnready);
         return;
     }
-    plan.urgency = urgency_of(0, plan.route->priority);
     if (!authorise(*exchange, request, now, plan))
         return;
     plan.service = choose_service(*table_, *plan.route);
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -65,6 +65,7 @@
     Metrics::instance()
         .counter("liftweir_admission_refused", "reason=\"" + std::string(name_of(refusal)) + "\"")
         .add();
+    count_demand(DemandEvent::Refused);
     refuse(refusal == AdmissionRefusal::Share ? "over the customer's share"
                                               : "less urgent than what the groups can take",
            book_retry(received_));
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -47,8 +47,8 @@
     const Service* service = nullptr;
     std::string customer;
     Duration waited_before{};  // by the caller, in earlier attempts
-    std::uint32_t urgency = 0; // lower is more urgent
-    UrgencyRank urgency_rank;  // among the requests for the service
+    std::uint32_t urgency = 0; // among the requests of the service; lower is more urgent
+    UrgencyRank urgency_rank;
 };
 
 // What calls need from the entry host that they run on.
--- a/src/version/deployment.h
+++ b/src/version/deployment.h
@@ -74,6 +74,7 @@
     std::uint32_t loads_at_once = 1;  // concurrent loads beyond this slow each other down
     Duration open_delay{};            // from the order to open until a group serves
     double cross_domain_factor = 1;   // factor on all times of a group in two fabric domains
+    double usual_answer_tokens = 0;   // mean length of an answer; zero if unknown
     std::uint32_t max_staged_models = 1; // models that a host keeps on its disk
     std::vector<ModelShape> models;
 
