--- a/src/process/groupplanner.h
+++ b/src/process/groupplanner.h
@@ -37,8 +37,8 @@
 struct GroupPlannerConfig {
     Duration heartbeat_interval = std::chrono::milliseconds(1200);
     Duration load_window = std::chrono::seconds(5);
-    bool plan_by_demand = true; // otherwise by the shares of the document alone
-    bool spread_models = false; // no model may depend on a single domain at the first layout
+    bool plan_by_demand = false; // otherwise by the shares of the document alone
+    bool spread_models = false;  // no model may depend on a single domain at the first layout
 
     auto operator<=>(const GroupPlannerConfig&) const = default;
 };
--- a/src/process/siteconfig.cpp
+++ b/src/process/siteconfig.cpp
@@ -138,7 +138,7 @@
         return fail(FailureKind::BadSettings, file + ": " + errors);
     SiteConfig config;
     SiteBounds& bounds = config.bounds;
-    std::string planning = "demand";
+    std::string planning = "share";
     Reader reader(file, root);
     reader.text("name", config.name, true);
     reader.text("zone", config.zone, false);
--- a/src/process/siteconfig.h
+++ b/src/process/siteconfig.h
@@ -49,7 +49,7 @@
     std::string metrics;               // ip:port
     std::uint32_t tolerated_hosts = 1; // control hosts that may fail at the same time
     std::uint32_t tolerated_zones = 0; // availability zones that may be lost at the same time
-    bool plan_by_demand = true;        // numbers of groups follow the callers' demand
+    bool plan_by_demand = false;       // numbers of groups follow the callers' demand
     bool plan_admission = false;       // under overload, the leader plans who is admitted
     bool book_retries = true;          // refused callers get a time at which there is capacity
     std::uint32_t memory_mb = 256;     // that this process may use
--- a/tests/unit/groupmoves_test.cpp
+++ b/tests/unit/groupmoves_test.cpp
@@ -13,7 +13,7 @@
 // Half of the hosts serve each model at first, and the callers ask for the small one.
 class GroupMoves : public testing::Test {
   protected:
-    void start(GroupPlannerConfig config = {}) {
+    void start(GroupPlannerConfig config = {milliseconds(1200), seconds(5), true, false}) {
         fleet_.planner = GroupPlanner("llm", config, true);
         fleet_.planner.configure(engine());
         fleet_.planner.take_over(1, fleet_.now);
@@ -71,7 +71,7 @@
         fleet_.run(milliseconds(50));
     ASSERT_LT(fleet_.open("big"), open);
     ask(0, 0);
-    GroupPlanner next("llm", {}, false);
+    GroupPlanner next("llm", {milliseconds(1200), seconds(5), true, false}, false);
     next.configure(engine());
     for (const auto& [id, item] : fleet_.registry.items())
         next.observe(item.report, fleet_.now);
--- a/tests/unit/relayedadmission_test.cpp
+++ b/tests/unit/relayedadmission_test.cpp
@@ -72,7 +72,6 @@
     void note_backoff(const EndpointId&, const ResponseSignals&) override {}
     void mark_leaving(const EndpointId&) override {}
     void unreachable(const EndpointId&) override {}
-    void count_demand(const MeteredRequest&, DemandEvent) override {}
     bool books_retries() const override { return false; }
     Duration opens_in(const std::string&, const std::string&) const override { return {}; }
     void ended(const CallSummary& summary) override { status_ = summary.status; }
