--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -69,7 +69,6 @@
     refuse(refusal == AdmissionRefusal::Share ? "over the customer's share"
                                               : "less urgent than what the groups can take",
            book_retry(received_));
-    count_demand(DemandEvent::Refused);
     return true;
 }
 
