Callers that return are judged by a prompt of the mean length

The bound for returns (0.6 of the goal) counted the request's own prompt, so that small requests were served at their return and large ones refused again. Conclusion: large requests as often as small ones.

--- a/src/process/gatewayunread.cpp
+++ b/src/process/gatewayunread.cpp
@@ -30,6 +30,7 @@
             if (call->endpoint_waits() && answers.contains(call->connection()))
                 answers[call->connection()].endpoint_waits = true;
     std::vector<UnreadAnswer> measured;
+    measured.reserve(answers.size());
     for (const auto& [connection, answer] : answers)
         measured.push_back(answer);
     for (const EndedAnswer& ended : unread_.measure(measured, now))
--- a/src/request/directory.cpp
+++ b/src/request/directory.cpp
@@ -71,14 +71,6 @@
     return !(late || full) || !(demand.engine.low_priority || above_load);
 }
 
-// Admission depends on the work queued before a request and on at most one chunk of its own prompt:
-// the prefill of the prompt takes as long at every group, and counting all of it would reject
-// callers with long prompts where others are served.
-EngineDemand admission_demand(EngineDemand demand, const EngineCost& engine) {
-    demand.prompt_tokens = std::min(demand.prompt_tokens, engine.chunk);
-    return demand;
-}
-
 } // namespace
 
 void EndpointUse::sent(const EngineDemand& demand, Duration pass, Duration first_event, Time now) {
@@ -247,6 +239,28 @@
     return retries_.book(request, now);
 }
 
+double Directory::mean_prompt(const Demand& demand, Time now) const {
+    const auto tokens = sent_tokens_.find(demand.model);
+    const auto requests = sent_requests_.find(demand.model);
+    const double sent = requests == sent_requests_.end() ? 0 : requests->second.per_second(now);
+    return sent > 0 ? tokens->second.per_second(now) / sent : demand.engine.prompt_tokens;
+}
+
+// Admission depends on the work queued before a request and on at most one chunk of its own prompt:
+// the prefill of the prompt takes as long at every group, and counting all of it would reject
+// callers with long prompts where others are served.
+//
+// Callers that return are judged by a prompt of the mean length: their bound is below the goal, and
+// with their own prompts the largest requests would be refused again where others are served.
+EngineDemand Directory::admission_demand(const Demand& demand, Time now) const {
+    const EngineCost& engine = *demand.service->engine;
+    EngineDemand judged = demand.engine;
+    if (demand.caller != CallerReturn::New)
+        judged.prompt_tokens = static_cast<std::uint32_t>(mean_prompt(demand, now));
+    judged.prompt_tokens = std::min(judged.prompt_tokens, engine.chunk);
+    return judged;
+}
+
 // The retries arrive at any entry host, and each host has booked its share of them.
 void Directory::add_due_retries(LoadForecast& predicted, const Demand& demand,
                                 const ModelShape& model, std::size_t groups, Time now) const {
@@ -255,7 +269,7 @@
     const EngineCost& engine = *demand.service->engine;
     predicted.in_flight += due;
     predicted.first_event_ms +=
-        due * model.time_factor * demand.engine.prompt_tokens / engine.prefill_tokens_per_ms;
+        due * model.time_factor * mean_prompt(demand, now) / engine.prefill_tokens_per_ms;
 }
 
 void Directory::Excluded::add(const EndpointId& endpoint, Duration throttled_for) {
@@ -339,7 +353,7 @@
     if (shape == engine.models.end())
         return tl::make_unexpected(NoPick{});
     const std::uint32_t connections = connections_allowed(*demand.service);
-    const EngineDemand admitted_demand = admission_demand(demand.engine, engine);
+    const EngineDemand admitted_demand = admission_demand(demand, now);
     Excluded excluded;
     const Leads leads = serving_leads(demand, tried, now, excluded);
     const bool with_others = uses_load_of_others(leads, now);
--- a/src/request/directory.h
+++ b/src/request/directory.h
@@ -189,6 +189,11 @@
     // Forecast for one more request at the group.
     LoadForecast forecast_at(const Lead& lead, const ModelShape& model, const EngineCost& engine,
                              const EngineDemand& demand, bool with_others) const;
+    // Mean prompt length in tokens of the requests that this host sent lately; the request's own
+    // one if there are none.
+    double mean_prompt(const Demand& demand, Time now) const;
+    // What the admission of the request assumes that it asks for.
+    EngineDemand admission_demand(const Demand& demand, Time now) const;
     // Adds the booked retries that are due now, which the groups of the model share.
     void add_due_retries(LoadForecast& predicted, const Demand& demand, const ModelShape& model,
                          std::size_t groups, Time now) const;
--- a/tests/unit/appointments_test.cpp
+++ b/tests/unit/appointments_test.cpp
@@ -149,6 +149,36 @@
     EXPECT_TRUE(host.pick(demand, {}, Start).has_value());
 }
 
+// Guards against a bound that serves small requests at their return and refuses large ones again.
+TEST(CallerReturn, LargeRequestsAreServedAsOftenAsSmallOnes) {
+    const Service service{"llm", 4000, simulated_engine()};
+    EndpointReport lead;
+    lead.id = "i-1";
+    lead.service = "llm";
+    lead.address = "10.0.0.1:80";
+    lead.sequence = 1;
+    lead.membership = {.group = group_name("model", 1, GroupKind::Regular), .epoch = 1, .rank = 0};
+    lead.membership.state = MemberState::Open;
+    Directory host(1);
+    host.registry().merge(lead, Start);
+    for (int i = 0; i < 20; ++i)
+        host.note_sent("model", 1000, Start);
+    Demand demand;
+    demand.service = &service;
+    demand.model = "model";
+    demand.latency_goal = milliseconds(500);
+    demand.waited = milliseconds(1200);
+    demand.time_left = milliseconds(4800);
+    demand.caller = CallerReturn::Booked;
+    for (int waiting = 0; waiting < 12; ++waiting) {
+        demand.engine = {100, false};
+        const bool small = host.pick(demand, {}, Start).has_value();
+        demand.engine = {8000, false};
+        EXPECT_EQ(host.pick(demand, {}, Start).has_value(), small) << waiting;
+        host.use("i-1").load.add_prefill({1000, false});
+    }
+}
+
 // ---- simulated load
 
 enum class Load { Burst, StrongBurst, Lasting, LostGroup };
