Log and count how streams of endpoints end

Cause: the log of a call tells neither how the endpoint framed its response nor what was left over at its end, so a stream that was broken off can not be told from a complete one afterwards.

Change: the response's head names what marks the end of the body (length, chunks, close).

--- a/src/connection/channel.cpp
+++ b/src/connection/channel.cpp
@@ -5,6 +5,7 @@
 #include "connection/link.h"
 
 #include <algorithm>
+#include <climits>
 #include <cstdlib>
 
 namespace liftweir {
@@ -31,6 +32,17 @@
     return std::chrono::seconds(std::atoi(std::string(value.substr(at + Timeout.size())).c_str()));
 }
 
+// Asked once the head is complete. http_parser sets the length of a response without one to its
+// maximum.
+BodyFraming framing_of(const http_parser& parser, bool head_request) {
+    const auto status = parser.status_code;
+    if (head_request || status == HTTP_STATUS_NO_CONTENT || status == HTTP_STATUS_NOT_MODIFIED)
+        return BodyFraming::Length;
+    if ((parser.flags & F_CHUNKED) != 0)
+        return BodyFraming::Chunked;
+    return parser.content_length == ULLONG_MAX ? BodyFraming::ConnectionClose : BodyFraming::Length;
+}
+
 } // namespace
 
 void Channel::connect(Duration timeout) {
@@ -144,6 +156,7 @@
         return 0;
     }
     head_.status = static_cast<int>(parser_.status_code);
+    head_.framing = framing_of(parser_, head_request_);
     if (events_.on_head)
         events_.on_head(head_);
     if (closed_)
--- a/src/connection/httpchannel.cpp
+++ b/src/connection/httpchannel.cpp
@@ -154,6 +154,18 @@
 
 } // namespace
 
+std::string_view name_of(BodyFraming framing) {
+    switch (framing) {
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunked:
+        return "chunks";
+    case BodyFraming::ConnectionClose:
+        return "close";
+    }
+    return "unknown";
+}
+
 std::unique_ptr<HttpChannelPool> make_channel_pool(asio::io_context& io) {
     return std::make_unique<SharedPool>(io);
 }
--- a/src/connection/httpchannel.h
+++ b/src/connection/httpchannel.h
@@ -22,10 +22,20 @@
     HttpHeaders headers; // must include Host; the connection adds the framing headers
 };
 
-// Status and headers of an endpoint's response.
+// What marks the end of a response's body (RFC 9112, section 6.3).
+enum class BodyFraming : unsigned char {
+    Length,         // Content-Length, or a response that has no body
+    Chunked,        // the last chunk
+    ConnectionClose // the end of the connection
+};
+
+std::string_view name_of(BodyFraming framing);
+
+// Status, headers and framing of an endpoint's response.
 struct HttpResponseHead {
     int status = 0;
     HttpHeaders headers;
+    BodyFraming framing = BodyFraming::Length;
 };
 
 // How one call ended.
--- a/src/process/metricnames.cpp
+++ b/src/process/metricnames.cpp
@@ -49,6 +49,9 @@
          "Retries of requests; they count against the retry budget."},
         {"liftweir_resumed", Counter, "streams", "", SiteEntry,
          "Streams that went on at another group."},
+        {"liftweir_streams_ended", Counter, "streams", "framing, partial_event", SiteEntry,
+         "Streams of endpoints that came to their end, by what marked the end (length, chunks or "
+         "close), and whether it was inside an event."},
         {"liftweir_refused", Counter, "requests", "kind", SiteEntry,
          "Requests that this host answered itself, before an endpoint was chosen."},
         {"liftweir_first_attempts", Counter, "requests", "event", SiteEntry,
--- a/src/request/relayedanswer.cpp
+++ b/src/request/relayedanswer.cpp
@@ -2,6 +2,7 @@
 // response is aborted.
 
 #include "process/logging.h"
+#include "process/metrics.h"
 #include "request/relayedcall.h"
 
 #include <algorithm>
@@ -194,6 +195,8 @@
          {"content", text_of(fingerprint())},
          {"begun_here", first_seen_ ? "yes" : "no"},
          {"last_event", last_event_},
+         {"framing", std::string(name_of(head_.framing))},
+         {"partial_event_bytes", std::to_string(splitter_.remaining().size())},
          {"since_sent_ms", std::to_string(to_millis(now - sent_at_))},
          {"repeatable", plan_.route->repeatable() ? "yes" : "no"}});
     release_endpoint();
@@ -215,8 +218,17 @@
         complete_whole();
 }
 
+void RelayedCall::count_stream_end() const {
+    Metrics::instance()
+        .counter("liftweir_streams_ended",
+                 "framing=\"" + std::string(name_of(head_.framing)) + "\",partial_event=\"" +
+                     (splitter_.remaining().empty() ? "no" : "yes") + "\"")
+        .add();
+}
+
 void RelayedCall::complete_stream() {
     clear_suspicion();
+    count_stream_end();
     std::string rest = splitter_.remaining();
     if (!rest.empty() && response_started_)
         forward_bytes(std::move(rest));
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -421,6 +421,8 @@
          {"first_event_ms", millis_text(first_event_took_)},
          {"longest_pause_ms", millis_text(longest_pause_)},
          {"resumed", std::to_string(resumed_)},
+         {"framing", std::string(name_of(head_.framing))},
+         {"partial_event_bytes", std::to_string(splitter_.remaining().size())},
          {"why", why}});
     host_.ended({plan_.route->name, status, took, first_event_took_, longest_pause_, sends_,
                  resumed_, cancel_delay_});
