Failing tests: streams broken off inside an event are passed on as complete

Callers got short streams whose response ended with its last chunk. An endpoint's response without a length or chunks ends with its connection; where it ends inside an event, the stream was broken off.

--- a/tests/site/sitefleet.py
+++ b/tests/site/sitefleet.py
@@ -317,9 +317,11 @@
             if self.fleet.signatures.get(headers.get("response-signature")) != body:
                 self.fleet.break_rule("mixed", "the body differs from the endpoint's")
             return
-        ids = [int(line[4:]) for line in body.decode().splitlines() if line.startswith("id: ")]
-        if ids != list(range(1, EVENTS + 1)):
-            self.fleet.break_rule("stream", "event ids %s in the stream of %s" % (ids, request))
+        *events, rest = body.decode().split("\n\n")
+        ids = [event.split("\n")[0] for event in events]
+        if rest or ids != ["id: %d" % number for number in range(1, EVENTS + 1)]:
+            self.fleet.break_rule("stream", "events %s and %r in the stream of %s" % (
+                ids, rest, request))
 
     def check_all(self):
         """Checks the rules that need the whole run, and returns all violations."""
--- a/tests/site/standin.py
+++ b/tests/site/standin.py
@@ -29,6 +29,10 @@
         self.heartbeat_s = HEARTBEAT_S
         self.event_s = EVENT_S  # seconds between two events of a stream
         self.events, self.event_bytes = EVENTS, 0  # events of a stream; padding bytes of each
+        self.stream_ends = random.Random(seed)  # which streams end in the following ways
+        self.unframed_share = 0.0  # of streams, without chunks: the connection's close ends them
+        self.broken_share = 0.0  # of streams, ended inside an event as if they were complete
+        self.broken_streams = 0
         self.large_body = b"large"  # request body that is answered with much more than buffers hold
         self.large_event_bytes, self.large_bytes = 32 << 10, 6 << 20  # of streams; of plain calls
         self.work_s = WORK_S  # duration of a plain call
@@ -338,8 +342,12 @@
 
     async def stream(self, after, own, writer):
         group, stalled_since = self.group, None
+        chunked = self.fleet.stream_ends.random() >= self.fleet.unframed_share
+        breaks = self.fleet.stream_ends.random() < self.fleet.broken_share
+        break_after = self.fleet.stream_ends.randrange(self.fleet.events) if breaks else None
+        framing = {"Transfer-Encoding": "chunked"} if chunked else {}
         writer.write(http1.head("HTTP/1.1 200 OK", {
-            **own, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}))
+            **own, "Content-Type": "text/event-stream", **framing}))
         number = after
         while number < self.fleet.events:
             await self.work(own["Request-Id"], self.fleet.event_s, writer)
@@ -355,8 +363,16 @@
                 continue
             number += 1
             event = b"id: %d\ndata: word%s\n\n" % (number, b"." * self.fleet.event_bytes)
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            broken_off = breaks and number > break_after
+            if broken_off:
+                event = event[:self.fleet.stream_ends.randrange(1, len(event) - 1)]
+                self.fleet.broken_streams += 1
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event) if chunked else event)
             await self.drain(own["Request-Id"], writer)
+            if broken_off:
+                break
+        if not chunked:
+            raise EOFError
         writer.write(b"0\r\n\r\n")
 
 
--- /dev/null
+++ b/tests/unit/brokenstream_test.cpp
@@ -0,0 +1,149 @@
+// Streams that an endpoint breaks off although the HTTP message has come to its end.
+
+#include "process/groupname.h"
+#include "unit/groupsimulator.h"
+#include "unit/relayfakes.h"
+
+#include <gtest/gtest.h>
+
+namespace liftweir {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+EndpointReport lead_of_group(int number, Time now) {
+    EndpointReport report;
+    report.id = {"i-" + std::to_string(number), 7};
+    report.service = "llm";
+    report.address = "10.0.0." + std::to_string(number) + ":80";
+    report.sequence = static_cast<std::uint64_t>(to_millis(now.time_since_epoch()));
+    const auto epoch = static_cast<Epoch>(number);
+    report.membership = {group_name("model", epoch, GroupKind::Regular), epoch, 0,
+                         MemberState::Open};
+    return report;
+}
+
+RelayedCallRoute stream_route(bool resumable) {
+    Route generate;
+    generate.name = "generate";
+    generate.kind = CallKind::Streaming;
+    generate.resumable = resumable;
+    generate.max_attempts = 2;
+    generate.timeout = seconds(10);
+    generate.latency_goal = milliseconds(250);
+    generate.split = {{"llm", 1}};
+    Deployment deployment;
+    deployment.services = {{"llm", 100, simulated_engine()}};
+    deployment.routes = {generate};
+    RelayedCallRoute plan;
+    plan.table = std::make_shared<const RouteTable>(deployment);
+    plan.route = &plan.table->deployment().routes.front();
+    plan.service = plan.table->deployment().service("llm");
+    return plan;
+}
+
+// One call for a stream, with two groups that can serve it.
+class BrokenStream : public testing::Test {
+  protected:
+    void start(bool resumable = true) {
+        const Time now = BootClock::now();
+        for (const int number : {1, 2})
+            host_.directory().registry().merge(lead_of_group(number, now), now);
+        CallerRequest request;
+        request.model = "model";
+        call_ = std::make_shared<RelayedCall>(host_, caller_, request, stream_route(resumable));
+        call_->start();
+    }
+
+    // The response of the endpoint that has the request now, to the end of the message.
+    void respond(BodyFraming framing, const std::string& body) {
+        const CallEvents events = host_.pool().calls.back().events;
+        events.on_head({200, {{"Content-Type", "text/event-stream"}}, framing});
+        events.on_body(body);
+        events.on_end(CallEnd::Complete, true);
+    }
+
+    std::size_t sends() { return host_.pool().calls.size(); }
+    std::string resumed_after() {
+        return std::string(find_header(host_.pool().calls.back().head.headers, "Last-Event-Id"));
+    }
+
+    FakeRelayHost host_{AdmissionRefusal::None};
+    std::shared_ptr<FakeExchange> caller_ = std::make_shared<FakeExchange>();
+    std::shared_ptr<RelayedCall> call_;
+};
+
+const std::string First = "id: 1\ndata: one\n\n";
+const std::string Second = "id: 2\ndata: two\n\n";
+
+TEST_F(BrokenStream, CloseInsideAnEventIsNotTakenForTheEndOfTheStream) {
+    start();
+    respond(BodyFraming::ConnectionClose, First + "id: 2\ndata: t");
+    ASSERT_EQ(sends(), 2u);
+    EXPECT_EQ(resumed_after(), "1");
+    EXPECT_EQ(host_.aborts, 1);
+    EXPECT_FALSE(caller_->finished);
+    respond(BodyFraming::Chunked, Second);
+    EXPECT_EQ(caller_->body_sent, First + Second);
+    EXPECT_TRUE(caller_->finished);
+}
+
+TEST_F(BrokenStream, LastChunkInsideAnEventIsNotTakenForTheEndOfTheStream) {
+    start();
+    respond(BodyFraming::Chunked, First + "id: 2\n");
+    ASSERT_EQ(sends(), 2u);
+    respond(BodyFraming::Chunked, Second);
+    EXPECT_EQ(caller_->body_sent, First + Second);
+    EXPECT_TRUE(caller_->finished);
+}
+
+TEST_F(BrokenStream, StreamThatNoGroupCompletesIsAborted) {
+    start();
+    respond(BodyFraming::ConnectionClose, First + "id: 2");
+    respond(BodyFraming::ConnectionClose, Second + "id: 3");
+    EXPECT_EQ(sends(), 2u);
+    EXPECT_EQ(caller_->body_sent, First + Second);
+    EXPECT_FALSE(caller_->finished);
+    EXPECT_TRUE(caller_->aborted);
+}
+
+TEST_F(BrokenStream, StreamThatMayNotBeRepeatedIsAbortedInsideAnEvent) {
+    start(false);
+    respond(BodyFraming::ConnectionClose, First + "id: 2\ndata: t");
+    EXPECT_EQ(sends(), 1u);
+    EXPECT_FALSE(caller_->finished);
+    EXPECT_TRUE(caller_->aborted);
+}
+
+TEST_F(BrokenStream, CloseBeforeTheFirstEventIsNotTakenForAnEmptyStream) {
+    start();
+    respond(BodyFraming::ConnectionClose, "");
+    ASSERT_EQ(sends(), 2u);
+    EXPECT_EQ(resumed_after(), "");
+    respond(BodyFraming::ConnectionClose, First + Second);
+    EXPECT_EQ(caller_->body_sent, First + Second);
+    EXPECT_TRUE(caller_->finished);
+}
+
+// Guards against complete streams that are taken for broken ones.
+TEST_F(BrokenStream, BlankLinesAndCommentsMayFollowTheLastEvent) {
+    for (const std::string rest : {"", "\n", "\r\n", ": done\n", ": a\r\n\n"}) {
+        for (const auto framing : {BodyFraming::ConnectionClose, BodyFraming::Length}) {
+            caller_ = std::make_shared<FakeExchange>();
+            start();
+            respond(framing, First + Second + rest);
+            EXPECT_TRUE(caller_->finished) << rest;
+            EXPECT_EQ(host_.aborts, 0);
+        }
+    }
+}
+
+TEST_F(BrokenStream, PartOfACommentIsBrokenOff) {
+    start();
+    respond(BodyFraming::ConnectionClose, First + ": keep-al");
+    EXPECT_FALSE(caller_->finished);
+}
+
+} // namespace
+} // namespace liftweir
--- a/tests/unit/relayedadmission_test.cpp
+++ b/tests/unit/relayedadmission_test.cpp
@@ -1,93 +1,15 @@
 // How a call applies the admission plan, and the priority that an engine gets with a request.
 
-#include "platform/callers.h"
-#include "request/relayedcall.h"
+#include "unit/relayfakes.h"
 
 #include <gtest/gtest.h>
 
-#include <map>
-#include <stdexcept>
-#include <utility>
-
 namespace liftweir {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// A request without a connection.
-class Exchange final : public HttpExchange {
-  public:
-    ConnectionId connection() const override { return {}; }
-    void set_label(std::string) override {}
-    std::string_view method() const override { return "POST"; }
-    std::string_view target() const override { return "/v1/generate"; }
-    std::string_view path() const override { return target(); }
-    std::string_view query() const override { return {}; }
-    std::string_view body() const override { return {}; }
-    const HttpHeaders& headers() const override { return headers_; }
-    std::string header(std::string_view) const override { return {}; }
-    Time received() const override { return received_; }
-    bool on_reused_connection() const override { return false; }
-    void respond(int status, const HttpHeaders&, std::string body) override {
-        status_ = status;
-        body_ = std::move(body);
-    }
-    void begin(int, const HttpHeaders&) override {}
-    void write(std::string, std::function<void(bool)>) override {}
-    void finish() override {}
-    void abort() override {}
-    std::optional<Time> disconnected_at() const override { return {}; }
-    void on_disconnect(std::function<void()>) override {}
-
-    int status_ = 0;
-    std::string body_;
-
-  private:
-    HttpHeaders headers_;
-    Time received_ = BootClock::now();
-};
-
-// An entry host without endpoints whose plan gives one answer to all requests.
-class Host final : public RelayedCallContext {
-  public:
-    explicit Host(AdmissionRefusal refusal) : refusal_(refusal) {}
-
-    Directory& directory() override { return directory_; }
-    HttpChannelPool& pool() override { throw std::logic_error("nothing may be sent"); }
-    const CallerProtocol& protocol() const override { return protocol_; }
-    WindowedRetryBudget& budget(const std::string&) override { return budget_; }
-    bool discovering_endpoints(Time) const override { return false; }
-    const Quarantine& quarantine() const override { return quarantine_; }
-    AdmissionRefusal check_admission(const RelayedCallRoute&, const std::string&) override {
-        ++checks_;
-        return refusal_;
-    }
-    void count_demand(const MeteredRequest&, DemandEvent event) override {
-        refused_ += event == DemandEvent::Refused ? 1 : 0;
-    }
-    void aborted(const AbortedRequest&, const EndpointId&) override {}
-    void cleared(const Fingerprint&) override {}
-    void report_limit(const EndpointId&, const ResponseSignals&, Time) override {}
-    void note_backoff(const EndpointId&, const ResponseSignals&) override {}
-    void mark_leaving(const EndpointId&) override {}
-    void unreachable(const EndpointId&) override {}
-    bool books_retries() const override { return false; }
-    Duration opens_in(const std::string&, const std::string&) const override { return {}; }
-    void ended(const CallSummary& summary) override { status_ = summary.status; }
-
-    int checks_ = 0;
-    int refused_ = 0; // counted as demand
-    int status_ = 0;  // of the ended call
-
-  private:
-    AdmissionRefusal refusal_;
-    Directory directory_{1};
-    platform::ClientProtocol protocol_;
-    WindowedRetryBudget budget_{seconds(10), 0.1, 10};
-    Quarantine quarantine_;
-};
-
 RelayedCallRoute route() {
     Service llm{.name = "llm", .engine = {}};
     llm.engine.emplace();
@@ -116,14 +38,14 @@
 
 Result start_call(AdmissionRefusal refusal, const RelayedCallRoute& plan,
                   const std::string& last_event = {}) {
-    Host host(refusal);
-    const auto exchange = std::make_shared<Exchange>();
+    FakeRelayHost host(refusal);
+    const auto exchange = std::make_shared<FakeExchange>();
     CallerRequest request;
     request.model = "small";
     request.last_event = last_event;
     const auto call = std::make_shared<RelayedCall>(host, exchange, request, plan);
     call->start();
-    return {exchange->status_, host.checks_, host.refused_, exchange->body_};
+    return {exchange->status, host.checks, host.refused, exchange->body_sent};
 }
 
 // Also guards against a refusal that the demand reports leave out: entry hosts name customers only
@@ -155,7 +77,7 @@
 // Guards against another header where no request is more urgent than another one.
 TEST(ForwardedPriority, IsLeftOutForTheDefault) {
     const platform::ClientProtocol protocol;
-    const Exchange exchange;
+    const FakeExchange exchange;
     const auto sent = [&](std::uint32_t engine_priority) {
         ForwardedFields fields;
         fields.engine_priority = engine_priority;
--- /dev/null
+++ b/tests/unit/relayfakes.h
@@ -0,0 +1,124 @@
+// Stand-ins for what a RelayedCall works with: the caller, the entry host and its connections.
+
+#ifndef RELAYFAKES_H_INCLUDED
+#define RELAYFAKES_H_INCLUDED
+
+#include "platform/callers.h"
+#include "request/relayedcall.h"
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace liftweir {
+
+// A request without a connection. Records the response.
+class FakeExchange final : public HttpExchange {
+  public:
+    ConnectionId connection() const override { return {}; }
+    void set_label(std::string) override {}
+    std::string_view method() const override { return "POST"; }
+    std::string_view target() const override { return "/v1/generate"; }
+    std::string_view path() const override { return target(); }
+    std::string_view query() const override { return {}; }
+    std::string_view body() const override { return {}; }
+    const HttpHeaders& headers() const override { return headers_; }
+    std::string header(std::string_view) const override { return {}; }
+    Time received() const override { return received_; }
+    bool on_reused_connection() const override { return false; }
+    void respond(int code, const HttpHeaders&, std::string body) override {
+        status = code;
+        body_sent = std::move(body);
+    }
+    void begin(int code, const HttpHeaders&) override { status = code; }
+    void write(std::string bytes, std::function<void(bool)>) override { body_sent += bytes; }
+    void finish() override { finished = true; }
+    void abort() override { aborted = true; }
+    std::optional<Time> disconnected_at() const override { return {}; }
+    void on_disconnect(std::function<void()>) override {}
+
+    int status = 0;
+    std::string body_sent;
+    bool finished = false; // the last chunk was sent
+    bool aborted = false;
+
+  private:
+    HttpHeaders headers_;
+    Time received_ = BootClock::now();
+};
+
+// Records each call, whose callbacks a test then invokes as the endpoint would.
+class FakeChannelPool final : public HttpChannelPool {
+  public:
+    struct Call {
+        std::string address;
+        HttpRequestHead head;
+        CallEvents events;
+    };
+
+    std::unique_ptr<HttpCallHandle> start(const std::string& address, const HttpRequestHead& head,
+                                          const std::string&, ChannelOptions,
+                                          CallEvents events) override {
+        calls.push_back({address, head, std::move(events)});
+        return std::make_unique<Handle>();
+    }
+    void forget(const std::string&) override {}
+    std::uint64_t opened() const override { return calls.size(); }
+
+    std::vector<Call> calls;
+
+  private:
+    class Handle final : public HttpCallHandle {
+      public:
+        void cancel() override {}
+        void pause() override {}
+        void resume() override {}
+    };
+};
+
+// An entry host whose admission plan gives one answer to all requests.
+class FakeRelayHost final : public RelayedCallContext {
+  public:
+    explicit FakeRelayHost(AdmissionRefusal refusal) : refusal_(refusal) {}
+
+    Directory& directory() override { return directory_; }
+    FakeChannelPool& pool() override { return pool_; }
+    const CallerProtocol& protocol() const override { return protocol_; }
+    WindowedRetryBudget& budget(const std::string&) override { return budget_; }
+    bool discovering_endpoints(Time) const override { return false; }
+    const Quarantine& quarantine() const override { return quarantine_; }
+    AdmissionRefusal check_admission(const RelayedCallRoute&, const std::string&) override {
+        ++checks;
+        return refusal_;
+    }
+    void count_demand(const MeteredRequest&, DemandEvent event) override {
+        refused += event == DemandEvent::Refused ? 1 : 0;
+    }
+    void aborted(const AbortedRequest&, const EndpointId&) override { ++aborts; }
+    void cleared(const Fingerprint&) override {}
+    void report_limit(const EndpointId&, const ResponseSignals&, Time) override {}
+    void note_backoff(const EndpointId&, const ResponseSignals&) override {}
+    void mark_leaving(const EndpointId&) override {}
+    void unreachable(const EndpointId&) override {}
+    bool books_retries() const override { return false; }
+    Duration opens_in(const std::string&, const std::string&) const override { return {}; }
+    void ended(const CallSummary& summary) override { status = summary.status; }
+
+    int checks = 0;
+    int refused = 0; // counted as demand
+    int aborts = 0;  // reported of endpoints
+    int status = -1; // of the ended call; -1 while it has not ended
+
+  private:
+    AdmissionRefusal refusal_;
+    Directory directory_{1};
+    FakeChannelPool pool_;
+    platform::ClientProtocol protocol_;
+    WindowedRetryBudget budget_{std::chrono::seconds(10), 0.1, 10};
+    Quarantine quarantine_;
+};
+
+} // namespace liftweir
+
+#endif // RELAYFAKES_H_INCLUDED
