A stream that ends inside an event is broken off, also where its message is complete

What callers saw: 200 with an endpoint's signature and a stream that ended in the middle of an event, closed by its last chunk; nothing told them that events were missing.

Cause: the end of the HTTP message was taken for the end of the stream. A response without a length or chunks ends with its connection, and an endpoint that fails may close it in an orderly way. The bytes of the incomplete event were even passed on.

Change: a stream whose message ends inside an event, or without any event where only the close of the connection marks the end, counts as aborted by the endpoint: it is resumed elsewhere after the last complete event, or aborted towards the caller.

Evidence: BrokenStream.* failed 6 of 7 before, passes now (a budget share in its fake that kept 4 of them from their retry is mended with it; without the change 6 fail as before).

Why it holds: a stream's end needs both the end of its message and of its last event; no framing of the endpoint is trusted alone.

--- a/src/connection/eventsplitter.cpp
+++ b/src/connection/eventsplitter.cpp
@@ -36,6 +36,22 @@
     return event;
 }
 
+bool EventSplitter::inside_event() const {
+    std::string_view rest = pending_;
+    while (!rest.empty()) {
+        const auto end = rest.find('\n');
+        const bool ended = end != std::string_view::npos;
+        std::string_view line = rest.substr(0, end);
+        rest.remove_prefix(ended ? end + 1 : rest.size());
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        const bool comment = ended && line.starts_with(':');
+        if (!line.empty() && !comment)
+            return true;
+    }
+    return false;
+}
+
 std::string_view id_of_event(std::string_view event) {
     while (!event.empty()) {
         const auto end = std::min(event.find('\n'), event.size());
--- a/src/connection/eventsplitter.h
+++ b/src/connection/eventsplitter.h
@@ -20,6 +20,9 @@
     std::string next();
     // The bytes after the last complete event.
     const std::string& remaining() const { return pending_; }
+    // True if those bytes hold anything but blank lines and comments: a stream that ends here was
+    // broken off.
+    bool inside_event() const;
 
   private:
     // Bounds the memory for a stream without blank lines; events normally hold a few tokens.
--- a/src/request/relayedanswer.cpp
+++ b/src/request/relayedanswer.cpp
@@ -128,9 +128,21 @@
     });
 }
 
+// An HTTP message can be complete although the stream in it is not: an endpoint that fails may
+// still close its connection in an orderly way. No engine completes a generation without an event.
+bool RelayedCall::stream_broken_off() const {
+    const bool no_event =
+        uses_engine() && !first_seen_ && head_.framing == BodyFraming::ConnectionClose;
+    return streaming_ && (splitter_.inside_event() || no_event);
+}
+
 void RelayedCall::on_end(CallEnd how) {
     if (done_ || endpoint_.empty())
         return;
+    if (how == CallEnd::Complete && stream_broken_off()) {
+        count_stream_end();
+        how = CallEnd::Broken;
+    }
     if (how == CallEnd::ConnectFailed) {
         on_no_connection();
         return;
@@ -220,9 +232,9 @@
 
 void RelayedCall::count_stream_end() const {
     Metrics::instance()
-        .counter("liftweir_streams_ended",
-                 "framing=\"" + std::string(name_of(head_.framing)) + "\",partial_event=\"" +
-                     (splitter_.remaining().empty() ? "no" : "yes") + "\"")
+        .counter("liftweir_streams_ended", "framing=\"" + std::string(name_of(head_.framing)) +
+                                               "\",partial_event=\"" +
+                                               (splitter_.inside_event() ? "yes" : "no") + "\"")
         .add();
 }
 
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -160,6 +160,7 @@
     void on_complete();
     void report_aborted();
     void clear_suspicion();
+    bool stream_broken_off() const;
     void count_stream_end() const;
     void complete_stream();
     void complete_whole();
--- a/tests/unit/relayfakes.h
+++ b/tests/unit/relayfakes.h
@@ -80,7 +80,7 @@
 // An entry host whose admission plan gives one answer to all requests.
 class FakeRelayHost final : public RelayedCallContext {
   public:
-    explicit FakeRelayHost(AdmissionRefusal refusal) : refusal_(refusal) {}
+    explicit FakeRelayHost(AdmissionRefusal refusal) : refusal_(refusal) { budget_.set_share(1); }
 
     Directory& directory() override { return directory_; }
     FakeChannelPool& pool() override { return pool_; }
