Streams are not repeated behind an event that no id names

Found while looking for the same cause elsewhere: a broken stream was resumed after the last id that had been seen, also where events without an id had reached the caller since then. The endpoint that went on sent them once more, and without any id the stream began anew in the middle of the response.

Change: once the caller has an event behind the last id, the stream ends where it breaks, and a stalled group is waited for. Comments and fields without data do not count.

--- a/src/connection/eventsplitter.cpp
+++ b/src/connection/eventsplitter.cpp
@@ -3,6 +3,7 @@
 #include "connection/eventsplitter.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace liftweir {
 
@@ -21,6 +22,24 @@
     return std::string_view::npos;
 }
 
+// Value of the first field of this name. A field may stand without a colon and a value.
+std::optional<std::string_view> value_of_field(std::string_view event, std::string_view name) {
+    while (!event.empty()) {
+        const auto end = std::min(event.find('\n'), event.size());
+        std::string_view line = event.substr(0, end);
+        event.remove_prefix(std::min(end + 1, event.size()));
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        if (line.substr(0, line.find(':')) != name)
+            continue;
+        line.remove_prefix(std::min(name.size() + 1, line.size()));
+        if (line.starts_with(' '))
+            line.remove_prefix(1);
+        return line;
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 std::string EventSplitter::next() {
@@ -53,20 +72,11 @@
 }
 
 std::string_view id_of_event(std::string_view event) {
-    while (!event.empty()) {
-        const auto end = std::min(event.find('\n'), event.size());
-        std::string_view line = event.substr(0, end);
-        event.remove_prefix(std::min(end + 1, event.size()));
-        if (!line.starts_with("id:"))
-            continue;
-        line.remove_prefix(3);
-        if (line.starts_with(' '))
-            line.remove_prefix(1);
-        if (line.ends_with('\r'))
-            line.remove_suffix(1);
-        return line;
-    }
-    return {};
+    return value_of_field(event, "id").value_or(std::string_view{});
+}
+
+bool has_data(std::string_view event) {
+    return value_of_field(event, "data").has_value();
 }
 
 } // namespace liftweir
--- a/src/connection/eventsplitter.h
+++ b/src/connection/eventsplitter.h
@@ -34,6 +34,8 @@
 
 // Value of an event's id field; empty if it has none.
 std::string_view id_of_event(std::string_view event);
+// False for comments and fields that a client does not report as an event.
+bool has_data(std::string_view event);
 
 } // namespace liftweir
 
--- a/src/request/relayedanswer.cpp
+++ b/src/request/relayedanswer.cpp
@@ -96,8 +96,10 @@
 
 void RelayedCall::forward_event(std::string event) {
     const Time now = BootClock::now();
-    if (const std::string_view id = id_of_event(event); !id.empty())
+    const std::string_view id = id_of_event(event);
+    if (!id.empty())
         last_event_ = id;
+    ends_without_id_ = id.empty() && (ends_without_id_ || has_data(event));
     if (!response_started_) {
         response_started_ = true;
         first_event_took_ = now - received_;
@@ -210,13 +212,12 @@
          {"framing", std::string(name_of(head_.framing))},
          {"partial_event_bytes", std::to_string(splitter_.remaining().size())},
          {"since_sent_ms", std::to_string(to_millis(now - sent_at_))},
-         {"repeatable", plan_.route->repeatable() ? "yes" : "no"}});
+         {"repeatable", may_repeat() ? "yes" : "no"}});
     release_endpoint();
     ++runs_;
-    const bool repeatable = plan_.route->repeatable();
-    if (repeatable && response_started_)
+    if (may_repeat() && response_started_)
         ++resumed_;
-    if (!repeatable || runs_ >= runs_allowed()) {
+    if (!may_repeat() || runs_ >= runs_allowed()) {
         fail_or_abort(why);
         return;
     }
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -137,6 +137,9 @@
     CallerReturn caller_return() const;
     bool can_send_to_another(Time now);
     std::uint32_t runs_allowed() const;
+    // Whether another endpoint may run the request, or go on with its stream: without an id, the
+    // last event that the caller has can not be named to it.
+    bool may_repeat() const { return plan_.route->repeatable() && !ends_without_id_; }
     const char* full_reason() const {
         return uses_engine() ? "all groups are full" : "all endpoints are full";
     }
@@ -218,6 +221,7 @@
     EventSplitter splitter_;
     std::string body_;
     std::string last_event_;
+    bool ends_without_id_ = false; // the caller has an event after the one that last_event_ names
     Time last_forwarded_{};
     Duration first_event_took_{};
     Duration longest_pause_{};
--- a/src/request/relayedwait.cpp
+++ b/src/request/relayedwait.cpp
@@ -86,7 +86,7 @@
 }
 
 void RelayedCall::stalled(const EndpointId& lead, Time now) {
-    if (done_ || endpoint_ != lead || !plan_.route->repeatable() || runs_ + 1 >= runs_allowed())
+    if (done_ || endpoint_ != lead || !may_repeat() || runs_ + 1 >= runs_allowed())
         return;
     if (can_send_to_another(now))
         on_broken("the group stalled");
--- a/tests/unit/brokenstream_test.cpp
+++ b/tests/unit/brokenstream_test.cpp
@@ -126,6 +126,27 @@
     EXPECT_TRUE(caller_->finished);
 }
 
+TEST_F(BrokenStream, StreamIsNotResumedAfterAnEventThatNoIdNames) {
+    start();
+    respond(BodyFraming::ConnectionClose, First + "data: two\n\ndata: th");
+    EXPECT_EQ(sends(), 1u);
+    EXPECT_TRUE(caller_->aborted);
+}
+
+TEST_F(BrokenStream, StreamWithoutIdsIsNotRepeatedFromItsBeginning) {
+    start();
+    respond(BodyFraming::ConnectionClose, "data: one\n\ndata: t");
+    EXPECT_EQ(sends(), 1u);
+    EXPECT_TRUE(caller_->aborted);
+}
+
+TEST_F(BrokenStream, CommentsWithoutAnIdDoNotPreventAResume) {
+    start();
+    respond(BodyFraming::ConnectionClose, First + ": keep-alive\n\nretry: 5\n\nid: 2");
+    ASSERT_EQ(sends(), 2u);
+    EXPECT_EQ(resumed_after(), "1");
+}
+
 // Guards against complete streams that are taken for broken ones.
 TEST_F(BrokenStream, BlankLinesAndCommentsMayFollowTheLastEvent) {
     for (const std::string rest : {"", "\n", "\r\n", ": done\n", ": a\r\n\n"}) {
