HTTP/1.0 callers get streams without chunks, and a reset where one breaks off

A caller that speaks HTTP/1.0 does not know chunks: it takes the close of the connection for the end, so an aborted stream looked complete to it.

Change: such a response ends with the connection, and a close before its last byte has been passed to the kernel is a reset.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -69,7 +69,7 @@
     void finish() override {
         if (std::exchange(done_, true))
             return;
-        connection_->send("0\r\n\r\n", nullptr);
+        connection_->send_last_chunk();
         connection_->answered();
     }
     void abort() override {
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -54,8 +54,8 @@
 
     // Sends a complete response.
     virtual void respond(int status, const HttpHeaders& headers, std::string body) = 0;
-    // Sends a chunked response. `on_written` is called with true once the kernel has the bytes, or
-    // with false if the connection is closed.
+    // Sends a response of unknown length in chunks. `on_written` is called with true once the
+    // kernel has the bytes, or with false if the connection is closed.
     virtual void begin(int status, const HttpHeaders& headers) = 0;
     virtual void write(std::string bytes, std::function<void(bool)> on_written) = 0;
     virtual void finish() = 0;
--- a/src/connection/serverconnection.cpp
+++ b/src/connection/serverconnection.cpp
@@ -108,6 +108,7 @@
         return -1;
     message_.method = http_method_str(static_cast<http_method>(parser_.method));
     message_.keep_alive = http_should_keep_alive(&parser_) != 0;
+    accepts_chunks_ = parser_.http_minor >= 1;
     set_phase(Phase::Body, BootClock::now() + core_->limits.header_timeout);
     if (has_token(find_header(message_.headers, "expect"), "100-continue") &&
         !std::exchange(continue_sent_, true))
@@ -228,9 +229,11 @@
     std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
     head.append(reason_of(status)).append("\r\n");
     append_headers(head, headers);
-    if (!length)
+    ends_by_close_ = !length && !accepts_chunks_;
+    close_after_ = close_after_ || ends_by_close_;
+    if (!length && accepts_chunks_)
         head += "Transfer-Encoding: chunked\r\n";
-    else if (status != 204 && status != 304)
+    else if (length && status != 204 && status != 304)
         head += "Content-Length: " + std::to_string(*length) + "\r\n";
     close_after_ = close_after_ || core_->closing;
     if (close_after_)
@@ -240,6 +243,10 @@
 }
 
 void ServerConnection::send_chunk(std::string bytes, std::function<void(bool)> on_written) {
+    if (ends_by_close_) {
+        send(std::move(bytes), std::move(on_written));
+        return;
+    }
     char size[20];
     const int length = std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
     bytes.insert(0, size, static_cast<std::size_t>(length));
@@ -247,6 +254,17 @@
     send(std::move(bytes), std::move(on_written));
 }
 
+void ServerConnection::send_last_chunk() {
+    if (!ends_by_close_) {
+        send("0\r\n\r\n", nullptr);
+        return;
+    }
+    send({}, [self = shared_from_this()](bool written) {
+        if (written)
+            self->ends_by_close_ = false;
+    });
+}
+
 void ServerConnection::send(std::string bytes, std::function<void(bool)> on_written) {
     if (phase_ == Phase::Closed) {
         if (on_written)
@@ -412,6 +430,7 @@
         callback();
 }
 
+// An orderly close would complete a response that has neither a length nor chunks.
 void ServerConnection::close() {
     if (phase_ == Phase::Closed)
         return;
@@ -420,6 +439,8 @@
     if (!disconnected_at_)
         disconnected_at_ = BootClock::now();
     asio::error_code ignored;
+    if (ends_by_close_)
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     socket_.close(ignored);
     asio::post(core_->io, [self] {
         self->core_->connections.erase(self);
--- a/src/connection/serverconnection.h
+++ b/src/connection/serverconnection.h
@@ -72,10 +72,12 @@
         return phase_ != Phase::Closed && (reads || phase_ == Phase::Working || write_active_);
     }
 
-    // Starts the response to the request that was read last; chunked if `length` is empty.
+    // Starts the response to the request that was read last. If `length` is empty, the response is
+    // chunked, or ends with the connection where the caller does not know chunks (HTTP/1.0).
     void send_head(int status, const HttpHeaders& headers, std::optional<std::size_t> length);
     void send(std::string bytes, std::function<void(bool)> on_written);
     void send_chunk(std::string bytes, std::function<void(bool)> on_written);
+    void send_last_chunk();
     // The response is complete.
     void answered();
     // Time at which the caller's close of its connection or of its sending side was noticed. Polls
@@ -139,6 +141,8 @@
     bool complete_ = false;           // the request was read completely
     bool close_after_ = false;        // the response to the current request is the last one
     bool close_when_written_ = false; // the caller has closed its sending side
+    bool accepts_chunks_ = true;      // the caller knows the chunked coding
+    bool ends_by_close_ = false;      // an orderly close now would end an incomplete response
     bool reused_ = false;             // an earlier request was answered on this connection
     bool continue_sent_ = false;      // 100 Continue was sent for this request
     std::vector<PendingWrite> queue_;
--- a/tests/unit/httpserver_test.cpp
+++ b/tests/unit/httpserver_test.cpp
@@ -40,6 +40,7 @@
             socket.async_read_some(asio::buffer(buffer),
                                    [&](asio::error_code error, std::size_t size) {
                                        got.append(buffer.data(), size);
+                                       reset_ = error == asio::error::connection_reset;
                                        if (error)
                                            ended = true;
                                        else
@@ -63,6 +64,7 @@
         [](const std::shared_ptr<HttpExchange>& e) { e->respond(200, {}, "ok"); };
     int handled_ = 0;
     bool closed_ = false;
+    bool reset_ = false;
     std::string last_body_;
     std::string last_target_;
 };
@@ -372,5 +374,33 @@
     EXPECT_TRUE(watched.expired());
 }
 
+TEST_F(ServerTest, HttpOneZeroCallerGetsAStreamWithoutChunks) {
+    handler_ = [](const std::shared_ptr<HttpExchange>& e) {
+        e->begin(200, {});
+        e->write("part", nullptr);
+        e->finish();
+    };
+    serve();
+    const std::string got = send_and_receive(
+        "GET / HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n", std::chrono::seconds(3));
+    EXPECT_TRUE(closed_);
+    EXPECT_FALSE(reset_);
+    EXPECT_EQ(got.find("chunked"), std::string::npos);
+    EXPECT_TRUE(got.ends_with("\r\n\r\npart")) << got;
+}
+
+TEST_F(ServerTest, StreamThatBreaksOffNeverLooksCompleteToAnHttpOneZeroCaller) {
+    std::shared_ptr<HttpExchange> exchange;
+    handler_ = [&](const std::shared_ptr<HttpExchange>& e) {
+        exchange = e;
+        e->begin(200, {});
+        e->write("part", [&](bool) { exchange->abort(); });
+    };
+    serve();
+    send_and_receive("GET / HTTP/1.0\r\nHost: a\r\n\r\n", std::chrono::seconds(3));
+    EXPECT_TRUE(closed_);
+    EXPECT_TRUE(reset_);
+}
+
 } // namespace
 } // namespace liftweir
