--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -34,6 +34,8 @@
 }
 # Smaller than the replicated log of any run, so that the next append fails.
 FULL_DISK_BYTES = 256
+# Of the endpoints' streams: without chunks, and broken off inside an event.
+UNFRAMED_SHARE, BROKEN_SHARE = 0.3, 0.05
 
 
 class Schedule:
@@ -319,6 +321,7 @@
 async def soak(seed, seconds, shape, net, planted, held_links):
     proxy = FaultProxy(seed)
     site = Site(seed=seed, net=net, proxy=proxy, **SHAPES[shape])
+    site.fleet.unframed_share, site.fleet.broken_share = UNFRAMED_SHARE, BROKEN_SHARE
     stop, counts = asyncio.Event(), {}
     schedule = Schedule(site, proxy, seed, held_links)
     try:
--- a/tests/site/standin.py
+++ b/tests/site/standin.py
@@ -354,12 +354,12 @@
             if self.unresponsive:
                 await asyncio.sleep(3600)
             if group is not self.group:
-                raise EOFError
+                self.cut_off(writer, chunked)
             if group and not self.has_all_members():
                 stalled_since = stalled_since or time.monotonic()
                 if time.monotonic() - stalled_since > STALL_S:
                     self.change(group, "broken")
-                    raise EOFError
+                    self.cut_off(writer, chunked)
                 continue
             number += 1
             event = b"id: %d\ndata: word%s\n\n" % (number, b"." * self.fleet.event_bytes)
@@ -375,6 +375,13 @@
             raise EOFError
         writer.write(b"0\r\n\r\n")
 
+    def cut_off(self, writer, chunked):
+        """Ends a stream between two events. Without chunks, only a reset shows that it is not
+        complete."""
+        if not chunked:
+            writer.transport.abort()
+        raise EOFError
+
 
 class MalformedReporter:
     """Sends malformed reports that name its own address, and records a violation when a request
