Tests of broken streams: other kinds of routes, bytes one by one, one end of each response

No change of the programs. The stand-ins of the caller and the entry host notice a second end and bytes after the end; the tests of the admission plan state again that nothing may be sent.

--- a/tests/unit/brokenstream_test.cpp
+++ b/tests/unit/brokenstream_test.cpp
@@ -24,17 +24,25 @@
     return report;
 }
 
-RelayedCallRoute stream_route(bool resumable) {
+struct RouteOptions {
+    CallKind kind = CallKind::Streaming;
+    bool resumable = true;
+    bool engine = true;
+};
+
+RelayedCallRoute stream_route(const RouteOptions& options) {
     Route generate;
     generate.name = "generate";
-    generate.kind = CallKind::Streaming;
-    generate.resumable = resumable;
+    generate.kind = options.kind;
+    generate.resumable = options.resumable;
     generate.max_attempts = 2;
     generate.timeout = seconds(10);
     generate.latency_goal = milliseconds(250);
     generate.split = {{"llm", 1}};
     Deployment deployment;
     deployment.services = {{"llm", 100, simulated_engine()}};
+    if (!options.engine)
+        deployment.services.front().engine.reset();
     deployment.routes = {generate};
     RelayedCallRoute plan;
     plan.table = std::make_shared<const RouteTable>(deployment);
@@ -46,21 +54,28 @@
 // One call for a stream, with two groups that can serve it.
 class BrokenStream : public testing::Test {
   protected:
-    void start(bool resumable = true) {
+    void TearDown() override { EXPECT_LE(caller_->ends, 1) << "the response ended twice"; }
+
+    void start(const RouteOptions& options = {}) {
         const Time now = BootClock::now();
-        for (const int number : {1, 2})
-            host_.directory().registry().merge(lead_of_group(number, now), now);
+        for (const int number : {1, 2}) {
+            EndpointReport report = lead_of_group(number, now);
+            if (!options.engine)
+                report.membership = {};
+            host_.directory().registry().merge(report, now);
+        }
         CallerRequest request;
-        request.model = "model";
-        call_ = std::make_shared<RelayedCall>(host_, caller_, request, stream_route(resumable));
+        request.model = options.engine ? "model" : "";
+        call_ = std::make_shared<RelayedCall>(host_, caller_, request, stream_route(options));
         call_->start();
     }
 
     // The response of the endpoint that has the request now, to the end of the message.
     void respond(BodyFraming framing, const std::string& body) {
         const CallEvents events = host_.pool().calls.back().events;
-        events.on_head({200, {{"Content-Type", "text/event-stream"}}, framing});
-        events.on_body(body);
+        events.on_head({200, {{"Content-Type", media_type_}}, framing});
+        for (const char byte : body)
+            events.on_body({&byte, 1});
         events.on_end(CallEnd::Complete, true);
     }
 
@@ -69,6 +84,7 @@
         return std::string(find_header(host_.pool().calls.back().head.headers, "Last-Event-Id"));
     }
 
+    std::string media_type_ = "text/event-stream";
     FakeRelayHost host_{AdmissionRefusal::None};
     std::shared_ptr<FakeExchange> caller_ = std::make_shared<FakeExchange>();
     std::shared_ptr<RelayedCall> call_;
@@ -109,7 +125,7 @@
 }
 
 TEST_F(BrokenStream, StreamThatMayNotBeRepeatedIsAbortedInsideAnEvent) {
-    start(false);
+    start({.resumable = false});
     respond(BodyFraming::ConnectionClose, First + "id: 2\ndata: t");
     EXPECT_EQ(sends(), 1u);
     EXPECT_FALSE(caller_->finished);
@@ -155,6 +171,7 @@
             start();
             respond(framing, First + Second + rest);
             EXPECT_TRUE(caller_->finished) << rest;
+            EXPECT_EQ(caller_->body_sent, First + Second + rest);
             EXPECT_EQ(host_.aborts, 0);
         }
     }
@@ -164,6 +181,7 @@
     start();
     respond(BodyFraming::ConnectionClose, First + ": keep-al");
     EXPECT_FALSE(caller_->finished);
+    EXPECT_EQ(sends(), 2u);
 }
 
 } // namespace
--- a/tests/unit/relayedadmission_test.cpp
+++ b/tests/unit/relayedadmission_test.cpp
@@ -45,6 +45,7 @@
     request.last_event = last_event;
     const auto call = std::make_shared<RelayedCall>(host, exchange, request, plan);
     call->start();
+    EXPECT_TRUE(host.pool().calls.empty()) << "no endpoint is known";
     return {exchange->status, host.checks, host.refused, exchange->body_sent};
 }
 
--- a/tests/unit/relayfakes.h
+++ b/tests/unit/relayfakes.h
@@ -6,6 +6,8 @@
 #include "platform/callers.h"
 #include "request/relayedcall.h"
 
+#include <gtest/gtest.h>
+
 #include <memory>
 #include <string>
 #include <utility>
@@ -30,18 +32,31 @@
     void respond(int code, const HttpHeaders&, std::string body) override {
         status = code;
         body_sent = std::move(body);
+        responded = true;
+        ++ends;
     }
     void begin(int code, const HttpHeaders&) override { status = code; }
-    void write(std::string bytes, std::function<void(bool)>) override { body_sent += bytes; }
-    void finish() override { finished = true; }
-    void abort() override { aborted = true; }
+    void write(std::string bytes, std::function<void(bool)>) override {
+        EXPECT_EQ(ends, 0) << "bytes after the end of the response";
+        body_sent += bytes;
+    }
+    void finish() override {
+        finished = true;
+        ++ends;
+    }
+    void abort() override {
+        aborted = true;
+        ++ends;
+    }
     std::optional<Time> disconnected_at() const override { return {}; }
     void on_disconnect(std::function<void()>) override {}
 
     int status = 0;
     std::string body_sent;
-    bool finished = false; // the last chunk was sent
+    bool responded = false; // with a complete response
+    bool finished = false;  // the last chunk was sent
     bool aborted = false;
+    int ends = 0;
 
   private:
     HttpHeaders headers_;
