A generation without an event is broken off, whatever framed it

Change: the first attempt at a generation needs an event. A resumed one may be empty where its framing says so: the caller may have all events already.

Measured: LastChunkBeforeTheFirstEventIsNotTakenForAnEmptyStream fails before (one send, an empty response), passes now; the guard for resumed streams passed before and passes.

--- a/src/request/relayedanswer.cpp
+++ b/src/request/relayedanswer.cpp
@@ -131,11 +131,13 @@
 }
 
 // An HTTP message can be complete although the stream in it is not: an endpoint that fails may
-// still close its connection in an orderly way. No engine completes a generation without an event.
+// still close its connection in an orderly way. No engine completes a generation without an event,
+// but of one that is resumed nothing may be left.
 bool RelayedCall::stream_broken_off() const {
-    const bool no_event =
-        uses_engine() && !first_seen_ && head_.framing == BodyFraming::ConnectionClose;
-    return streaming_ && (splitter_.inside_event() || no_event);
+    const bool rest_may_be_empty =
+        !last_event_.empty() && head_.framing != BodyFraming::ConnectionClose;
+    const bool event_missing = uses_engine() && !first_seen_ && !rest_may_be_empty;
+    return streaming_ && (splitter_.inside_event() || event_missing);
 }
 
 void RelayedCall::on_end(CallEnd how) {
--- a/tests/unit/brokenstream_test.cpp
+++ b/tests/unit/brokenstream_test.cpp
@@ -184,5 +184,22 @@
     EXPECT_EQ(sends(), 2u);
 }
 
+TEST_F(BrokenStream, LastChunkBeforeTheFirstEventIsNotTakenForAnEmptyStream) {
+    start();
+    respond(BodyFraming::Chunked, "");
+    ASSERT_EQ(sends(), 2u);
+    respond(BodyFraming::Chunked, First);
+    EXPECT_EQ(caller_->body_sent, First);
+    EXPECT_TRUE(caller_->finished);
+}
+
+// Guards against a complete stream that is aborted because nothing was left to resume.
+TEST_F(BrokenStream, NothingMayFollowTheLastEventOfAResumedStream) {
+    start();
+    respond(BodyFraming::ConnectionClose, First + "id: 2");
+    respond(BodyFraming::Chunked, "");
+    EXPECT_EQ(caller_->body_sent, First);
+    EXPECT_TRUE(caller_->finished);
+}
 } // namespace
 } // namespace liftweir
