Streams of events are recognised by their media type, without regard to case

Found in the review: 'Text/Event-Stream' was taken for a plain body, so that a stream without a length that broke off inside an event reached the caller as a whole response, the partial event included.

Change: one function for both paths compares the media type as RFC 9110 asks, without parameters.

Measured: MediaTypeInUpperCaseIsAStreamOfEventsToo fails before (one send, the part of event 2 passed on), passes now.

--- a/src/connection/httpmessage.cpp
+++ b/src/connection/httpmessage.cpp
@@ -53,6 +53,11 @@
     return false;
 }
 
+bool is_event_stream(std::string_view content_type) {
+    const std::string_view type = content_type.substr(0, content_type.find(';'));
+    return equals_ignoring_case(trimmed(type), "text/event-stream");
+}
+
 // Content-Length counts as hop-by-hop too, since the sender on the next hop frames the body again.
 bool is_hop_by_hop(std::string_view name) {
     return std::any_of(HopByHop.begin(), HopByHop.end(),
--- a/src/connection/httpmessage.h
+++ b/src/connection/httpmessage.h
@@ -22,6 +22,9 @@
 // True if a comma-separated header value contains a token, without regard to case.
 bool has_token(std::string_view value, std::string_view token);
 
+// True for the media type of server-sent events, without regard to case and parameters.
+bool is_event_stream(std::string_view content_type);
+
 // True for headers that concern one connection only and are never forwarded (RFC 9110, 7.6.1).
 bool is_hop_by_hop(std::string_view name);
 
--- a/src/process/agentwork.cpp
+++ b/src/process/agentwork.cpp
@@ -3,6 +3,7 @@
 
 #include "process/agent.h"
 
+#include "connection/httpmessage.h"
 #include "process/metrics.h"
 
 #include <algorithm>
@@ -187,7 +188,7 @@
         with_work([&](AttemptState& w) {
             w.link->send(Head{id, static_cast<std::uint32_t>(status), type});
             // Endpoints answer errors as plain JSON even where the request asked for a stream.
-            if (type.find("event-stream") == std::string::npos && w.attempt.streamed)
+            if (!is_event_stream(type) && w.attempt.streamed)
                 w.relay = std::make_unique<Relay>(id, false, 0, w.attempt.window);
         });
     };
--- a/src/request/call.cpp
+++ b/src/request/call.cpp
@@ -2,6 +2,8 @@
 
 #include "request/call.h"
 
+#include "connection/httpmessage.h"
+
 #include <algorithm>
 #include <cassert>
 
@@ -213,8 +215,7 @@
     attempt = find(chunk.id);
     ++attempt->next_chunk;
     attempt->bytes += chunk.bytes.size();
-    const bool event_stream =
-        spec_.streamed && attempt->head->content_type.find("event-stream") != std::string::npos;
+    const bool event_stream = spec_.streamed && is_event_stream(attempt->head->content_type);
     if (!event_stream) {
         attempt->body += chunk.bytes;
         tokens_ = std::max(tokens_, chunk.tokens);
--- a/src/request/relayedanswer.cpp
+++ b/src/request/relayedanswer.cpp
@@ -19,10 +19,6 @@
 // Reading from the endpoint pauses while a slow caller has more bytes than this outstanding.
 constexpr std::size_t MaxUnwritten = 256u << 10;
 
-bool is_event_stream(const HttpResponseHead& head) {
-    return find_header(head.headers, "content-type").starts_with("text/event-stream");
-}
-
 HttpHeaders end_to_end(const HttpResponseHead& head) {
     HttpHeaders out;
     const std::string_view named = find_header(head.headers, "connection");
@@ -47,7 +43,8 @@
     note_backoff();
     if (signals_.leaving && !signals_.misdirected)
         host_.mark_leaving(endpoint_);
-    streaming_ = status_class(head.status) == 2 && is_event_stream(head);
+    streaming_ = status_class(head.status) == 2 &&
+                 is_event_stream(find_header(head.headers, "content-type"));
     if (response_started_ && !streaming_ && !signals_.not_run)
         on_broken("the endpoint did not resume the stream");
 }
--- a/tests/unit/brokenstream_test.cpp
+++ b/tests/unit/brokenstream_test.cpp
@@ -201,5 +201,12 @@
     EXPECT_EQ(caller_->body_sent, First);
     EXPECT_TRUE(caller_->finished);
 }
+TEST_F(BrokenStream, MediaTypeInUpperCaseIsAStreamOfEventsToo) {
+    start();
+    media_type_ = "Text/Event-Stream; charset=utf-8";
+    respond(BodyFraming::ConnectionClose, First + "id: 2\ndata: t");
+    EXPECT_EQ(sends(), 2u);
+    EXPECT_EQ(caller_->body_sent, First);
+}
 } // namespace
 } // namespace liftweir
