An endpoint that ends its message inside an event has not crashed because of the request

Found in the review: each stream that ended inside an event was reported as an abort, and three endpoints that abort a request put its content under quarantine for ten minutes. An endpoint that leaves out the last blank line would get its callers' requests quarantined.

Change: an abort is reported where the message is incomplete, or where the close marks its end. The log names a stream that ends before its last event as such.

Measured: EndpointThatCompletesItsMessageIsNotReportedAsCrashed fails before (1 report), passes now.

--- a/src/request/relayedanswer.cpp
+++ b/src/request/relayedanswer.cpp
@@ -140,20 +140,23 @@
 void RelayedCall::on_end(CallEnd how) {
     if (done_ || endpoint_.empty())
         return;
-    if (how == CallEnd::Complete && stream_broken_off()) {
+    const bool broken_off = how == CallEnd::Complete && stream_broken_off();
+    if (broken_off)
         count_stream_end();
-        how = CallEnd::Broken;
-    }
     if (how == CallEnd::ConnectFailed) {
         on_no_connection();
         return;
     }
-    if (how == CallEnd::Broken)
+    // A process that still frames its message to the end has not crashed.
+    const bool may_have_crashed =
+        how == CallEnd::Broken || (broken_off && head_.framing == BodyFraming::ConnectionClose);
+    if (may_have_crashed)
         report_aborted();
-    if (how != CallEnd::Complete) {
+    if (how != CallEnd::Complete || broken_off) {
         host_.directory().failed(endpoint_, BootClock::now());
-        on_broken(how == CallEnd::Broken ? "the endpoint aborted the request"
-                                         : "not a valid response");
+        on_broken(how == CallEnd::Malformed ? "not a valid response"
+                  : broken_off              ? "the stream ends before its last event"
+                                            : "the endpoint aborted the request");
         return;
     }
     if (signals_.not_run) {
--- a/tests/unit/brokenstream_test.cpp
+++ b/tests/unit/brokenstream_test.cpp
@@ -208,5 +208,11 @@
     EXPECT_EQ(sends(), 2u);
     EXPECT_EQ(caller_->body_sent, First);
 }
+TEST_F(BrokenStream, EndpointThatCompletesItsMessageIsNotReportedAsCrashed) {
+    start();
+    respond(BodyFraming::Length, First + "id: 2\ndata: t\n");
+    EXPECT_EQ(sends(), 2u);
+    EXPECT_EQ(host_.aborts, 0);
+}
 } // namespace
 } // namespace liftweir
