Streams of safe routes are resumed only where the route allows it

Found in the review: a request that may run twice was taken for one whose stream can be resumed. On a safe route an endpoint that knows no Last-Event-Id would begin anew in the middle of the response.

Change: once the caller has a part of a stream, the route's own consent to resume decides.

Measured: StreamOfASafeRouteIsNotResumedWithoutTheRoutesConsent fails before (a second send), passes now; a safe route is still repeated before the first event.

--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -137,9 +137,13 @@
     CallerReturn caller_return() const;
     bool can_send_to_another(Time now);
     std::uint32_t runs_allowed() const;
-    // Whether another endpoint may run the request, or go on with its stream: without an id, the
-    // last event that the caller has can not be named to it.
-    bool may_repeat() const { return plan_.route->repeatable() && !ends_without_id_; }
+    // Whether another endpoint may run the request, or resume its stream once the caller has a part
+    // of it. A resumed stream can not skip events without an id.
+    bool may_repeat() const {
+        if (response_started_)
+            return plan_.route->resumable && !ends_without_id_;
+        return plan_.route->repeatable();
+    }
     const char* full_reason() const {
         return uses_engine() ? "all groups are full" : "all endpoints are full";
     }
--- a/tests/unit/brokenstream_test.cpp
+++ b/tests/unit/brokenstream_test.cpp
@@ -214,5 +214,17 @@
     EXPECT_EQ(sends(), 2u);
     EXPECT_EQ(host_.aborts, 0);
 }
+TEST_F(BrokenStream, StreamOfASafeRouteIsNotResumedWithoutTheRoutesConsent) {
+    start({.kind = CallKind::Safe, .resumable = false});
+    respond(BodyFraming::ConnectionClose, First + "id: 2");
+    EXPECT_EQ(sends(), 1u);
+    EXPECT_TRUE(caller_->aborted);
+}
+
+TEST_F(BrokenStream, SafeRouteIsRepeatedBeforeTheFirstEvent) {
+    start({.kind = CallKind::Safe, .resumable = false});
+    respond(BodyFraming::ConnectionClose, "id: 1");
+    EXPECT_EQ(sends(), 2u);
+}
 } // namespace
 } // namespace liftweir
