A stream is resumed after the last id of an event

Found in the review: of several id fields the first one was used. Clients use the last one, so the event would have been sent to them once more.

Measured: StreamIsResumedAfterTheLastOfSeveralIdsOfAnEvent fails before (resumed after 1), passes now.

--- a/src/connection/eventsplitter.cpp
+++ b/src/connection/eventsplitter.cpp
@@ -22,8 +22,9 @@
     return std::string_view::npos;
 }
 
-// Value of the first field of this name. A field may stand without a colon and a value.
+// Value of the last field of this name. A field may stand without a colon and a value.
 std::optional<std::string_view> value_of_field(std::string_view event, std::string_view name) {
+    std::optional<std::string_view> value;
     while (!event.empty()) {
         const auto end = std::min(event.find('\n'), event.size());
         std::string_view line = event.substr(0, end);
@@ -35,9 +36,9 @@
         line.remove_prefix(std::min(name.size() + 1, line.size()));
         if (line.starts_with(' '))
             line.remove_prefix(1);
-        return line;
+        value = line;
     }
-    return std::nullopt;
+    return value;
 }
 
 } // namespace
--- a/tests/unit/brokenstream_test.cpp
+++ b/tests/unit/brokenstream_test.cpp
@@ -226,5 +226,11 @@
     respond(BodyFraming::ConnectionClose, "id: 1");
     EXPECT_EQ(sends(), 2u);
 }
+TEST_F(BrokenStream, StreamIsResumedAfterTheLastOfSeveralIdsOfAnEvent) {
+    start();
+    respond(BodyFraming::ConnectionClose, "id: 1\nid: 2\ndata: x\n\nid: 3");
+    ASSERT_EQ(sends(), 2u);
+    EXPECT_EQ(resumed_after(), "2");
+}
 } // namespace
 } // namespace liftweir
