A stream without events is sent with a length

Found in the review: a response to HEAD, or a 204, with the media type of a stream was ended by a last chunk. On a kept connection the caller takes these bytes for the next response.

Change: a stream that has no event is a whole response, which the server frames by its status and the method of the request.

Measured: EmptyStreamIsSentWithALength fails before, passes now.

--- a/src/request/relayedanswer.cpp
+++ b/src/request/relayedanswer.cpp
@@ -246,12 +246,13 @@
     count_stream_end();
     std::string rest = splitter_.remaining();
     if (!rest.empty() && response_started_)
-        forward_bytes(std::move(rest));
+        forward_bytes(std::exchange(rest, {}));
     host_.directory().succeeded(endpoint_);
     release_endpoint();
-    if (!response_started_)
-        exchange_->begin(head_.status, end_to_end(head_));
-    exchange_->finish();
+    if (response_started_)
+        exchange_->finish();
+    else
+        exchange_->respond(head_.status, end_to_end(head_), std::move(rest));
     finish(head_.status, "");
 }
 
--- a/tests/unit/brokenstream_test.cpp
+++ b/tests/unit/brokenstream_test.cpp
@@ -232,5 +232,12 @@
     ASSERT_EQ(sends(), 2u);
     EXPECT_EQ(resumed_after(), "2");
 }
+TEST_F(BrokenStream, EmptyStreamIsSentWithALength) {
+    start({.engine = false});
+    respond(BodyFraming::Chunked, "");
+    EXPECT_EQ(caller_->status, 200);
+    EXPECT_TRUE(caller_->responded);
+    EXPECT_FALSE(caller_->finished);
+}
 } // namespace
 } // namespace liftweir
