The kernel resets streams of HTTP/1.0 callers where the process dies

Found in the review: a response that ends with its connection was reset by the process itself, so a process that is killed left an orderly close to the kernel, and the stream looked complete.

Change: the socket is set to reset from the head to the last byte.

Measured: the test with a killed process fails before (an orderly end), passes now.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -69,7 +69,7 @@
     void finish() override {
         if (std::exchange(done_, true))
             return;
-        connection_->send_last_chunk();
+        connection_->end_body();
         connection_->answered();
     }
     void abort() override {
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -54,7 +54,7 @@
 
     // Sends a complete response.
     virtual void respond(int status, const HttpHeaders& headers, std::string body) = 0;
-    // Sends a response of unknown length in chunks. `on_written` is called with true once the
+    // Sends a response of unknown length piece by piece. `on_written` is called with true once the
     // kernel has the bytes, or with false if the connection is closed.
     virtual void begin(int status, const HttpHeaders& headers) = 0;
     virtual void write(std::string bytes, std::function<void(bool)> on_written) = 0;
--- a/src/connection/serverconnection.cpp
+++ b/src/connection/serverconnection.cpp
@@ -229,8 +229,10 @@
     std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
     head.append(reason_of(status)).append("\r\n");
     append_headers(head, headers);
-    ends_by_close_ = !length && !accepts_chunks_;
-    close_after_ = close_after_ || ends_by_close_;
+    close_delimited_ = !length && !accepts_chunks_;
+    close_after_ = close_after_ || close_delimited_;
+    if (close_delimited_)
+        reset_on_close(true);
     if (!length && accepts_chunks_)
         head += "Transfer-Encoding: chunked\r\n";
     else if (length && status != 204 && status != 304)
@@ -243,7 +245,7 @@
 }
 
 void ServerConnection::send_chunk(std::string bytes, std::function<void(bool)> on_written) {
-    if (ends_by_close_) {
+    if (close_delimited_) {
         send(std::move(bytes), std::move(on_written));
         return;
     }
@@ -254,17 +256,27 @@
     send(std::move(bytes), std::move(on_written));
 }
 
-void ServerConnection::send_last_chunk() {
-    if (!ends_by_close_) {
+void ServerConnection::end_body() {
+    if (!close_delimited_) {
         send("0\r\n\r\n", nullptr);
         return;
     }
-    send({}, [self = shared_from_this()](bool written) {
-        if (written)
-            self->ends_by_close_ = false;
+    send({}, [this](bool written) {
+        if (!written)
+            return;
+        reset_on_close(false);
+        asio::error_code ignored;
+        socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     });
 }
 
+// An orderly close would end a response that has neither a length nor chunks. The kernel does the
+// same as this process if the process dies.
+void ServerConnection::reset_on_close(bool on) {
+    asio::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(on, 0), ignored);
+}
+
 void ServerConnection::send(std::string bytes, std::function<void(bool)> on_written) {
     if (phase_ == Phase::Closed) {
         if (on_written)
@@ -420,8 +432,7 @@
 }
 
 void ServerConnection::reset() {
-    asio::error_code ignored;
-    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    reset_on_close(true);
     close();
 }
 
@@ -430,7 +441,6 @@
         callback();
 }
 
-// An orderly close would complete a response that has neither a length nor chunks.
 void ServerConnection::close() {
     if (phase_ == Phase::Closed)
         return;
@@ -439,8 +449,6 @@
     if (!disconnected_at_)
         disconnected_at_ = BootClock::now();
     asio::error_code ignored;
-    if (ends_by_close_)
-        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     socket_.close(ignored);
     asio::post(core_->io, [self] {
         self->core_->connections.erase(self);
--- a/src/connection/serverconnection.h
+++ b/src/connection/serverconnection.h
@@ -77,7 +77,8 @@
     void send_head(int status, const HttpHeaders& headers, std::optional<std::size_t> length);
     void send(std::string bytes, std::function<void(bool)> on_written);
     void send_chunk(std::string bytes, std::function<void(bool)> on_written);
-    void send_last_chunk();
+    // Ends a response without a length.
+    void end_body();
     // The response is complete.
     void answered();
     // Time at which the caller's close of its connection or of its sending side was noticed. Polls
@@ -97,6 +98,7 @@
         std::function<void(bool)> on_written;
     };
 
+    void reset_on_close(bool on);
     void set_held(std::size_t bytes);
     std::size_t unacknowledged();
     bool reads(Time now);
@@ -142,7 +144,7 @@
     bool close_after_ = false;        // the response to the current request is the last one
     bool close_when_written_ = false; // the caller has closed its sending side
     bool accepts_chunks_ = true;      // the caller knows the chunked coding
-    bool ends_by_close_ = false;      // an orderly close now would end an incomplete response
+    bool close_delimited_ = false;    // the response in progress ends with the connection
     bool reused_ = false;             // an earlier request was answered on this connection
     bool continue_sent_ = false;      // 100 Continue was sent for this request
     std::vector<PendingWrite> queue_;
--- a/tests/unit/httpserver_test.cpp
+++ b/tests/unit/httpserver_test.cpp
@@ -6,6 +6,11 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <csignal>
+#include <cstdlib>
+#include <sys/wait.h>
+#include <unistd.h>
+
 namespace liftweir {
 namespace {
 
@@ -402,5 +407,40 @@
     EXPECT_TRUE(reset_);
 }
 
+TEST(ServerProcess, StreamOfAProcessThatDiesNeverLooksCompleteToAnHttpOneZeroCaller) {
+    asio::io_context io;
+    std::string address;
+    {
+        const asio::ip::tcp::acceptor probe(io, {asio::ip::make_address("127.0.0.1"), 0});
+        address = "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+    }
+    const pid_t child = fork();
+    ASSERT_GE(child, 0);
+    if (child == 0) {
+        asio::io_context child_io;
+        std::shared_ptr<HttpExchange> exchange;
+        const auto server =
+            serve_http(child_io, address, {}, [&](const std::shared_ptr<HttpExchange>& e) {
+                exchange = e;
+                e->begin(200, {});
+                e->write("part", [](bool) { std::raise(SIGKILL); });
+            });
+        child_io.run();
+        std::_Exit(1);
+    }
+    asio::ip::tcp::socket socket(io);
+    asio::error_code error = asio::error::connection_refused;
+    for (int n = 0; n < 200 && error; ++n) {
+        usleep(10000);
+        socket.close();
+        socket.connect(parse_address(address).value(), error);
+    }
+    asio::write(socket, asio::buffer(std::string_view("GET / HTTP/1.0\r\nHost: a\r\n\r\n")));
+    std::array<char, 4096> buffer{};
+    while (!error)
+        socket.read_some(asio::buffer(buffer), error);
+    EXPECT_EQ(error, asio::error::connection_reset);
+    waitpid(child, nullptr, 0);
+}
 } // namespace
 } // namespace liftweir
