--- a/tests/unit/brokenstream_test.cpp
+++ b/tests/unit/brokenstream_test.cpp
@@ -239,5 +239,12 @@
     EXPECT_TRUE(caller_->responded);
     EXPECT_FALSE(caller_->finished);
 }
+TEST_F(BrokenStream, StreamIsAbortedWhereTheRetryBudgetIsUsedUp) {
+    host_.budget("llm").set_share(0);
+    start();
+    respond(BodyFraming::ConnectionClose, First + "id: 2");
+    EXPECT_EQ(sends(), 1u);
+    EXPECT_TRUE(caller_->aborted);
+}
 } // namespace
 } // namespace liftweir
