A resumed stream is not completed by a response that is no stream

Cause: Call did not look at the head of the response to a resumed stream. An endpoint that answered the resumption with 500 and a JSON body had its body collected and dropped, and its end was taken for the end of the caller's stream: the caller got a short stream that looked complete.

Change: once the caller has a stream, a response that is not a successful event stream is a failed attempt that may have run. It is cancelled, its endpoint is avoided, and the stream is resumed at another endpoint or ends with a typed error, as in RelayedCall::on_head.

Conclusion: the end of a response is the end of a stream only where the response is one.

--- a/src/request/call.cpp
+++ b/src/request/call.cpp
@@ -18,6 +18,14 @@
 // them: without this limit, one request crashed four of four groups, each reported as a refusal.
 constexpr std::uint32_t MaxGroupsLost = 2;
 
+bool is_event_stream(const Head& head) {
+    return head.content_type.find("event-stream") != std::string::npos;
+}
+
+bool is_success(const Head& head) {
+    return head.status >= 200 && head.status < 300;
+}
+
 } // namespace
 
 Call::RunningAttempt* Call::find(const AttemptId& id) {
@@ -187,15 +195,27 @@
     std::erase_if(running_, [&](const RunningAttempt& l) { return l.id != id; });
 }
 
-CallActions Call::on_head(const Head& head, Time /*now*/) {
+// The caller has begun a stream, which no other response can continue or complete.
+CallActions Call::on_head(const Head& head, Time now) {
     CallActions out;
     RunningAttempt* attempt = find(head.id);
     if (done_ || attempt == nullptr || attempt->head)
         return out;
     attempt->head = head;
+    if (streaming_ && (!is_success(head) || !is_event_stream(head)))
+        fail_attempt(head.id, now, out);
     return out;
 }
 
+// The endpoint may be running the attempt that is cancelled here.
+void Call::fail_attempt(const AttemptId& id, Time now, CallActions& out) {
+    const RunningAttempt* attempt = find(id);
+    out.push_back(CancelRunningAttempt{attempt->place, id});
+    avoid_.push_back(attempt->place.id);
+    drop(id);
+    retry_or_give_up(FailureKind::EndpointFailed, true, now, out);
+}
+
 CallActions Call::on_chunk(const Chunk& chunk, Time now) {
     CallActions out;
     RunningAttempt* attempt = find(chunk.id);
@@ -203,19 +223,14 @@
         return out; // of an attempt that has ended or is not known
     if (chunk.number != attempt->next_chunk || !attempt->head) {
         // A missing chunk means a fault in the transport: the attempt may have run.
-        out.push_back(CancelRunningAttempt{attempt->place, attempt->id});
-        avoid_.push_back(attempt->place.id);
-        drop(chunk.id);
-        retry_or_give_up(FailureKind::EndpointFailed, true, now, out);
+        fail_attempt(chunk.id, now, out);
         return out;
     }
     keep_only(chunk.id, out);
     attempt = find(chunk.id);
     ++attempt->next_chunk;
     attempt->bytes += chunk.bytes.size();
-    const bool event_stream =
-        spec_.streamed && attempt->head->content_type.find("event-stream") != std::string::npos;
-    if (!event_stream) {
+    if (!spec_.streamed || !is_event_stream(*attempt->head)) {
         attempt->body += chunk.bytes;
         tokens_ = std::max(tokens_, chunk.tokens);
         return out;
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -153,6 +153,7 @@
 
     void send_attempt(Time now, CallActions& out);
     void give_up(FailureKind kind, std::string detail, Time now, CallActions& out);
+    void fail_attempt(const AttemptId& id, Time now, CallActions& out);
     void retry_or_give_up(FailureKind kind, bool may_have_run, Time now, CallActions& out);
     void on_loss(bool suspect, Time now, CallActions& out);
     void finish_claim(Outcome outcome, CallActions& out);
--- a/tests/unit/call_test.cpp
+++ b/tests/unit/call_test.cpp
@@ -133,6 +133,32 @@
     EXPECT_EQ(all<StreamBytes>(call.on_chunk({id, 0, 4, "D"}, Start)).at(0).bytes, "D");
 }
 
+TEST(Call, ResumedStreamDoesNotEndWithAResponseThatIsNoSuccessfulEventStream) {
+    const std::pair<std::uint32_t, std::string> responses[] = {
+        {500, "application/json"}, {200, "application/json"}, {500, "text/event-stream"}};
+    for (const auto& [status, content_type] : responses) {
+        FakePicker picker;
+        Call call(spec(true, true), picker);
+        AttemptId id = sent(call.start(Start));
+        call.on_head({id, 200, "text/event-stream"}, Start);
+        call.on_chunk({id, 0, 3, "abc"}, Start);
+        id = sent(call.on_broken({id, true, FailureKind::EndpointFailed}, Start));
+        const auto again = call.on_head({id, status, content_type}, Start);
+        EXPECT_EQ(all<CancelRunningAttempt>(again).size(), 1u) << status << " " << content_type;
+        ASSERT_EQ(all<SendAttempt>(again).size(), 1u) << status << " " << content_type;
+        EXPECT_EQ(all<SendAttempt>(again)[0].place.id, 3u) << "an endpoint that has not failed";
+        EXPECT_EQ(all<SendAttempt>(again)[0].resume_tokens, 3u);
+        EXPECT_TRUE(call.on_chunk({id, 0, 0, "{}"}, Start).empty());
+        EXPECT_TRUE(call.on_end({id, 1, 2, 0, 0}, Start).empty());
+        id = all<SendAttempt>(again)[0].id;
+        const auto end = call.on_head({id, status, content_type}, Start);
+        EXPECT_TRUE(all<EndStream>(end).empty());
+        ASSERT_EQ(all<FailCall>(end).size(), 1u) << "no attempt is left";
+        EXPECT_TRUE(all<FailCall>(end)[0].in_stream);
+        EXPECT_EQ(all<FailCall>(end)[0].outcome, Outcome::Unknown);
+    }
+}
+
 TEST(Call, StreamThatCanNotBeResumedEndsWithATypedError) {
     FakePicker picker;
     picker.resumes = false;
