A report that can not be read does not show a live member

Cause: a probe counted every complete response with status 200 as an answer of the right incarnation, unless its body named another start time. A report without a length that was broken off by an orderly close, an empty one and one that is no object name none, so the probe of a lost incarnation was answered with "alive". A piece beyond the size limit was dropped, and later smaller ones were appended, so that a report could be read without its middle.

A response over the limit is unreadable as a whole. Orders go by the status, with any body, and an object may still omit its start time. The stand-in of the older tests sent "ok" as its report, which no endpoint sends; it sends an object now, and their checks are the same.

Measured: five tests of EndpointWithUnreadableResponse.

Conclusion: a report shows a live member only where it has been read whole.

--- a/tests/unit/workers_test.cpp
+++ b/tests/unit/workers_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <optional>
+#include <sstream>
 #include <thread>
 #include <vector>
 
@@ -28,15 +29,28 @@
             const auto in = std::make_shared<std::array<char, 4096>>();
             socket->async_read_some(asio::buffer(*in),
                                     [this, socket, in](asio::error_code broken, auto) {
-                                        asio::error_code ignored;
                                         if (!broken)
-                                            asio::write(*socket, asio::buffer(answer()), ignored);
+                                            write_answer(socket);
                                     });
             accept();
         });
     }
 
+    void write_answer(const Socket& socket) {
+        const auto bytes = std::make_shared<std::string>(answer());
+        asio::async_write(*socket, asio::buffer(*bytes),
+                          [this, socket, bytes](asio::error_code, auto) {
+                              asio::error_code ignored;
+                              if (framing == BodyFraming::ConnectionClose)
+                                  socket->shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+                          });
+    }
+
     std::string answer() const {
+        if (framing == BodyFraming::ConnectionClose)
+            return "HTTP/1.1 200 OK\r\n\r\n" + body;
+        if (framing == BodyFraming::Chunked)
+            return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body;
         return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
                body;
     }
@@ -78,7 +92,8 @@
         io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)};
     std::vector<Socket> sockets;
     EndpointId endpoint_id = "i-1";
-    std::string body = "ok"; // of each response
+    std::string body = R"({"busy":false})"; // of each response, with its chunk headers if any
+    BodyFraming framing = BodyFraming::Length;
     HttpEndpointOrders orders{io};
 };
 
@@ -119,5 +134,52 @@
     EXPECT_EQ(order(), OrderAnswer::Taken);
 }
 
+struct EndpointWithUnreadableResponse : EndpointWithUnresponsiveConnections {
+    EndpointWithUnreadableResponse() { endpoint_id = {"i-1", 7}; }
+};
+
+TEST_F(EndpointWithUnreadableResponse, ReportThatIsBrokenOffDoesNotShowALiveMember) {
+    framing = BodyFraming::ConnectionClose;
+    for (const std::string part : {R"({"born":99)", R"({"born":7)", ""}) {
+        body = part;
+        EXPECT_FALSE(probe()) << part;
+    }
+    body = R"({"born":7})";
+    EXPECT_TRUE(probe());
+}
+
+TEST_F(EndpointWithUnreadableResponse, ReportThatIsNoObjectDoesNotShowALiveMember) {
+    for (const std::string other : {"", "ok", "7", "[]", R"({"born":7}x)"}) {
+        body = other;
+        EXPECT_FALSE(probe()) << other;
+    }
+    endpoint_id = "i-1";
+    EXPECT_FALSE(probe()) << "a member without a start time";
+}
+
+TEST_F(EndpointWithUnreadableResponse, ReportWithoutAStartTimeShowsALiveMember) {
+    body = R"({"busy":false})";
+    EXPECT_TRUE(probe());
+}
+
+TEST_F(EndpointWithUnreadableResponse, ReportThatIsTooLargeIsNotReadWithoutItsMiddle) {
+    const auto chunk = [](const std::string& bytes) {
+        std::ostringstream out;
+        out << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+        return out.str();
+    };
+    framing = BodyFraming::Chunked;
+    body = chunk(R"({"born":7,"text":")" + std::string(65000, 'x')) +
+           chunk(std::string(1000, 'y')) + chunk("\"}") + chunk("");
+    EXPECT_FALSE(probe());
+}
+
+TEST_F(EndpointWithUnreadableResponse, StatusAloneShowsWhetherAnOrderIsTaken) {
+    for (const std::string other : {"", "ok", R"({"born":99)"}) {
+        body = other;
+        EXPECT_EQ(order(), OrderAnswer::Taken) << other;
+    }
+}
+
 } // namespace
 } // namespace liftweir::platform
