--- a/src/request/call.cpp
+++ b/src/request/call.cpp
@@ -189,15 +189,29 @@
     std::erase_if(running_, [&](const RunningAttempt& l) { return l.id != id; });
 }
 
-CallActions Call::on_head(const Head& head, Time /*now*/) {
+// The caller has begun a stream, which no other response can continue or complete.
+CallActions Call::on_head(const Head& head, Time now) {
     CallActions out;
     RunningAttempt* attempt = find(head.id);
     if (done_ || attempt == nullptr || attempt->head)
         return out;
     attempt->head = head;
+    const bool resumes =
+        status_class(static_cast<int>(head.status)) == 2 && is_event_stream(head.content_type);
+    if (streaming_ && !resumes)
+        fail_attempt(head.id, now, out);
     return out;
 }
 
+// The endpoint may be running the attempt that is cancelled here.
+void Call::fail_attempt(const AttemptId& id, Time now, CallActions& out) {
+    const RunningAttempt* attempt = find(id);
+    out.push_back(CancelRunningAttempt{attempt->place, id});
+    avoid_.push_back(attempt->place.id);
+    drop(id);
+    retry_or_give_up(FailureKind::EndpointFailed, true, now, out);
+}
+
 CallActions Call::on_chunk(const Chunk& chunk, Time now) {
     CallActions out;
     RunningAttempt* attempt = find(chunk.id);
@@ -205,18 +219,14 @@
         return out; // of an attempt that has ended or is not known
     if (chunk.number != attempt->next_chunk || !attempt->head) {
         // A missing chunk means a fault in the transport: the attempt may have run.
-        out.push_back(CancelRunningAttempt{attempt->place, attempt->id});
-        avoid_.push_back(attempt->place.id);
-        drop(chunk.id);
-        retry_or_give_up(FailureKind::EndpointFailed, true, now, out);
+        fail_attempt(chunk.id, now, out);
         return out;
     }
     keep_only(chunk.id, out);
     attempt = find(chunk.id);
     ++attempt->next_chunk;
     attempt->bytes += chunk.bytes.size();
-    const bool event_stream = spec_.streamed && is_event_stream(attempt->head->content_type);
-    if (!event_stream) {
+    if (!spec_.streamed || !is_event_stream(attempt->head->content_type)) {
         attempt->body += chunk.bytes;
         tokens_ = std::max(tokens_, chunk.tokens);
         return out;
