Stand-ins reset streams without chunks that they cut off between two events

Aborting an asyncio transport closes its socket in an orderly way, which is the defined end of such a stream, so the earlier change of the stand-in had no effect. It sets the socket to reset now.

--- a/tests/site/standin.py
+++ b/tests/site/standin.py
@@ -4,6 +4,7 @@
 import json
 import random
 import socket
+import struct
 import time
 
 import http1
@@ -379,6 +380,8 @@
         """Ends a stream between two events. Without chunks, only a reset shows that it is not
         complete."""
         if not chunked:
+            reset = struct.pack("ii", 1, 0)  # linger on, for no time
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
             writer.transport.abort()
         raise EOFError
 
