--- a/src/connection/channel.cpp
+++ b/src/connection/channel.cpp
@@ -32,8 +32,8 @@
     return std::chrono::seconds(std::atoi(std::string(value.substr(at + Timeout.size())).c_str()));
 }
 
-// Asked once the head is complete. http_parser sets the length of a response without one to its
-// maximum.
+// To be called once the head is complete. http_parser sets the length of a response without one to
+// its maximum.
 BodyFraming framing_of(const http_parser& parser, bool head_request) {
     const auto status = parser.status_code;
     if (head_request || status == HTTP_STATUS_NO_CONTENT || status == HTTP_STATUS_NOT_MODIFIED)
--- a/src/connection/eventsplitter.h
+++ b/src/connection/eventsplitter.h
@@ -32,7 +32,7 @@
     std::size_t searched_ = 0;
 };
 
-// Value of an event's id field; empty if it has none.
+// Value of an event's last id field; empty if it has none.
 std::string_view id_of_event(std::string_view event);
 // False for comments and fields that a client does not report as an event.
 bool has_data(std::string_view event);
