Log the shared parts of prompts with each attempt that ended

The logs of the incident can not tell whether the calls that were with a crashed endpoint have a part of their prompts in common: Prefix-Hash was passed on unread.

No decision changes.

--- a/src/request/callerprotocol.h
+++ b/src/request/callerprotocol.h
@@ -8,11 +8,13 @@
 #include "process/failure.h"
 #include "process/registry.h"
 #include "request/urgencyranks.h"
+#include "version/fingerprint.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace liftweir {
 
@@ -27,6 +29,7 @@
     std::uint32_t prompt_tokens = 0;
     std::uint32_t answer_tokens = 0; // most that may be generated; 0 if the caller names no number
     std::string last_event;          // the caller resumes a stream after this event
+    std::vector<Fingerprint> shared_parts; // parts of the prompt that other requests may hold too
     bool wellformed = true;
 
     auto operator<=>(const CallerRequest&) const = default;
--- a/src/request/relayedanswer.cpp
+++ b/src/request/relayedanswer.cpp
@@ -200,6 +200,13 @@
         host_.cleared(fingerprint());
 }
 
+std::string RelayedCall::shared_parts_text() const {
+    std::string text;
+    for (const Fingerprint& part : request_.shared_parts)
+        text += (text.empty() ? "" : ",") + text_of(part);
+    return text;
+}
+
 // The request may have run, so it is retried only if it may run twice; a stream resumes after the
 // last event that the caller has received.
 void RelayedCall::on_broken(const char* why) {
@@ -209,6 +216,7 @@
          {"endpoint", text_of(endpoint_)},
          {"why", why},
          {"content", text_of(fingerprint())},
+         {"shared_parts", shared_parts_text()},
          {"begun_here", first_seen_ ? "yes" : "no"},
          {"last_event", last_event_},
          {"framing", std::string(name_of(head_.framing))},
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -150,6 +150,8 @@
     bool uses_engine() const { return plan_.service->engine && !request_.model.empty(); }
     // Fingerprint of the request's content, computed when it is first needed.
     const Fingerprint& fingerprint();
+    // The shared parts of the prompt, for the process log.
+    std::string shared_parts_text() const;
 
     // the endpoint's response
     void on_head(const HttpResponseHead& head);
--- a/src/version/fingerprint.h
+++ b/src/version/fingerprint.h
@@ -1,4 +1,5 @@
-// Fingerprints that recognise repeated requests, e.g. those that crash endpoints.
+// Fingerprints that recognise repeated requests and shared parts of prompts, e.g. those that crash
+// endpoints.
 
 #ifndef FINGERPRINT_H_INCLUDED
 #define FINGERPRINT_H_INCLUDED
@@ -35,7 +36,12 @@
 
 Fingerprint fingerprint_of(const RequestContent& content);
 
-// 32 hexadecimal digits; for the log.
+// Identifies a part of a prompt that several requests may share. `id` is the part's id as callers
+// write it, usually a hexadecimal number.
+Fingerprint fingerprint_of_part(std::string_view id);
+bool is_prompt_part(const Fingerprint& fingerprint);
+
+// For the log: 32 hexadecimal digits, or "part:" and the id of a part of a prompt.
 std::string text_of(const Fingerprint& fingerprint);
 
 } // namespace liftweir
