Failing tests: one part of prompts crashes endpoint after endpoint

Real programs, three entry hosts, eight groups; a request every 250 ms, no two alike, each with a part that crashes whatever begins to answer it, among sound requests of the same customer with the same other parts. Nothing is quarantined, and so nothing survives a restart. A part that was answered before it became poisonous does the same.

--- a/tests/site/sitefleet.py
+++ b/tests/site/sitefleet.py
@@ -258,12 +258,16 @@
 
     # ---- callers
 
-    async def send_request(self, route, entry=0, key="key-1", timeout=6.0, body=b"body"):
-        """Sends one request and checks the response. Returns its status; 0 for no response."""
+    async def send_request(self, route, entry=0, key="key-1", timeout=6.0, body=b"body", parts=()):
+        """Sends one request, whose prompt begins with the shared `parts`, and checks the response.
+        Returns its status; 0 for no response."""
         request = "%016x" % self.fleet.random.getrandbits(64)
         headers = {"Host": "site.example", "Request-Id": request, "Model": "m",
                    "Token-Usage": "500,80", "Deadline-Ms": str(int(timeout * 1000)),
                    "Authorization": "Bearer " + key}
+        if parts:
+            headers["Prefix-Hash"] = ",".join(["%s:200" % part for part in parts] +
+                                              [request + ":100"])
         if route == "save":
             self.once.add(request)
         self.fleet.entry_of[request] = entry
--- a/tests/site/standin.py
+++ b/tests/site/standin.py
@@ -41,10 +41,11 @@
         self.leaving = {}   # endpoint id -> when a control host acknowledged its drain
         self.poison = None  # request body that crashes the endpoint that runs it
         self.poison_prefill_s = 0.04  # from the arrival of that body to the crash
-        self.poison_runs = []  # times at which that body reached an endpoint
+        self.poison_runs = []  # times at which a poisonous request reached an endpoint
         self.has_start_time = True  # reports hold a start time; else endpoints restart under one id
+        self.poison_part = None  # id of a prompt part that crashes endpoints, unless it is the last
         self.aborted_body = None  # request body whose connection is aborted; the endpoint runs on
-        self.crashes = []   # times at which `poison` crashed an endpoint
+        self.crashes = []   # times at which a poisonous request crashed an endpoint
         self.arrivals = []  # (time, endpoint id) of requests
         self.deliveries = []  # (time, endpoint id, request id), including rejected requests
         self.backoffs = []  # (time, endpoint id, request id, seconds) of rejected requests
@@ -55,6 +56,11 @@
         self.entry_of = {}  # request id -> index of the entry host that received it
         self.broken = []    # violations, as "rule: what happened"
 
+    def is_poisonous(self, headers, body):
+        shared_parts = [p.split(":")[0] for p in headers.get("prefix-hash", "").split(",")[:-1]]
+        return (self.poison is not None and body == self.poison) or \
+            (self.poison_part is not None and self.poison_part in shared_parts)
+
     def break_rule(self, rule, what):
         self.broken.append("%s: %s" % (rule, what))
 
@@ -281,7 +287,7 @@
                                              "Retry-After": str(self.backoff_s)})
         self.fleet.runs.setdefault(request, []).append((time.monotonic(), self.id))
         self.fleet.keys[request] = headers.get("tenant-id")
-        if self.fleet.poison is not None and body == self.fleet.poison:
+        if self.fleet.is_poisonous(headers, body):
             await self.run_poison(request, writer)
         if self.fleet.aborted_body is not None and body == self.fleet.aborted_body:
             writer.transport.abort()
