An entry host without free descriptors closes idle connections instead of spinning

Guards against a load balancer that hands most new connections of a zone or region to one entry host. Its callers keep connections open between requests, and their number was bounded by 16,384 where a host has 4,100 descriptors: once these were used up, no connection was accepted any more, and each refused accept was tried again at once.

Change: callers' connections take up to three quarters of the descriptors that the settings (max_descriptors) or the system allow; at that number the longest idle ones are closed for new ones, so that only a host whose connections are all in use refuses one, unread. An accept that fails for want of descriptors or memory closes idle connections too and is tried after 20 ms.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -6,8 +6,10 @@
 #include "connection/serverconnection.h"
 
 #include <algorithm>
+#include <iterator>
 #include <sys/socket.h>
 #include <utility>
+#include <vector>
 
 namespace liftweir {
 
@@ -17,9 +19,22 @@
 // wake-up for every request.
 constexpr Duration SweepInterval = std::chrono::milliseconds(250);
 constexpr int ListenBacklog = 512;
+// At the limit of connections, this part of them is closed at once if they are idle: looking for
+// the longest idle ones takes a pass over all connections.
+constexpr std::size_t PartClosedAtLimit = 16;
+// Without free descriptors a waiting connection can not be accepted, and trying again at once would
+// take all processor time.
+constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(20);
 
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
+// Whether descriptors or memory are used up.
+bool is_shortage(const asio::error_code& error) {
+    return error == asio::error::no_descriptors || error == asio::error::no_memory ||
+           error == asio::error::no_buffer_space ||
+           error == std::errc::too_many_files_open_in_system;
+}
+
 // One request on a connection and its response.
 class Exchange final : public HttpExchange {
   public:
@@ -93,7 +108,10 @@
 class Listener : public std::enable_shared_from_this<Listener> {
   public:
     Listener(std::shared_ptr<ServerCore> core, const std::string& address, AddressUse use)
-        : core_(std::move(core)), acceptor_(core_->io), sweeper_(core_->io) {
+        : core_(std::move(core)),
+          acceptor_(core_->io),
+          sweeper_(core_->io),
+          accept_retry_(core_->io) {
         const auto endpoint = parse_address(address).value();
         acceptor_.open(endpoint.protocol());
         acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true));
@@ -116,6 +134,7 @@
     void end() {
         stop_accepting();
         sweeper_.cancel();
+        accept_retry_.cancel();
         for (const ConnectionPtr& connection : ServerConnections(core_->connections))
             connection->close();
     }
@@ -126,19 +145,48 @@
             [self = shared_from_this()](asio::error_code error, asio::ip::tcp::socket socket) {
                 if (error == asio::error::operation_aborted || !self->acceptor_.is_open())
                     return;
+                if (is_shortage(error)) {
+                    self->accept_later();
+                    return;
+                }
                 if (!error)
                     self->add_connection(std::move(socket));
                 self->accept();
             });
     }
-    // Closes a new connection at once if there are too many, so that its caller tries another host.
+    void accept_later() {
+        close_longest_idle();
+        accept_retry_.expires_after(AcceptRetryDelay);
+        accept_retry_.async_wait([self = shared_from_this()](asio::error_code error) {
+            if (!error && self->acceptor_.is_open())
+                self->accept();
+        });
+    }
+    // Closes a new connection at once if there are too many that are in use, so that its caller
+    // tries another host.
     void add_connection(asio::ip::tcp::socket socket) {
-        if (core_->connections.size() >= core_->limits.connections)
+        if (core_->connections.size() >= core_->limits.connections && close_longest_idle() == 0)
             return;
         const auto connection = std::make_shared<ServerConnection>(std::move(socket), core_);
         core_->connections.insert(connection);
         connection->start();
     }
+    // Returns how many connections it has closed. They are freed in a later turn of the loop.
+    std::size_t close_longest_idle() {
+        std::vector<ConnectionPtr> idle;
+        std::copy_if(core_->connections.begin(), core_->connections.end(), std::back_inserter(idle),
+                     [](const ConnectionPtr& connection) { return connection->idle(); });
+        const std::size_t count =
+            std::min(idle.size(), core_->connections.size() / PartClosedAtLimit + 1);
+        const auto end = idle.begin() + static_cast<std::ptrdiff_t>(count);
+        std::partial_sort(idle.begin(), end, idle.end(),
+                          [](const ConnectionPtr& a, const ConnectionPtr& b) {
+                              return a->deadline() < b->deadline();
+                          });
+        std::for_each(idle.begin(), end,
+                      [](const ConnectionPtr& connection) { connection->close(); });
+        return count;
+    }
     void sweep_later() {
         sweeper_.expires_after(SweepInterval);
         sweeper_.async_wait([self = shared_from_this()](asio::error_code error) {
@@ -154,6 +202,7 @@
     std::shared_ptr<ServerCore> core_;
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer sweeper_;
+    asio::steady_timer accept_retry_;
 };
 
 class AsioServer final : public HttpServer {
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -76,6 +76,7 @@
 struct HttpServerLimits {
     std::size_t body_bytes = 16u << 20;
     std::size_t header_bytes = 16u << 10;
+    // At this number of connections, idle ones are closed to accept a new one.
     std::size_t connections = 16384;
     // Longest time from the first byte of a head to its end, and longest pause within a body.
     Duration header_timeout = std::chrono::seconds(10);
--- a/src/connection/serverconnection.h
+++ b/src/connection/serverconnection.h
@@ -66,6 +66,9 @@
     HeldResponse held();
     // True between two requests, with nothing left to send.
     bool idle() const { return phase_ == Phase::Idle && reused_ && !write_active_; }
+    // When the current phase times out; of two idle connections, the earlier one has been idle for
+    // longer.
+    Time deadline() const { return deadline_; }
     // True while a request is being read or processed, or a response is not fully written.
     bool busy() const {
         const bool reads = phase_ == Phase::Head || phase_ == Phase::Body;
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -8,6 +8,7 @@
 #include "process/siteprogram.h"
 
 #include <algorithm>
+#include <sys/resource.h>
 
 namespace liftweir {
 
@@ -49,8 +50,23 @@
     return (std::size_t{memory_mb} << 20) / UnreadPartOfMemory;
 }
 
-HttpServerLimits limits_of(const CallerLimits& limits) {
+// Files, listening sockets and links to control hosts.
+constexpr std::size_t OwnDescriptors = 264;
+// Connections to endpoints need the remaining descriptors.
+constexpr std::size_t CallerPartOfDescriptors = 3;
+constexpr std::size_t DescriptorParts = 4;
+constexpr std::size_t MinCallerConnections = 64;
+
+std::size_t max_caller_connections(std::size_t max_descriptors) {
+    if (rlimit system{}; max_descriptors == 0 && getrlimit(RLIMIT_NOFILE, &system) == 0)
+        max_descriptors = system.rlim_cur;
+    const std::size_t left = max_descriptors - std::min(max_descriptors, OwnDescriptors);
+    return std::max(MinCallerConnections, left / DescriptorParts * CallerPartOfDescriptors);
+}
+
+HttpServerLimits limits_of(const CallerLimits& limits, std::size_t max_descriptors) {
     HttpServerLimits out;
+    out.connections = max_caller_connections(max_descriptors);
     out.header_bytes = limits.header_bytes;
     out.body_bytes = limits.body_bytes;
     out.header_timeout = limits.header_timeout;
@@ -80,7 +96,7 @@
 
 void Gateway::start() {
     reconfigure(config_);
-    callers_ = serve_http(io_, config_.callers, limits_of({}),
+    callers_ = serve_http(io_, config_.callers, limits_of({}, config_.max_descriptors),
                           [this](const std::shared_ptr<HttpExchange>& e) { on_request(e); });
     ready_ = serve_http(io_, config_.ready, {}, [this](const std::shared_ptr<HttpExchange>& e) {
         e->respond(ready() ? 200 : 503, {}, ready() ? "ready\n" : "not ready\n");
@@ -119,7 +135,7 @@
 void Gateway::put_in_force(Deployment deployment) {
     table_ = std::make_shared<const RouteTable>(std::move(deployment));
     urgency_ranks_ = UrgencyRanks(table_->deployment());
-    callers_->set_limits(limits_of(table_->deployment().limits));
+    callers_->set_limits(limits_of(table_->deployment().limits, config_.max_descriptors));
     for (const Service& service : table_->deployment().services)
         if (!budgets_.contains(service.name))
             budget(service.name).set_share(load_share_);
--- a/src/process/siteconfig.cpp
+++ b/src/process/siteconfig.cpp
@@ -161,6 +161,7 @@
     reader.flag("book_retries", config.book_retries);
     config.plan_by_demand = planning != "share";
     reader.integer("memory_mb", config.memory_mb, 1e9, 1);
+    reader.integer("max_descriptors", config.max_descriptors, 1e9);
     reader.millis("beat_ms", bounds.heartbeat_interval);
     reader.millis("drain_ms", bounds.drain);
     reader.seconds("grace_s", bounds.grace);
--- a/src/process/siteconfig.h
+++ b/src/process/siteconfig.h
@@ -53,6 +53,7 @@
     bool plan_admission = false;       // under overload, the leader plans who is admitted
     bool book_retries = true;          // refused callers get a time at which there is capacity
     std::uint32_t memory_mb = 256;     // that this process may use
+    std::uint32_t max_descriptors = 0; // open files and sockets; 0: the system's limit
     SiteBounds bounds;
 
     auto operator<=>(const SiteConfig&) const = default;
--- a/tests/unit/httpserver_test.cpp
+++ b/tests/unit/httpserver_test.cpp
@@ -8,6 +8,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -83,6 +84,30 @@
     void send(const std::string& bytes) { asio::write(socket_, asio::buffer(bytes)); }
     void disconnect() { socket_.close(); }
     void shutdown_sending() { socket_.shutdown(asio::ip::tcp::socket::shutdown_send); }
+    // All bytes that arrive until they end with `last`; the connection stays open.
+    std::string read_until(std::string_view last) {
+        std::string got;
+        std::array<char, 4096> buffer{};
+        bool ended = false;
+        std::function<void()> read = [&] {
+            socket_.async_read_some(asio::buffer(buffer),
+                                    [&](asio::error_code error, std::size_t size) {
+                                        got.append(buffer.data(), size);
+                                        ended = error || got.ends_with(last);
+                                        if (!ended)
+                                            read();
+                                    });
+        };
+        read();
+        io_.restart();
+        for (int n = 0; n < 200 && !ended; ++n)
+            io_.run_for(std::chrono::milliseconds(5));
+        if (!ended) {
+            socket_.cancel();
+            io_.poll();
+        }
+        return got;
+    }
     // All bytes that arrive until the connection closes or is idle for 200 ms.
     std::string read() {
         std::string got;
@@ -180,6 +205,59 @@
     EXPECT_TRUE(closed_);
 }
 
+// A load balancer may hand most new connections to one host for a while.
+TEST_F(ServerTest, NewConnectionsAtTheLimitReplaceTheLongestIdleOnes) {
+    HttpServerLimits limits;
+    limits.connections = 20;
+    serve(limits);
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (int n = 0; n < 30; ++n) {
+        callers.push_back(std::make_unique<Caller>(io_, address_));
+        callers.back()->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        EXPECT_NE(callers.back()->read_until("ok").find("200"), std::string::npos) << n;
+    }
+    EXPECT_LE(server_->connections(), 20u);
+    EXPECT_EQ(handled_, 30);
+}
+
+TEST_F(ServerTest, ConnectionsInUseAreNotClosedForNewOnes) {
+    HttpServerLimits limits;
+    limits.connections = 3;
+    serve(limits);
+    std::vector<std::shared_ptr<HttpExchange>> held;
+    handler_ = [&](const std::shared_ptr<HttpExchange>& e) { held.push_back(e); };
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (int n = 0; n < 4; ++n) {
+        callers.push_back(std::make_unique<Caller>(io_, address_));
+        callers.back()->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        io_.run_for(std::chrono::milliseconds(20));
+    }
+    EXPECT_EQ(held.size(), 3u);
+    EXPECT_EQ(server_->connections(), 3u);
+    for (const auto& exchange : held)
+        exchange->respond(200, {}, "ok");
+    EXPECT_NE(callers.front()->read_until("ok").find("200"), std::string::npos);
+}
+
+TEST_F(ServerTest, WithoutFreeDescriptorsItWaitsInsteadOfTryingAgainAtOnce) {
+    serve();
+    rlimit before{};
+    ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &before), 0);
+    asio::ip::tcp::socket socket(io_, asio::ip::tcp::v4());
+    rlimit none_free = before;
+    none_free.rlim_cur = static_cast<rlim_t>(socket.native_handle()) + 1;
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &none_free), 0);
+    asio::error_code error;
+    socket.connect(parse_address(address_).value(), error);
+    const std::size_t turns = io_.run_for(std::chrono::milliseconds(200));
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &before), 0);
+    EXPECT_FALSE(error);
+    EXPECT_LT(turns, 100u);
+    EXPECT_EQ(server_->connections(), 0u);
+    io_.run_for(std::chrono::milliseconds(100));
+    EXPECT_EQ(server_->connections(), 1u);
+}
+
 TEST_F(ServerTest, AnswersPipelinedRequestsInOrder) {
     serve();
     const std::string one = "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n";
