Tests of new connections that all go to one entry host; LoadShare is code of its own

The users' new rule: while most new connections go to one host, requests are served at their first attempt at least three quarters as often as before, from 3 s on. The host then has to learn that the load it sees is nearly all there is: forecasts, limits and retries are split by its share.

The smoothing of that share was a part of Gateway that no test could run without a network.

--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -138,7 +138,7 @@
     callers_->set_limits(limits_of(table_->deployment().limits, config_.max_descriptors));
     for (const Service& service : table_->deployment().services)
         if (!budgets_.contains(service.name))
-            budget(service.name).set_share(load_share_);
+            budget(service.name).set_share(load_share_.share());
 }
 
 WindowedRetryBudget& Gateway::budget(const std::string& service) {
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -17,6 +17,7 @@
 #include "request/callerwait.h"
 #include "request/demandmeter.h"
 #include "request/entryloadtable.h"
+#include "request/loadshare.h"
 #include "request/relayedcall.h"
 #include "request/startupqueue.h"
 #include "request/unreadanswers.h"
@@ -191,7 +192,7 @@
     std::map<EndpointId, AbortReport> aborted_;
     std::set<EndpointId> unconfirmed_; // cached endpoints without a report since
     std::uint64_t calls_admitted_ = 0;
-    double load_share_ = 0.1; // this host's share of all calls in flight
+    LoadShare load_share_;
     std::minstd_rand random_;
     NodeId leader_ = NoNode;          // as control hosts report it
     Duration load_report_interval_{}; // interval of the load reports
--- a/src/process/gatewaycontrol.cpp
+++ b/src/process/gatewaycontrol.cpp
@@ -16,12 +16,6 @@
 constexpr Duration DemandReportInterval = std::chrono::milliseconds(500);
 // Renewal interval while a control host has newer settings than this host.
 constexpr Duration RenewalIntervalWhenBehind = std::chrono::milliseconds(150);
-constexpr double LoadShareSmoothing = 0.3;
-// Lower bounds of this host's share of all calls, absolute and as a part of an equal share; the
-// lower one applies. A host that has few calls at the moment must not expect hundreds of times its
-// own load.
-constexpr double MinLoadShare = 0.02;
-constexpr double MinPartOfEqualShare = 0.5;
 
 } // namespace
 
@@ -219,20 +213,14 @@
     record_lease_change(now);
 }
 
-// Updates this host's share of all calls in flight; an equal share where it has no calls.
 void Gateway::update_load_share(const LeaseAck& lease_ack) {
-    if (lease_ack.sequence != 0 && lease_ack.in_flight_total > 0 && !calls_.empty()) {
-        const double seen = static_cast<double>(calls_.size()) /
-                            std::max<double>(lease_ack.in_flight_total, calls_.size());
-        load_share_ += LoadShareSmoothing * (seen - load_share_);
-    } else if (lease_ack.sequence != 0 && lease_ack.entries > 0 && calls_.empty()) {
-        load_share_ += LoadShareSmoothing * (1.0 / lease_ack.entries - load_share_);
-    }
-    const double equal_share = lease_ack.entries > 0 ? 1.0 / lease_ack.entries : 1.0;
-    const double least = std::min(MinLoadShare, MinPartOfEqualShare * equal_share);
-    directory_.set_total_load_ratio(1 / std::max(load_share_, least));
+    if (lease_ack.sequence == 0)
+        return;
+    load_share_.update(
+        {static_cast<std::uint32_t>(calls_.size()), lease_ack.in_flight_total, lease_ack.entries});
+    directory_.set_total_load_ratio(load_share_.total_load_ratio());
     for (auto& [service, budget] : budgets_)
-        budget.set_share(load_share_);
+        budget.set_share(load_share_.share());
 }
 
 void Gateway::record_lease_change(Time now) {
--- /dev/null
+++ b/src/request/loadshare.cpp
@@ -0,0 +1,35 @@
+// Share of an entry host in the load of all.
+
+#include "request/loadshare.h"
+
+#include <algorithm>
+
+namespace liftweir {
+
+namespace {
+
+constexpr double Smoothing = 0.3;
+// Lower bounds of this host's share, absolute and as a part of an equal share; the lower one
+// applies. A host that has few calls at the moment must not expect hundreds of times its own load.
+constexpr double MinShare = 0.02;
+constexpr double MinPartOfEqualShare = 0.5;
+
+} // namespace
+
+// A host without calls expects an equal share.
+void LoadShare::update(const CallsInFlight& calls) {
+    const double equal_share = calls.entries > 0 ? 1.0 / calls.entries : 1.0;
+    least_ = std::min(MinShare, MinPartOfEqualShare * equal_share);
+    if (calls.here > 0 && calls.total > 0) {
+        const double seen = static_cast<double>(calls.here) / std::max(calls.total, calls.here);
+        share_ += Smoothing * (seen - share_);
+    } else if (calls.here == 0 && calls.entries > 0) {
+        share_ += Smoothing * (equal_share - share_);
+    }
+}
+
+double LoadShare::total_load_ratio() const {
+    return 1 / std::max(share_, least_);
+}
+
+} // namespace liftweir
--- a/tests/unit/groupsimulator.cpp
+++ b/tests/unit/groupsimulator.cpp
@@ -4,6 +4,7 @@
 #include "request/precedence.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace liftweir {
@@ -14,6 +15,7 @@
 constexpr Duration Step = std::chrono::milliseconds(1);
 // The intervals of the entry hosts.
 constexpr Duration TickInterval = std::chrono::milliseconds(40);
+constexpr Duration RenewalInterval = std::chrono::milliseconds(1000);
 constexpr Duration AvoidStalledFor = std::chrono::milliseconds(1000);
 constexpr Duration RetryAfter = std::chrono::milliseconds(1000);
 constexpr Duration CallerTimeout = std::chrono::milliseconds(2250);
@@ -120,24 +122,46 @@
         load_table_.store(std::to_string(host), hosts_[host].own_load(), now);
 }
 
+// Every host renews once a second at each of the control hosts, which know the calls that the hosts
+// had in flight at their last renewals.
+void GroupSimulator::renew_load_shares() {
+    constexpr int Controls = 5;
+    for (std::size_t host = 0; host < shares_.size(); ++host) {
+        in_flight_[host] = 0;
+        for (const auto& [id, use] : hosts_[host].uses())
+            in_flight_[host] += use.in_flight;
+        const auto total = std::accumulate(in_flight_.begin(), in_flight_.end(), 0u);
+        for (int control = 0; control < Controls; ++control)
+            shares_[host].update(
+                {in_flight_[host], total, static_cast<std::uint32_t>(hosts_.size())});
+        hosts_[host].set_total_load_ratio(shares_[host].total_load_ratio());
+    }
+}
+
+SimulatedResult& GroupSimulator::result_of(const Request& request) {
+    const Duration at = request.asked - Start;
+    const bool counted = at >= counted_.begin && at < counted_.end;
+    return counted ? results_[request.kind] : not_counted_;
+}
+
 void GroupSimulator::ask(std::size_t number, Time now) {
     const SimulatedRequestKind& kind = kinds_[number];
-    ++results_[number].asked;
     Request request;
     request.kind = number;
-    request.host = random_() % hosts_.size();
+    request.host = now - Start >= one_host_from_ ? 0 : random_() % hosts_.size();
     request.demand = {kind.prompt_tokens, false};
     request.prefill_left = kind.prompt_tokens;
     request.events_left = kind.events;
     request.asked = now;
     request.last = now;
+    ++result_of(request).asked;
     if (!send(request, now))
         refuse(request, now);
 }
 
 void GroupSimulator::refuse(Request request, Time now) {
     if (std::exchange(request.retried, true)) {
-        ++results_[request.kind].refused;
+        ++result_of(request).refused;
         return;
     }
     request.retry_at = now + retry_delay(request, now);
@@ -158,7 +182,7 @@
         }
         Request request = *next;
         next = refused_.erase(next);
-        ++results_[request.kind].returned;
+        ++result_of(request).returned;
         request.host = random_() % hosts_.size();
         if (time_limit_ > Duration::zero())
             request.caller =
@@ -208,7 +232,7 @@
             ++request;
             continue;
         }
-        results_[request->kind].late += disconnected ? 1 : 0;
+        result_of(*request).late += disconnected ? 1 : 0;
         request = waiting_.erase(request);
     }
 }
@@ -254,7 +278,7 @@
             ++request;
             continue;
         }
-        SimulatedResult& result = results_[request->kind];
+        SimulatedResult& result = result_of(*request);
         if (request->given_up) {
             ++result.refused;
         } else {
@@ -298,6 +322,8 @@
             leave_stalled_groups(now);
             resume_waiting(now);
         }
+        if (!shares_.empty() && at % RenewalInterval == Duration::zero())
+            renew_load_shares();
         if (exchanges_shares_ && at % LoadReportInterval == Duration::zero())
             report_load(now);
         retry_refused(now);
--- a/tests/unit/groupsimulator.h
+++ b/tests/unit/groupsimulator.h
@@ -5,6 +5,7 @@
 
 #include "request/directory.h"
 #include "request/entryloadtable.h"
+#include "request/loadshare.h"
 
 #include <algorithm>
 #include <list>
@@ -33,6 +34,7 @@
     int returned = 0;         // callers that retried after a rejection
     int served_on_return = 0; // of these
 
+    int served_at_first() const { return in_time + late - served_on_return; }
     double in_time_part() const { return static_cast<double>(in_time) / std::max(1, asked); }
     double refused_part() const { return static_cast<double>(refused) / std::max(1, asked); }
 };
@@ -56,6 +58,16 @@
     std::vector<SimulatedResult> simulate(const std::vector<SimulatedRequestKind>& kinds,
                                           Duration goal, Duration pause_goal, Duration length,
                                           const std::vector<Duration>& losses, Duration repair);
+    // The entry hosts learn their shares of the load as by renewals at five control hosts.
+    void update_load_shares() {
+        shares_.resize(hosts_.size());
+        in_flight_.resize(hosts_.size());
+    }
+    // From this time on all callers reach the first entry host.
+    void send_all_to_one_host(Duration begin) { one_host_from_ = begin; }
+    // Only requests that arrive in this period are counted.
+    void count_requests(Duration begin, Duration end) { counted_ = {begin, end}; }
+
     // In this period the load is multiplied by the factor.
     void add_burst(Duration begin, Duration end, double factor) { burst_ = {begin, end, factor}; }
 
@@ -77,6 +89,11 @@
         bool given_up = false; // its caller left before the first event
     };
 
+    struct Period {
+        Duration begin{};
+        Duration end{};
+    };
+
     struct Burst {
         Duration begin{};
         Duration end{};
@@ -103,6 +120,8 @@
     void resume_waiting(Time now);
     void retry_refused(Time now);
     void report_load(Time now);
+    void renew_load_shares();
+    SimulatedResult& result_of(const Request& request);
     void step(Group& group, Time now);
     double start_pass(Group& group);
     void end_pass(Group& group, Time now);
@@ -116,6 +135,11 @@
     std::list<Request> refused_; // rejected once, to be retried
     std::minstd_rand random_;
     bool exchanges_shares_ = false;
+    std::vector<LoadShare> shares_;        // by entry host; empty: the hosts know their shares
+    std::vector<std::uint32_t> in_flight_; // by entry host, at its last renewal
+    Duration one_host_from_ = Duration::max();
+    Period counted_{Duration::zero(), Duration::max()};
+    SimulatedResult not_counted_;
     EntryLoadTable load_table_;
     Duration goal_{};
     Duration pause_goal_{};
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -78,5 +78,26 @@
     EXPECT_GT(results[0].in_time_part(), 0.95);
 }
 
+// The load balancer hands all new connections to one entry host. The others become idle, and that
+// host learns that the load it sees is nearly all there is.
+TEST(Funnel, RequestsAreServedAtTheFirstAttemptByOneHostOfMany) {
+    for (const int hosts : {3, 16, 120}) {
+        const auto served_from = [&](Duration begin, bool one_host) {
+            GroupSimulator player(simulated_engine(), 8, hosts, 7);
+            player.exchange_shares();
+            player.update_load_shares();
+            if (one_host)
+                player.send_all_to_one_host(seconds(10));
+            player.count_requests(begin, begin + seconds(8));
+            const auto results = player.simulate({{120, 1000, 20}}, milliseconds(400),
+                                                 milliseconds(300), seconds(24), {}, seconds(1));
+            return static_cast<double>(results[0].served_at_first()) / results[0].asked;
+        };
+        const double before = served_from(seconds(2), false);
+        EXPECT_GT(before, 0.9) << hosts;
+        EXPECT_GT(served_from(seconds(13), true), 0.75 * before) << hosts;
+    }
+}
+
 } // namespace
 } // namespace liftweir
