Tests of whole answers that end with their connection

The users' new rule holds for plain calls as for streams: an answer with neither a length nor chunks is forwarded whole, and one whose connection is reset on the way never reaches its caller as complete.

--- a/tests/site/standin.py
+++ b/tests/site/standin.py
@@ -34,6 +34,9 @@
         self.unframed_share = 0.0  # of streams, without chunks: the connection's close ends them
         self.broken_share = 0.0  # of streams, ended inside an event as if they were complete
         self.broken_streams = []  # (request id, chunked)
+        self.unframed_answers = False  # plain calls: the connection's close ends the answer
+        self.reset_share = 0.0  # of these, connections that are reset before the answer's end
+        self.reset_answers = set()  # ids of their requests
         self.large_body = b"large"  # request body that is answered with much more than buffers hold
         self.large_event_bytes, self.large_bytes = 32 << 10, 6 << 20  # of streams; of plain calls
         self.work_s = WORK_S  # duration of a plain call
@@ -304,9 +307,24 @@
                 respond += b"." * self.fleet.large_bytes
             await self.work(request, self.fleet.work_s, writer)
             self.fleet.signatures[signature] = respond
+            if self.fleet.unframed_answers:
+                await self.respond_unframed(own, respond, writer)
             return self.respond(writer, 200, own, respond)
         await self.stream(int(headers.get("last-event-id", "0")), own, writer)
 
+    async def respond_unframed(self, own, body, writer):
+        """Sends an answer with neither a length nor chunks, and closes or resets the connection."""
+        reset = self.fleet.stream_ends.random() < self.fleet.reset_share
+        if reset:
+            self.fleet.reset_answers.add(own["Request-Id"])
+            body = body[:len(body) // 2]
+        writer.write(http1.head("HTTP/1.1 200 OK", own) + body)
+        await self.drain(own["Request-Id"], writer)
+        if reset:
+            await asyncio.sleep(WORK_S)  # the bytes arrive before the reset
+            self.cut_off(writer, chunked=False)
+        raise EOFError
+
     async def run_poison(self, request, writer):
         """Spends the prefill time, then crashes the endpoint at the first token."""
         self.fleet.poison_runs.append(time.monotonic())
