A report with a malformed start time does not show a live member

Cause: a polled report whose start time could not be read counted as one without a start time, which any living member may send. Another incarnation, or something that is no endpoint, could so stand for a member that is gone.

--- a/tests/unit/workers_test.cpp
+++ b/tests/unit/workers_test.cpp
@@ -157,6 +157,13 @@
     EXPECT_FALSE(probe()) << "a member without a start time";
 }
 
+TEST_F(EndpointWithUnreadableResponse, ReportWithAMalformedStartTimeDoesNotShowALiveMember) {
+    for (const std::string other : {R"({"born":"7"})", R"({"born":7.5})", R"({"born":null})"}) {
+        body = other;
+        EXPECT_FALSE(probe()) << other;
+    }
+}
+
 TEST_F(EndpointWithUnreadableResponse, ReportWithoutAStartTimeShowsALiveMember) {
     body = R"({"busy":false})";
     EXPECT_TRUE(probe());
