Settings files and logs that can not be read are not taken for empty ones

Cause: two readers of settings and liftweirctl why copied a stream's buffer without asking whether the read had failed. A directory in place of a log was an empty log: 'no line names the request'.

Change: read_file returns the whole contents or fails with the system's reason; the storage reads its files by the same code.

Measured: liftweirctl why gives a usage error for a directory and names the reason.

--- a/src/ctl/why.cpp
+++ b/src/ctl/why.cpp
@@ -3,12 +3,12 @@
 #include "ctl/why.h"
 
 #include "ctl/session.h"
+#include "process/storage.h"
 
 #include <json/json.h>
 
 #include <algorithm>
 #include <array>
-#include <fstream>
 #include <iostream>
 #include <memory>
 #include <set>
@@ -180,14 +180,12 @@
 int explain_request(const std::string& request, const std::vector<std::string>& files) {
     std::vector<LogLine> lines;
     for (const std::string& file : files) {
-        std::ifstream in(file);
-        if (!in) {
-            std::cerr << "liftweirctl: " << file << " can not be read\n";
+        const auto text = read_file(file);
+        if (!text) {
+            std::cerr << "liftweirctl: " << text.error().detail << "\n";
             return CtlUsage;
         }
-        std::ostringstream text;
-        text << in.rdbuf();
-        const auto parsed = parse_log(text.str());
+        const auto parsed = parse_log(*text);
         lines.insert(lines.end(), parsed.begin(), parsed.end());
     }
     const auto related = related_lines(request, std::move(lines));
--- a/src/process/config.cpp
+++ b/src/process/config.cpp
@@ -3,12 +3,11 @@
 #include "process/config.h"
 
 #include "connection/link.h"
+#include "process/storage.h"
 #include "version/keys.h"
 
 #include <algorithm>
-#include <fstream>
 #include <functional>
-#include <sstream>
 
 namespace liftweir {
 
@@ -166,12 +165,10 @@
 }
 
 Expected<ProcessConfig> read_config(Program program, const std::string& file) {
-    std::ifstream in(file);
-    if (!in)
-        return bad_settings(file, "can not be read");
-    std::ostringstream text;
-    text << in.rdbuf();
-    const auto json = parse_json(text.str());
+    const auto text = read_file(file);
+    if (!text)
+        return bad_settings(file, text.error().detail);
+    const auto json = parse_json(*text);
     if (!json)
         return bad_settings(file, json.error().detail);
     if (!json->isObject())
--- a/src/process/siteconfig.cpp
+++ b/src/process/siteconfig.cpp
@@ -3,12 +3,12 @@
 #include "process/siteconfig.h"
 
 #include "connection/link.h"
+#include "process/storage.h"
 
 #include <json/json.h>
 
 #include <algorithm>
 #include <charconv>
-#include <fstream>
 #include <sstream>
 
 namespace liftweir {
@@ -129,9 +129,10 @@
 }
 
 Expected<SiteConfig> read_site_config(const std::string& file) {
-    std::ifstream in(file);
-    if (!in)
-        return fail(FailureKind::BadSettings, file + ": can not be read");
+    const auto text = read_file(file);
+    if (!text)
+        return fail(FailureKind::BadSettings, text.error().detail);
+    std::istringstream in(*text);
     Json::Value root;
     std::string errors;
     if (!Json::parseFromStream(Json::CharReaderBuilder(), in, &root, &errors) || !root.isObject())
--- a/src/process/storage.cpp
+++ b/src/process/storage.cpp
@@ -68,6 +68,13 @@
     }
 }
 
+Expected<std::string> read_at(const std::string& path, const std::string& name) {
+    const Descriptor fd(::open(path.c_str(), O_RDONLY | O_CLOEXEC));
+    if (fd.get() < 0)
+        return os_failure("open " + name);
+    return read_all(fd.get(), name);
+}
+
 class DirectoryStorage final : public Storage {
   public:
     DirectoryStorage(std::string path, Descriptor directory, Descriptor lock)
@@ -84,12 +91,7 @@
         return names;
     }
 
-    Expected<std::string> read(const std::string& name) override {
-        const Descriptor fd(::open(at(name).c_str(), O_RDONLY | O_CLOEXEC));
-        if (fd.get() < 0)
-            return os_failure("open " + name);
-        return read_all(fd.get(), name);
-    }
+    Expected<std::string> read(const std::string& name) override { return read_at(at(name), name); }
 
     Expected<void> append(const std::string& name, std::string_view bytes) override {
         const auto fd = open_for_append(name);
@@ -185,4 +187,8 @@
     return std::make_unique<DirectoryStorage>(path, std::move(directory), std::move(lock));
 }
 
+Expected<std::string> read_file(const std::string& path) {
+    return read_at(path, path);
+}
+
 } // namespace liftweir
--- a/src/process/storage.h
+++ b/src/process/storage.h
@@ -1,5 +1,4 @@
-// Access to the files in a control host's data directory.
-// Runs in liftweir-control and liftweir-site-control.
+// Access to files: those in a control host's data directory, and whole text files.
 
 #ifndef STORAGE_H_INCLUDED
 #define STORAGE_H_INCLUDED
@@ -37,6 +36,9 @@
 // against a second process.
 Expected<std::unique_ptr<Storage>> open_directory(const std::string& path);
 
+// Returns the whole contents of a file or fails with Storage, never a part of them.
+Expected<std::string> read_file(const std::string& path);
+
 } // namespace liftweir
 
 #endif // STORAGE_H_INCLUDED
--- a/tests/unit/storage_test.cpp
+++ b/tests/unit/storage_test.cpp
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 
 #include <filesystem>
+#include <fstream>
 #include <unistd.h>
 
 namespace liftweir {
@@ -76,5 +77,19 @@
     EXPECT_TRUE(EndpointCacheFile(storage).load().empty());
 }
 
+TEST(ReadFile, ReturnsTheWholeContentsOrFails) {
+    const std::string path = testing::TempDir() + "read_file_test";
+    const std::string content(200000, 'x');
+    std::ofstream(path) << content;
+    EXPECT_EQ(read_file(path).value(), content);
+    std::filesystem::remove(path);
+    for (const std::string& unreadable : {path, std::string("/")}) {
+        const auto read = read_file(unreadable);
+        ASSERT_FALSE(read) << unreadable;
+        EXPECT_EQ(read.error().kind, FailureKind::Storage);
+        EXPECT_NE(read.error().detail.find(unreadable), std::string::npos);
+    }
+}
+
 } // namespace
 } // namespace liftweir
--- a/tests/unit/why_test.cpp
+++ b/tests/unit/why_test.cpp
@@ -1,5 +1,6 @@
 // Finds the log lines that explain the outcome of a request, and bounds what a process logs.
 
+#include "ctl/session.h"
 #include "ctl/why.h"
 #include "process/logging.h"
 
@@ -76,6 +77,12 @@
     EXPECT_TRUE(parse_log("garbage {\n{]").empty());
 }
 
+// A directory can be opened like a file, but every read of it fails.
+TEST(Why, ALogThatCanNotBeReadIsNotTakenForAnEmptyOne) {
+    EXPECT_EQ(explain_request("nobody", {"/"}), CtlUsage);
+    EXPECT_EQ(explain_request("nobody", {"/no/such/log"}), CtlUsage);
+}
+
 TEST(LogBudget, BoundsLinesPerSecondAndCountsDroppedLines) {
     LogBudget budget(3);
     int taken = 0;
