Calls count the events of an endpoint once; a test ends its child process

has_event() replaces a flag beside the count, and the reason of a failed attempt is picked by a function instead of a nested conditional. The test that forks ends its child also where the connection fails, which left it running.

--- a/src/request/relayedanswer.cpp
+++ b/src/request/relayedanswer.cpp
@@ -22,6 +22,18 @@
 // first event alone may still arrive from one that does.
 constexpr std::uint32_t EventsOfBegunAnswer = 2;
 
+// Why an attempt failed whose response ended like this.
+const char* reason_of(CallEnd how) {
+    switch (how) {
+    case CallEnd::Malformed:
+        return "not a valid response";
+    case CallEnd::Complete:
+        return "the stream ends before its last event";
+    default:
+        return "the endpoint aborted the request";
+    }
+}
+
 HttpHeaders end_to_end(const HttpResponseHead& head) {
     HttpHeaders out;
     const std::string_view named = find_header(head.headers, "connection");
@@ -89,7 +101,7 @@
 
 // Streams of plain services are not counted: no engine's forward passes advance them together.
 void RelayedCall::note_progress(Time now) {
-    const bool first = !std::exchange(first_seen_, true);
+    const bool first = !has_event();
     if (++events_seen_ == EventsOfBegunAnswer)
         report_answered();
     if (uses_engine())
@@ -138,7 +150,7 @@
 bool RelayedCall::stream_broken_off() const {
     const bool rest_may_be_empty =
         !last_event_.empty() && head_.framing != BodyFraming::ConnectionClose;
-    const bool event_missing = uses_engine() && !first_seen_ && !rest_may_be_empty;
+    const bool event_missing = uses_engine() && !has_event() && !rest_may_be_empty;
     return streaming_ && (splitter_.inside_event() || event_missing);
 }
 
@@ -159,9 +171,7 @@
         report_aborted();
     if (how != CallEnd::Complete || broken_off) {
         host_.directory().failed(endpoint_, BootClock::now());
-        on_broken(how == CallEnd::Malformed ? "not a valid response"
-                  : broken_off              ? "the stream ends before its last event"
-                                            : "the endpoint aborted the request");
+        on_broken(reason_of(how));
         return;
     }
     if (signals_.not_run) {
@@ -230,7 +240,7 @@
          {"why", why},
          {"content", text_of(fingerprint())},
          {"shared_parts", shared_parts_text()},
-         {"begun_here", first_seen_ ? "yes" : "no"},
+         {"begun_here", has_event() ? "yes" : "no"},
          {"last_event", last_event_},
          {"framing", std::string(name_of(head_.framing))},
          {"partial_event_bytes", std::to_string(splitter_.remaining().size())},
@@ -264,7 +274,7 @@
 
 void RelayedCall::complete_stream() {
     clear_suspicion();
-    if (first_seen_)
+    if (has_event())
         report_answered();
     count_stream_end();
     std::string rest = splitter_.remaining();
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -172,7 +172,7 @@
 
 // Cancels an attempt that has no event yet, before the request can crash that endpoint as well.
 void RelayedCall::check_quarantine(Time now) {
-    if (done_ || first_seen_ || quarantine_left(now) <= Duration::zero())
+    if (done_ || has_event() || quarantine_left(now) <= Duration::zero())
         return;
     if (!endpoint_.empty()) {
         release_endpoint();
@@ -238,7 +238,6 @@
     tried_.insert(pick.endpoint);
     sent_at_ = now;
     low_priority_ = low_priority(now);
-    first_seen_ = false;
     events_seen_ = 0;
     endpoint_waits_ = false;
     head_ = {};
@@ -290,7 +289,7 @@
     EndpointUse& use = host_.directory().use(endpoint_);
     use.in_flight -= use.in_flight > 0 ? 1 : 0;
     if (uses_engine())
-        use.ended(engine_demand(), first_seen_);
+        use.ended(engine_demand(), has_event());
     endpoint_ = {};
 }
 
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -154,6 +154,8 @@
         return uses_engine() ? "all groups are full" : "all endpoints are full";
     }
     bool uses_engine() const { return plan_.service->engine && !request_.model.empty(); }
+    // Whether an event came from the present endpoint.
+    bool has_event() const { return events_seen_ > 0; }
     // Fingerprint of the request's content, computed when it is first needed.
     const Fingerprint& fingerprint();
     // The shared parts of the prompt, for the process log.
@@ -224,7 +226,6 @@
     Time sent_at_{};
     LoadForecast forecast_;         // of the last pick
     bool low_priority_ = false;     // at the present endpoint
-    bool first_seen_ = false;       // an event came from the present endpoint
     std::uint32_t events_seen_ = 0; // from the present endpoint
     bool waiting_ = false;          // no endpoint accepts the request at the moment
 
--- a/tests/unit/httpserver_test.cpp
+++ b/tests/unit/httpserver_test.cpp
@@ -485,6 +485,21 @@
     EXPECT_TRUE(reset_);
 }
 
+// Ends a child process also where a test fails before it does.
+class ChildProcess {
+  public:
+    explicit ChildProcess(pid_t pid) : pid_(pid) {}
+    ~ChildProcess() {
+        kill(pid_, SIGKILL);
+        waitpid(pid_, nullptr, 0);
+    }
+    ChildProcess(const ChildProcess&) = delete;
+    ChildProcess& operator=(const ChildProcess&) = delete;
+
+  private:
+    pid_t pid_;
+};
+
 TEST(ServerProcess, StreamOfAProcessThatDiesNeverLooksCompleteToAnHttpOneZeroCaller) {
     asio::io_context io;
     std::string address;
@@ -506,6 +521,7 @@
         child_io.run();
         std::_Exit(1);
     }
+    const ChildProcess process(child);
     asio::ip::tcp::socket socket(io);
     asio::error_code error = asio::error::connection_refused;
     for (int n = 0; n < 200 && error; ++n) {
@@ -518,7 +534,7 @@
     while (!error)
         socket.read_some(asio::buffer(buffer), error);
     EXPECT_EQ(error, asio::error::connection_reset);
-    waitpid(child, nullptr, 0);
 }
+
 } // namespace
 } // namespace liftweir
