A first answer of control sets the load ratio, as before; two briefs say what they mean

The extraction of LoadShare left out answers without a sequence number, of which the first one is: until the next answer, an entry host that had just started took its own load for all there is.

--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -106,7 +106,7 @@
     void forget_unknown(const std::vector<EndpointId>& unknown);
 
     // quarantine of requests and parts of prompts that crash endpoints
-    // Reports of one endpoint that control hosts do not have yet.
+    // What one endpoint aborted and control hosts have not been told yet.
     struct AbortReport {
         std::vector<AbortedRequest> requests;
         std::map<Fingerprint, std::uint32_t> parts; // time in ms since the latest was sent
--- a/src/process/gatewaycontrol.cpp
+++ b/src/process/gatewaycontrol.cpp
@@ -214,10 +214,9 @@
 }
 
 void Gateway::update_load_share(const LeaseAck& lease_ack) {
-    if (lease_ack.sequence == 0)
-        return;
-    load_share_.update(
-        {static_cast<std::uint32_t>(calls_.size()), lease_ack.in_flight_total, lease_ack.entries});
+    if (lease_ack.sequence != 0)
+        load_share_.update({static_cast<std::uint32_t>(calls_.size()), lease_ack.in_flight_total,
+                            lease_ack.entries});
     directory_.set_total_load_ratio(load_share_.total_load_ratio());
     for (auto& [service, budget] : budgets_)
         budget.set_share(load_share_.share());
--- a/src/process/quarantine.h
+++ b/src/process/quarantine.h
@@ -70,8 +70,8 @@
     bool aborted(const AbortedRequest& request, const EndpointId& endpoint, Time now);
     // The endpoint aborted requests with the part. Returns true where it is quarantined by this.
     bool aborted(const AbortedPart& part, const EndpointId& endpoint, Time now);
-    // The part was answered before its crashes. Returns true where it is quarantined for fewer
-    // crashes than that requires.
+    // The part was answered before its crashes. Returns true where it is under quarantine and has
+    // fewer crashes than such a part needs.
     bool note_answered(const Fingerprint& part, Time now);
     // An endpoint has answered the request completely, so it crashes none. Returns true where
     // crashes were recorded for it. Delayed reports of these crashes are ignored from then on.
