--- a/src/request/loadshare.h
+++ b/src/request/loadshare.h
@@ -3,6 +3,7 @@
 #ifndef LOADSHARE_H_INCLUDED
 #define LOADSHARE_H_INCLUDED
 
+#include <compare>
 #include <cstdint>
 
 namespace liftweir {
