Soak: a drain ends where its endpoint restarts under the same id

Trace (kept logs): the drain was of the incarnation of ...063018, which both entry hosts withdrew within 1 ms; the endpoint was restarted under its id by the soak 3.4 s later, registered as ready as ...074514, and all 19 requests after that went to this incarnation. The checker knew an endpoint by its id alone.

The drain is now held until that restart, and the check stays as strict before it and for a drain of the new incarnation; the planted drain is still caught.

--- a/tests/site/sitefleet.py
+++ b/tests/site/sitefleet.py
@@ -3,6 +3,7 @@
 hosts are 127.S.1.N, entry hosts 127.S.2.N and endpoints 127.S.3.N."""
 import asyncio
 import json
+import math
 import os
 import random
 import shutil
@@ -332,11 +333,13 @@
         for request, runs in self.fleet.runs.items():
             if len(runs) > 1 and request in self.once:
                 self.fleet.break_rule("twice", request)
-        for when, endpoint in self.fleet.arrivals:
-            leaving_since = self.fleet.leaving.get(endpoint)
-            if leaving_since is not None and when > leaving_since + DRAIN_S:
-                self.fleet.break_rule("drain", "%s got a request %.1f s after its drain began" %
-                                      (endpoint, when - leaving_since))
+        drains = self.fleet.ended_drains + [
+            (endpoint, since, math.inf) for endpoint, since in self.fleet.leaving.items()]
+        for endpoint, since, until in drains:
+            for when, receiver in self.fleet.arrivals:
+                if receiver == endpoint and since + DRAIN_S < when <= until:
+                    self.fleet.break_rule("drain", "%s got a request %.1f s after its drain began" %
+                                          (endpoint, when - since))
         return self.fleet.broken
 
     async def metric(self, process, name):
--- a/tests/site/standin.py
+++ b/tests/site/standin.py
@@ -42,6 +42,7 @@
         self.work_s = WORK_S  # duration of a plain call
         self.stopped = {}   # request id -> when the endpoint noticed that its connection was closed
         self.leaving = {}   # endpoint id -> when a control host acknowledged its drain
+        self.ended_drains = []  # (endpoint id, since when, until its restart under the same id)
         self.poison = None  # request body that crashes the endpoint that runs it
         self.poison_prefill_s = 0.04  # from the arrival of that body to the crash
         self.poison_runs = []  # times at which a poisonous request reached an endpoint
@@ -101,6 +102,9 @@
     def restart(self, under_same_id=False):
         """Starts a new incarnation at the same address. Staged models stay on its disk."""
         del self.fleet.endpoints[self.id]
+        if under_same_id and self.id in self.fleet.leaving:
+            since = self.fleet.leaving.pop(self.id)
+            self.fleet.ended_drains.append((self.id, since, time.monotonic()))
         if not under_same_id:
             self.id = "i-%08x" % self.fleet.random.getrandbits(32)
         self.born = max(self.born + 1, int(time.time() * 1000))
