--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,7 +18,7 @@
 LATE_BEAT_S = 2.25  # from the acknowledgement to the arrival of an earlier report
 SERVES_ON_S = 10.0  # the worker serves on after the acknowledgement, then ends
 WORK_S = 0.06       # of a request, as on the sheet
-CALLERS = 6         # at each entry host
+CALLERS = 3         # at each entry host
 
 
 async def callers(site, entry, stop, answers):
@@ -76,13 +76,12 @@
     late, lost = [], []
     for arrived, number in leaver.arrivals:
         when, entry, status, route = sent.get(number, (0, "unknown", 0, ""))
-        if arrived > acked:
-            site.record.append((site.seconds(arrived), "request %s (%s, sent at %.3f s to %s) "
-                                "reaches worker %s, %.3f s after the acknowledgement: %s" % (
-                                    number, route, site.seconds(when), entry, leaver.id,
-                                    arrived - acked, status)))
         if arrived > acked + DRAIN_S and min(arrived, when) > in_touch:
             late.append(arrived - acked)
+            site.record.append((site.seconds(arrived), "too late: request %s (%s, sent at %.3f s "
+                                "to %s, which is in touch) reaches worker %s %.3f s after the "
+                                "acknowledgement" % (number, route, site.seconds(when), entry,
+                                                     leaver.id, arrived - acked)))
             if number not in leaver.answered:
                 lost.append("%s (%s, answered %d)" % (number, route, status))
     for worker in workers:
--- a/review/harness.py
+++ b/review/harness.py
@@ -278,6 +278,7 @@
         self.arrivals = []  # (time, request id) of requests that it ran
         self.answered = set()  # ids of these that it answered
         self.writers = set()
+        self.ended = False
         self.beating = None
         site.workers.append(self)
 
@@ -326,11 +327,15 @@
         """Ends as a process does: open channels are reset."""
         if self.beating:
             self.beating.cancel()
+        self.ended = True
         self.server.close()
         for writer in self.writers:
             writer.transport.abort()
 
     async def handle(self, method, path, headers, body, writer):
+        if self.ended:
+            writer.transport.abort()
+            raise EOFError
         self.writers = {w for w in self.writers if not w.transport.is_closing()} | {writer}
         if headers.get("target-instance", self.id) != self.id:
             writer.write(http1.head("HTTP/1.1 421 X", {"Content-Length": "0",
@@ -343,6 +348,7 @@
             return
         request = headers.get("request-id", "")
         self.arrivals.append((time.monotonic(), request))
+        self.site.note("worker %s runs %s" % (self.id, request))
         await asyncio.sleep(self.work_s)
         answer = b"done:" + request.encode()
         writer.write(http1.head("HTTP/1.1 200 OK", {
@@ -363,7 +369,10 @@
             {"Host": "site.example", "Request-Id": number, "Authorization": "Bearer " + key,
              "Deadline-Ms": str(int(timeout * 1000))}, b"body", timeout + 0.5)
     except http1.IncompleteResponse:
-        return number, sent, 0, {}, b""
+        status, headers, body = 0, {}, b""
+    site.note("caller: %s (%s, sent to %s at %.3f s) is answered %s, signature %s" % (
+        number, route, entry.name, site.seconds(sent), status or "nothing",
+        headers.get("response-signature")))
     return number, sent, status, headers, body
 
 
