Log the share and the allowance with each retry; count retries over the budget

Cause: no line or metric told how many retries a host may send or which share of the fixed allowance it uses, so that retries forgotten at a start could not be told from shares that do not add up.

Change: sent-again lines name service, retries used and allowed, and the share; metrics liftweir_retries_over_budget and liftweir_retry_slack_share.

No logic has changed.

--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -119,6 +119,7 @@
                 [this] { return static_cast<double>(document_.version); });
     gauges_.add("liftweir_connections_opened",
                 [this] { return static_cast<double>(pool_->opened()); });
+    gauges_.add("liftweir_retry_slack_share", [this] { return load_share_.share(); });
     gauges_.add("liftweir_lease_left_seconds",
                 [this] { return to_seconds(lease_.valid_until() - BootClock::now()); });
     ticker_.start();
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -182,8 +182,11 @@
 }
 
 bool RelayedCall::can_send_to_another(Time now) {
-    return host_.budget(plan_.service->name).has_left(now) &&
-           host_.directory().pick(demand(now), tried_, now).has_value();
+    if (!host_.budget(plan_.service->name).has_left(now)) {
+        count_over_budget();
+        return false;
+    }
+    return host_.directory().pick(demand(now), tried_, now).has_value();
 }
 
 bool RelayedCall::may_retry(Time now) {
@@ -191,7 +194,16 @@
         return true;
     if (runs_ >= runs_allowed() || sends_ >= runs_allowed() + ExtraAttempts)
         return false;
-    return host_.budget(plan_.service->name).take(now);
+    if (host_.budget(plan_.service->name).take(now))
+        return true;
+    count_over_budget();
+    return false;
+}
+
+void RelayedCall::count_over_budget() const {
+    Metrics::instance()
+        .counter("liftweir_retries_over_budget", "service=\"" + plan_.service->name + "\"")
+        .add();
 }
 
 // A caller may have disconnected while this process was busy or suspended, with the close not read
@@ -222,12 +234,16 @@
 }
 
 void RelayedCall::log_retry(const Pick& pick, Time now) const {
+    const WindowedRetryBudget& budget = host_.budget(plan_.service->name);
     log(LogLevel::Info, "sent again",
         {{"request", request_.id},
          {"endpoint", text_of(pick.endpoint)},
          {"last_event", last_event_},
          {"forecast_ms", std::to_string(std::lround(pick.forecast.first_event_ms))},
-         {"repeats_used", std::to_string(host_.budget(plan_.service->name).used(now))}});
+         {"service", plan_.service->name},
+         {"repeats_used", std::to_string(budget.used(now))},
+         {"repeats_allowed", std::to_string(budget.allowed(now))},
+         {"slack_share", std::to_string(budget.share())}});
 }
 
 // Clears the state of the earlier attempt, so that its response is not mixed with the new one.
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -123,6 +123,7 @@
     // Fails if no endpoint accepts the request now.
     tl::expected<void, NoPick> send_to_best(Time now);
     bool may_retry(Time now);
+    void count_over_budget() const;
     bool refused_by_quarantine(Time now);
     // Remaining quarantine of the request or of a part of its prompt; zero if it may run.
     Duration quarantine_left(Time now);
--- a/src/request/windowedretrybudget.cpp
+++ b/src/request/windowedretrybudget.cpp
@@ -39,11 +39,12 @@
     ++slot(now).requests;
 }
 
+double WindowedRetryBudget::allowed(Time now) const {
+    return UsedPart * (ratio_ * sum(now).requests + share_ * static_cast<double>(slack_));
+}
+
 bool WindowedRetryBudget::has_left(Time now) const {
-    const Slot total = sum(now);
-    const double allowed =
-        UsedPart * (ratio_ * total.requests + share_ * static_cast<double>(slack_));
-    return total.retries + 1 <= allowed;
+    return used(now) + 1 <= allowed(now);
 }
 
 bool WindowedRetryBudget::take(Time now) {
@@ -53,7 +54,7 @@
     return true;
 }
 
-std::uint32_t WindowedRetryBudget::used(Time now) {
+std::uint32_t WindowedRetryBudget::used(Time now) const {
     return sum(now).retries;
 }
 
--- a/src/request/windowedretrybudget.h
+++ b/src/request/windowedretrybudget.h
@@ -24,7 +24,10 @@
     bool take(Time now);
     // Sets this entry host's share of all requests, 0 to 1.
     void set_share(double share) { share_ = share; }
-    std::uint32_t used(Time now);
+    double share() const { return share_; }
+    // Retries that may be sent in the window that ends now, those sent in it included.
+    double allowed(Time now) const;
+    std::uint32_t used(Time now) const;
 
   private:
     // Ten slots per window: a count is outdated by at most a tenth of the window.
