Estimated load shares of entry hosts that start together do not exceed the whole

Rates at cold endpoints, connections to endpoints and limits without a grant are split by these shares.

Cause: a host set its calls of now against a total that control had summed up to a second before, when no host had calls yet; and each began at 0.1, however many hosts there are.

Change: a host compares what it had reported before with the total that contains it, and begins with an equal share.

--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -86,7 +86,7 @@
     Version announced_version(const std::string& address) const;
     LeaseRenewal make_renew(const std::string& address, Time now);
     void on_lease_ack(const std::string& address, const LeaseAck& lease_ack);
-    void update_load_share(const LeaseAck& lease_ack);
+    void update_load_share(const std::string& address, const LeaseAck& lease_ack);
     void take_retry_share(const LeaseAck& lease_ack, Time now);
     void record_lease_change(Time now);
     void send_load(Time now);
@@ -195,6 +195,7 @@
     std::map<EndpointId, AbortReport> aborted_;
     std::set<EndpointId> unconfirmed_; // cached endpoints without a report since
     std::uint64_t calls_admitted_ = 0;
+    ReportedCalls reported_calls_;
     LoadShare load_share_;
     std::minstd_rand random_;
     NodeId leader_ = NoNode;          // as control hosts report it
--- a/src/process/gatewaycontrol.cpp
+++ b/src/process/gatewaycontrol.cpp
@@ -152,6 +152,7 @@
     renew.calls = calls_admitted_;
     renew.in_flight = static_cast<std::uint32_t>(calls_.size());
     renew.retry_share = retry_share_.at(now);
+    reported_calls_.sent(address, renew.in_flight);
     const auto node = nodes_.find(address);
     renew.sequence = node == nodes_.end() ? 0 : lease_.renewal_sent(node->second, now);
     return renew;
@@ -211,14 +212,14 @@
     // By the next renewal the source has announced the new document too, or another one is chosen.
     if (lease_ack.table > document_.index || (lease_.behind() && !was_behind))
         renew_due_ = std::min(renew_due_, now + RenewalIntervalWhenBehind);
-    update_load_share(lease_ack);
+    update_load_share(address, lease_ack);
     record_lease_change(now);
 }
 
-void Gateway::update_load_share(const LeaseAck& lease_ack) {
+void Gateway::update_load_share(const std::string& address, const LeaseAck& lease_ack) {
     if (lease_ack.sequence != 0)
-        load_share_.update({static_cast<std::uint32_t>(calls_.size()), lease_ack.in_flight_total,
-                            lease_ack.entries});
+        load_share_.update(
+            {reported_calls_.counted(address), lease_ack.in_flight_total, lease_ack.entries});
     directory_.set_total_load_ratio(load_share_.total_load_ratio());
 }
 
--- a/src/request/loadshare.cpp
+++ b/src/request/loadshare.cpp
@@ -3,6 +3,7 @@
 #include "request/loadshare.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace liftweir {
 
@@ -16,10 +17,23 @@
 
 } // namespace
 
-// A host without calls expects an equal share.
+void ReportedCalls::sent(const std::string& control, std::uint32_t calls) {
+    Reports& reports = reports_[control];
+    reports = {reports.latest, calls};
+}
+
+// A control host sums the calls once a second, so its totals do not contain the latest renewal yet.
+std::uint32_t ReportedCalls::counted(const std::string& control) const {
+    const auto found = reports_.find(control);
+    return found == reports_.end() ? 0 : found->second.before;
+}
+
+// A host without calls expects an equal share, and so does one that has just started.
 void LoadShare::update(const CallsInFlight& calls) {
     const double equal_share = calls.entries > 0 ? 1.0 / calls.entries : 1.0;
     least_ = std::min(MinShare, MinPartOfEqualShare * equal_share);
+    if (calls.entries > 0 && !std::exchange(updated_, true))
+        share_ = equal_share;
     if (calls.here > 0 && calls.total > 0) {
         const double seen = static_cast<double>(calls.here) / std::max(calls.total, calls.here);
         share_ += Smoothing * (seen - share_);
