A retry share that has moved is not granted again to its silent holder

Cause: the record of an entry host that had been silent until its share expired stayed for up to a second more. A renewal in that second got the share back, although another host may have it by then.

Change: such a host counts as new. A retry slot of an earlier window is never taken for a newer one.

--- a/src/process/retryshareallocator.cpp
+++ b/src/process/retryshareallocator.cpp
@@ -95,12 +95,10 @@
 
 RetryShare RetryShareAllocator::renew(const RetryShareRenewal& renewal, Time now) {
     const HolderId id{renewal.entry, renewal.incarnation};
-    const auto [found, fresh] = holders_.try_emplace(id);
-    Holder& holder = found->second;
-    if (fresh) {
-        holder.first_seen = now;
-        holder.measured = now;
-        holder.calls = renewal.calls;
+    Holder& holder = holders_[id];
+    // The share of a holder that has been silent for long may be another's by now.
+    if (holder.until <= now) {
+        holder = {.first_seen = now, .calls = renewal.calls, .measured = now};
         retire_earlier(id, now);
     }
     holder.until = now + RetryShareTime + outside_windows();
--- a/src/request/windowedretrybudget.cpp
+++ b/src/request/windowedretrybudget.cpp
@@ -28,7 +28,7 @@
 WindowedRetryBudget::Slot& WindowedRetryBudget::slot(Time now) {
     const std::int64_t number = number_at(now);
     Slot& slot = slots_[static_cast<std::size_t>(number) % slots_.size()];
-    if (slot.number != number)
+    if (slot.number < number)
         slot = {number, 0, 0};
     return slot;
 }
--- a/tests/unit/retrybudget_test.cpp
+++ b/tests/unit/retrybudget_test.cpp
@@ -372,6 +372,29 @@
         EXPECT_GE(share.fraction, 0.04);
 }
 
+TEST(RetryShareAllocator, EntryHostThatWasSilentForLongDoesNotGetBackAShareThatMoved) {
+    RetryShareAllocator allocator(Window);
+    allocator.take_over(1, false, Start);
+    RetryShare first{0, 0};
+    RetryShare second{0, 0};
+    Time now = Start;
+    for (; now < Start + seconds(10); now += seconds(1)) {
+        allocator.expire(now);
+        first = allocator.renew({"entry-0", 1, first, 0}, now + milliseconds(200));
+    }
+    EXPECT_EQ(first.fraction, 1);
+    for (const Time end = now + RetryShareTime + 2 * Window; now < end; now += seconds(1)) {
+        allocator.expire(now);
+        second = allocator.renew({"entry-1", 2, second, 0}, now + milliseconds(500));
+        if (second.fraction > 0)
+            break;
+    }
+    // Within the same second, before the shares are expired again.
+    now += milliseconds(900);
+    first = allocator.renew({"entry-0", 1, {0, 1}, 0}, now);
+    EXPECT_LE(first.fraction + second.fraction, 1);
+}
+
 TEST(RetryShareAllocator, DelayedRenewalOfAnEndedProcessDoesNotFreeTheShareOfItsSuccessor) {
     RetryShareAllocator allocator(Window);
     allocator.take_over(1, false, Start);
