Entry hosts of a deployment that has just started get retry shares a second earlier

Cause: the leader waits until entry hosts that start together are known, 2 s, and answers renewals that go once a second. Groups are in service after 2.2 s.

Change: it waits for 1 s.

Tests of the shares pass.

Conclusion: traced to the budget's new shares, not to load.

--- a/src/process/retryshareallocator.cpp
+++ b/src/process/retryshareallocator.cpp
@@ -10,7 +10,7 @@
 
 // Entry hosts that start together are all known after this time. One that got its share earlier
 // would have to give most of it back.
-constexpr Duration SettlingTime = std::chrono::seconds(2);
+constexpr Duration SettlingTime = std::chrono::seconds(1);
 // An entry host that has not renewed its share for this long keeps it, and counts no more when the
 // shares of the others are computed.
 constexpr Duration PresentTime = std::chrono::seconds(4);
