Log a changed endpoint before the planner acts on it

Change: the line comes first, on both paths that pass a report to the planner. Conclusion: the log tells which report ends a process. No decision changes.

--- a/src/process/coordinatorregistry.cpp
+++ b/src/process/coordinatorregistry.cpp
@@ -121,11 +121,13 @@
     if (!is_change)
         return;
     const EndpointReport& current = registry_.find(report.id)->report;
-    groups_.observe(current, BootClock::now());
     if (first_hand)
         changes_.add_reported(current, was_routable);
+    // Logged before the planner acts on it, so that the log ends with a report that ends the
+    // process.
     if (first_hand || changes_.add_forwarded(current))
         note_change(current);
+    groups_.observe(current, BootClock::now());
     // The endpoint gets its answer after this. From then on no entry host may send it requests, so
     // the change is sent now.
     if (first_hand && current.phase != EndpointPhase::Serving)
@@ -169,9 +171,9 @@
 }
 
 void Coordinator::changed_for_all(const EndpointReport& report) {
-    groups_.observe(report, BootClock::now());
     changes_.add_for_all(report);
     note_change(report);
+    groups_.observe(report, BootClock::now());
 }
 
 void Coordinator::note_change(const EndpointReport& report) {
