Reports whose numbers are out of range are rejected wherever they come from

Cause: fault_of checked no number of a report; GroupPlanner::observe sizes a list by rank + 1, which wraps to 0, and writes outside it. Peers' reports of phase Gone skipped every check but that of the name. Change: rank and slots are bounded in fault_of, before the phase is looked at, so for registrations, reports of peers and the cache on disk alike. Conclusion: the bound is where reports are judged, not where they are used.

--- a/src/process/registry.cpp
+++ b/src/process/registry.cpp
@@ -5,6 +5,7 @@
 
 #include "connection/codec.h"
 #include "connection/link.h"
+#include "version/deployment.h"
 
 #include <algorithm>
 #include <limits>
@@ -80,6 +81,11 @@
 ReportFault fault_of(const EndpointReport& report) {
     if (report.id.name.empty())
         return ReportFault::Name;
+    if (report.slots > MaxEndpointSlots)
+        return ReportFault::Slots;
+    if (report.membership.rank >= MaxGroupMembers ||
+        report.membership.state > MemberState::Broken)
+        return ReportFault::Group;
     if (report.phase == EndpointPhase::Gone)
         return ReportFault::None;
     if (report.service.empty())
@@ -88,8 +94,7 @@
         return ReportFault::Address;
     if (report.phase > EndpointPhase::Gone)
         return ReportFault::Phase;
-    if (report.membership.state > MemberState::Broken ||
-        (report.grouped() && report.membership.group.empty()))
+    if (report.grouped() && report.membership.group.empty())
         return ReportFault::Group;
     return ReportFault::None;
 }
--- a/src/process/registry.h
+++ b/src/process/registry.h
@@ -23,6 +23,9 @@
 
 namespace liftweir {
 
+// No host offers more request slots.
+constexpr std::uint32_t MaxEndpointSlots = 1'000'000;
+
 // State of a member in its group, as the member reports it.
 enum class MemberState : std::uint8_t {
     Joining, // loads the model or warms up
@@ -39,7 +42,7 @@
 struct Membership {
     std::string group;
     Epoch epoch = NoEpoch;
-    std::uint32_t rank = 0; // 0 is the lead
+    std::uint32_t rank = 0; // 0 is the lead; below MaxGroupMembers
     MemberState state = MemberState::Joining;
 
     auto operator<=>(const Membership&) const = default;
@@ -59,7 +62,7 @@
     std::string zone;
     std::string domain; // fabric domain; empty for plain services
     EndpointPhase phase = EndpointPhase::Serving;
-    std::uint32_t slots = 0;
+    std::uint32_t slots = 0;         // at most MaxEndpointSlots
     std::vector<std::string> staged; // models whose weights are on the host's disk
     Membership membership;           // epoch is NoEpoch outside a group
     std::uint64_t sequence = 0;
@@ -103,8 +106,8 @@
 // The fault's name in log messages and metrics.
 std::string_view name_of(ReportFault fault);
 
-// The first fault of a report, whichever host it came from. A report with phase Gone needs a name
-// only.
+// The first fault of a report, whichever host it came from. All numbers of a report without a fault
+// are within their bounds. A report with phase Gone needs a name only.
 ReportFault fault_of(const EndpointReport& report);
 
 // Number of ranges over which endpoints are spread by a hash of their names. With 3,000 endpoints
--- a/src/version/deployment.h
+++ b/src/version/deployment.h
@@ -23,6 +23,9 @@
     Streaming // the response is a stream of events
 };
 
+// Most hosts of one group.
+constexpr std::uint32_t MaxGroupMembers = 1024;
+
 struct WeightedService {
     std::string service;
     std::uint32_t weight = 1;
--- a/tests/site/standin.py
+++ b/tests/site/standin.py
@@ -426,7 +426,10 @@
                {"slots": "many"}, {"sequence": None}, {"sequence": "first"}, {"sequence": -1},
                {"born": "today"}, {"born": 1.5}, {"zone": None}, {"zone": ["z1"]}, {"service": 7},
                {"service": "nobodys"}, {"address": "somewhere"}, {"group": "m.1"}, {"version": None},
-               {"staged": "m"}, {"cold-remaining-ms": "none"}]
+               {"staged": "m"}, {"cold-remaining-ms": "none"}, {"slots": 4294967295},
+               {"group": {"name": "m.1", "epoch": 1, "rank": 4294967295.0, "state": "ready"}},
+               {"group": {"name": "m.1", "epoch": 1, "rank": 3000000000, "state": "ready"}},
+               {"group": {"name": "m.1", "epoch": 1, "rank": -1, "state": "ready"}}]
 
     def __init__(self, fleet, number):
         self.fleet = fleet
