Documents with engine numbers that can not be planned for are invalid

The document is in the log, so each restart repeats it. Cause: check() bounded no number of an engine. LoadBudget keeps a record for each load of a window (loads_per_s 1e9: bad_alloc in a host that starts again; 1e18: length_error); the first layout subtracts nothing from a share of 1e300 and never ends. Change: check() refuses shares, factors and times beyond 1e6, rates of loads beyond 1e4 a second and groups of more than 1024 hosts, and anything negative.

--- a/src/version/deployment.cpp
+++ b/src/version/deployment.cpp
@@ -11,6 +11,12 @@
 
 namespace {
 
+// Far above any real value, and low enough that sums and products of a few of them keep their
+// meaning as whole numbers and times.
+constexpr double MaxEngineNumber = 1e6;
+// The planner keeps a record of each load within a window of some seconds.
+constexpr double MaxLoadsPerSecond = 1e4;
+
 Expected<void> check_route(const Deployment& deployment, const Route& route) {
     const std::string where = "route " + route.name + ": ";
     std::uint64_t sum = 0;
@@ -28,13 +34,40 @@
     return {};
 }
 
-Expected<void> check_engine(const Service& service) {
+// False for NaN as well.
+bool within(double value, double most) {
+    return value >= 0 && value <= most;
+}
+
+Expected<void> check_model(const std::string& where, const ModelShape& model) {
+    if (model.size == 0)
+        return fail(FailureKind::BadSettings, where + "a group of " + model.name + " has no host");
+    if (model.size > MaxGroupMembers)
+        return fail(FailureKind::BadSettings,
+                    where + "a group of " + model.name + " has too many hosts");
+    if (!within(model.share, MaxEngineNumber) || !within(model.time_factor, MaxEngineNumber))
+        return fail(FailureKind::BadSettings,
+                    where + "a factor of " + model.name + " is out of range");
+    return {};
+}
+
+Expected<void> check_service(const Service& service) {
+    const std::string where = "service " + service.name + ": ";
+    if (!within(service.cold_calls_per_second, MaxEngineNumber))
+        return fail(FailureKind::BadSettings, where + "its rate of cold calls is out of range");
     if (!service.engine)
         return {};
-    for (const ModelShape& model : service.engine->models)
-        if (model.size == 0)
-            return fail(FailureKind::BadSettings,
-                        "service " + service.name + ": a group of " + model.name + " has no host");
+    const EngineCost& engine = *service.engine;
+    for (const double value :
+         {engine.step_ms, engine.step_ms_per_sequence, engine.prefill_tokens_per_ms,
+          engine.cross_domain_factor, engine.usual_answer_tokens})
+        if (!within(value, MaxEngineNumber))
+            return fail(FailureKind::BadSettings, where + "a number of its engine is out of range");
+    if (!within(engine.loads_per_second, MaxLoadsPerSecond))
+        return fail(FailureKind::BadSettings, where + "its rate of loads is out of range");
+    for (const ModelShape& model : engine.models)
+        if (auto checked = check_model(where, model); !checked)
+            return checked;
     return {};
 }
 
@@ -76,7 +109,7 @@
             return fail(FailureKind::BadSettings, "two routes at " + route_key(route));
     }
     for (const Service& service : deployment.services)
-        if (auto checked = check_engine(service); !checked)
+        if (auto checked = check_service(service); !checked)
             return checked;
     std::set<std::string> keys;
     for (const CustomerKeys& customer : deployment.customers)
--- a/src/version/deployment.h
+++ b/src/version/deployment.h
@@ -137,7 +137,7 @@
 
 // Fails with BadSettings and names the first contradiction: a route to an unknown service, two
 // routes with the same host and prefix, weights that sum to zero, a timeout of zero, a key that two
-// customers share.
+// customers share, a number of an engine that is out of range.
 Expected<void> check(const Deployment& deployment);
 
 } // namespace liftweir
--- a/tests/unit/outofrange_test.cpp
+++ b/tests/unit/outofrange_test.cpp
@@ -1,5 +1,5 @@
-// Numbers from outside the process that are out of range: in registrations, and in reports that other
-// hosts pass on. None of them may end a process.
+// Numbers from outside the process that are out of range: in registrations, in reports that other
+// hosts pass on, and in the operators' document. None of them may end a process.
 
 #include "connection/codec.h"
 #include "platform/document.h"
@@ -77,10 +77,12 @@
 // What a control host does with a report.
 struct ControlHost {
     Registry registry;
-    GroupPlanner planner{"llm", {}, true};
+    GroupPlanner planner;
     Time now = Start;
 
-    ControlHost() { configure(ValidEngine); }
+    explicit ControlHost(bool first_start = true) : planner("llm", {}, first_start) {
+        configure(ValidEngine);
+    }
 
     void configure(const std::string& document) {
         const auto deployment = read_document(document);
@@ -168,6 +170,57 @@
     EXPECT_EQ(report_with({"slots"}, "1000000").slots, 1'000'000u);
 }
 
+TEST(OutOfRange, AnEngineThatCanNotBePlannedForIsRejected) {
+    const std::vector<std::vector<std::string>> fields = {{"loads_per_s"},
+                                                          {"step_ms"},
+                                                          {"per_seq_ms"},
+                                                          {"read_per_s"},
+                                                          {"far_x"},
+                                                          {"models", "share"},
+                                                          {"models", "pace"}};
+    for (const auto& field : fields)
+        for (const char* value : {"1e18", "1e300", "-1"}) {
+            std::vector<std::string> path = {"services", "engine"};
+            path.insert(path.end(), field.begin(), field.end());
+            EXPECT_FALSE(read_document(with_field(ValidEngine, path, value)))
+                << field.back() << " " << value;
+        }
+    EXPECT_FALSE(read_document(
+        with_field(ValidEngine, {"services", "engine", "models", "size"}, "1025")));
+    EXPECT_TRUE(read_document(
+        with_field(ValidEngine, {"services", "engine", "models", "size"}, "1024")));
+}
+
+RC_GTEST_PROP(OutOfRange, EveryDocumentThatIsAcceptedCanBePlannedFor, ()) {
+    const std::vector<std::vector<std::string>> fields = {
+        {"slots"},        {"stride"},         {"chunk"},          {"step_ms"},
+        {"per_seq_ms"},   {"read_per_s"},     {"loads_per_s"},    {"loads_at_once"},
+        {"far_x"},        {"form_ms"},        {"keeps"},          {"usual", "answer"},
+        {"models", "size"}, {"models", "share"}, {"models", "pace"}, {"models", "load_s"},
+        {"models", "warm-s"}};
+    std::string document = ValidEngine;
+    const auto changes = *rc::gen::inRange(1, 3);
+    for (int n = 0; n < changes; ++n) {
+        std::vector<std::string> path = {"services", "engine"};
+        const auto& field = *rc::gen::elementOf(fields);
+        path.insert(path.end(), field.begin(), field.end());
+        document = with_field(document, path, *rc::gen::elementOf(Extremes));
+    }
+    if (!read_document(document))
+        return;
+    ControlHost host(*rc::gen::arbitrary<bool>());
+    host.configure(document);
+    host.planner.take_over(1, Start, {}, true);
+    for (int n = 0; n < 6; ++n) {
+        EndpointReport report = report_with({"group"}, "null");
+        report.id = EndpointId("i-" + std::to_string(n), 1);
+        report.address = "10.0.0." + std::to_string(n + 1) + ":80";
+        report.staged.clear();
+        host.merge(report);
+    }
+    host.plan_for_seconds(8);
+}
+
 RC_GTEST_PROP(OutOfRange, NoReportOfAPeerEndsTheControlHost, ()) {
     const auto number = [] {
         return *rc::gen::element<std::uint64_t>(0, 1, 7, 1023, 1024, 1u << 31, 0xffffffffu,
