--- a/src/process/coordinatorlinks.cpp
+++ b/src/process/coordinatorlinks.cpp
@@ -281,6 +281,8 @@
     for (const EndpointReport& report : cached_endpoints_)
         if (!renew.routable_only || report.routable())
             restored.reports.push_back(report);
+    log(LogLevel::Info, "cached endpoints sent",
+        {{"entry", renew.entry}, {"count", std::to_string(restored.reports.size())}});
     session.link->send(restored);
 }
 
--- a/src/process/coordinatorregistry.cpp
+++ b/src/process/coordinatorregistry.cpp
@@ -94,6 +94,7 @@
         return;
     changed_for_all(registry_.find(id)->report);
     sending_changes_.run();
+    log(LogLevel::Info, "leave acknowledged", {{"endpoint", text_of(id)}, {"phase", "gone"}});
 }
 
 // Copies of registry ranges carry the age of each report.
@@ -130,8 +131,11 @@
     groups_.observe(current, BootClock::now());
     // The endpoint gets its answer after this. From then on no entry host may send it requests, so
     // the change is sent now.
-    if (first_hand && current.phase != EndpointPhase::Serving)
+    if (first_hand && current.phase != EndpointPhase::Serving) {
         sending_changes_.run();
+        log(LogLevel::Info, "leave acknowledged",
+            {{"endpoint", text_of(current.id)}, {"phase", "draining"}});
+    }
     plan_soon();
 }
 
