The leave of an endpoint is in the replicated log before it is acknowledged

Cause: acknowledged ends were kept in memory only. Control hosts take recorded leaves into their registries and out of the cache when they start, and tell entry hosts. EndpointReport moved to version/, since the log holds it.

--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -388,13 +388,20 @@
     MSGPACK_DEFINE(levels)
 };
 
+// Endpoints whose leave the sending control host may acknowledge once it is in the replicated log.
+// Sent to the leader, which proposes it.
+struct LeavesToRecord {
+    std::vector<EndpointReport> reports;
+    MSGPACK_DEFINE(reports)
+};
+
 using WireMessage =
     std::variant<RaftPacket, AgentStatus, AgentOrder, NotLeaderReply, LeaseRenewal, LeaseAck,
                  CommandRequest, CommandReply, Attempt, CancelAttempt, Credit, GateState, Refused,
                  Head, Chunk, End, Broken, PeerHello, EndpointChanges, EndpointsAlive, DocumentPush,
                  GroupSuspected, GroupsDissolved, EndpointsRestored, GroupLoadReports,
                  RegistryDigests, RangesRequested, RequestsAborted, SuspectRequests, LimitReports,
-                 LimitShares, EndpointsLeaving, DemandReports, AdmissionPlan>;
+                 LimitShares, EndpointsLeaving, DemandReports, AdmissionPlan, LeavesToRecord>;
 
 // Names of the alternatives in their order, as metrics label them.
 constexpr std::array<std::string_view, std::variant_size_v<WireMessage>> MessageNames = {
@@ -431,7 +438,8 @@
     "limit_loans",
     "leaving",
     "demand_reports",
-    "admission_plan"};
+    "admission_plan",
+    "leaves_to_record"};
 
 // ---- member to member, by UDP
 
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -68,6 +68,7 @@
         coordinator->storage_failed(opened.error());
     coordinator->endpoint_cache_ = std::make_unique<EndpointCacheFile>(coordinator->storage_);
     coordinator->cached_endpoints_ = coordinator->endpoint_cache_->load();
+    coordinator->drop_cached_departures();
     coordinator->started_ = BootClock::now();
     log(LogLevel::Info, "cached endpoints loaded",
         {{"count", std::to_string(coordinator->cached_endpoints_.size())}});
@@ -108,6 +109,7 @@
     replica_ = std::move(*replica);
     applied_document_ = 0;
     applied_zones_ = 0;
+    applied_departures_ = 0;
     log(LogLevel::Info, "log opened",
         {{"node", text_of(node_)},
          {"last_index", std::to_string(replica_->raft().last_index())},
@@ -160,6 +162,9 @@
                 [this] { return static_cast<double>(admission_.overloaded()); });
     gauges_.add("liftweir_zones_out_of_use",
                 [this] { return static_cast<double>(zones_out_of_use().zones.size()); });
+    gauges_.add("liftweir_departures", [this] {
+        return replica_ ? static_cast<double>(replica_->state().departures().all.size()) : 0.0;
+    });
     gauges_.add("liftweir_requests_quarantined", [this] {
         return static_cast<double>(quarantine_.quarantined_count(BootClock::now()));
     });
@@ -198,6 +203,7 @@
     if (replica_)
         replica_->tick(now);
     pump();
+    answer_waiting_leaves();
     if (now >= alive_due_) {
         alive_due_ = now + HeartbeatFlushInterval;
         flush_alive();
@@ -224,6 +230,7 @@
     allocator_.expire(now);
     retry_shares_.expire(now);
     propose_missing_quarantines();
+    forget_departures(now);
     write_endpoint_cache(now);
     if (replica_)
         for (const NodeId voter : replica_->raft().voters())
@@ -283,8 +290,10 @@
     document_applied();
     zones_applied();
     quarantine_applied();
+    departures_applied();
     adjust_voters();
     answer_waiting();
+    answer_waiting_leaves();
     send_orders();
 }
 
@@ -315,6 +324,7 @@
     was_leader_ = leads;
     leads_since_ = BootClock::now();
     proposed_document_ = 0;
+    proposed_leaves_ = {};
     log(LogLevel::Info, leads ? "leads" : "leads no more",
         {{"term", std::to_string(replica_->raft().term())}, {"node", text_of(node_)}});
     const bool several_recent_leaders =
@@ -408,6 +418,7 @@
     log(LogLevel::Info, "leaving", {{"waiting", std::to_string(waiting_.size())}});
     leaving_ = true;
     answer_waiting();
+    answer_waiting_leaves();
 }
 
 void Coordinator::acknowledge(const WaitingCall& item) {
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -85,11 +85,13 @@
     // Whether this host leads and has applied all entries that were committed before.
     bool leads() const { return !leaving_ && replica_ && replica_->raft().leads_with_commit(); }
 
-    // Merges the registration of an endpoint. A rejected report changes nothing. An endpoint that
-    // drains is announced to all hosts before this returns.
-    ReportFault merge_report(const EndpointReport& report);
-    // Deregisters an endpoint, and announces that to all hosts before it returns.
-    void deregister(EndpointId id);
+    // Merges the registration of an endpoint. A rejected report changes nothing, and `done` is not
+    // called. An endpoint that drains is announced to all hosts before this returns, and `done` is
+    // called once the replicated log holds it; it fails with NoQuorum where that takes too long.
+    ReportFault merge_report(const EndpointReport& report, Done done);
+    // Deregisters an endpoint, and announces that to all hosts before it returns. `done` is called
+    // as above.
+    void deregister(EndpointId id, Done done);
     // Counts a rejected report under the name, and logs it at a limited rate.
     void note_rejected_report(const std::string& name, ReportFault fault);
 
@@ -140,6 +142,14 @@
         Done done;
     };
 
+    // The leave of an endpoint that waits to be acknowledged.
+    struct WaitingLeave {
+        EndpointReport report;
+        Done done;
+        Time started{};
+        Time request_due{}; // when the leader is asked again
+    };
+
     // storage and replicated log
     Expected<void> open_replica();
     Expected<void> open_replica_as(NodeId node);
@@ -203,6 +213,16 @@
     void send_ranges(const Link::Ptr& link, const RangesRequested& wanted, Time now) const;
     bool knows_all_endpoints(Time now) const;
 
+    // endpoints that leave, in the replicated log
+    void record_leave(const EndpointReport& report, Done done);
+    void request_leave_records(Time now);
+    void propose_leave(const EndpointReport& report);
+    void on_leaves_to_record(const Link::Ptr& link, const LeavesToRecord& received);
+    void drop_cached_departures();
+    void departures_applied();
+    void answer_waiting_leaves();
+    void forget_departures(Time now);
+
     // groups
     void plan();
     void plan_soon();
@@ -282,6 +302,10 @@
     ProbeQueue probes_;
     std::vector<WaitingCall> waiting_;
     std::vector<WaitingOrder> waiting_orders_;
+    std::vector<WaitingLeave> waiting_leaves_;
+    Departures proposed_leaves_;                    // in this term, and not yet applied
+    std::map<EndpointId, Time> departures_noticed_; // since when this host has led with them
+    Version applied_departures_ = 0; // log index of the last change of the departures
     Version applied_document_ = 0;
     Version applied_zones_ = 0; // log index of the last change of a zone's use
     Version proposed_document_ = 0;
--- a/src/process/coordinatorlinks.cpp
+++ b/src/process/coordinatorlinks.cpp
@@ -142,6 +142,8 @@
         on_suspects(link, *suspicions, now);
     } else if (const auto* leaving = std::get_if<EndpointsLeaving>(&message)) {
         on_leaving(link, *leaving, now);
+    } else if (const auto* leaves = std::get_if<LeavesToRecord>(&message)) {
+        on_leaves_to_record(link, *leaves);
     } else if (const auto* limit_reports = std::get_if<LimitReports>(&message)) {
         on_limit_reports(link, *limit_reports, now);
     } else if (const auto* shares = std::get_if<GroupLoadReports>(&message)) {
@@ -278,9 +280,12 @@
         return;
     session.restored = true;
     EndpointsRestored restored;
-    for (const EndpointReport& report : cached_endpoints_)
-        if (!renew.routable_only || report.routable())
+    for (const EndpointReport& report : cached_endpoints_) {
+        const Registry::Item* known = registry_.find(report.id);
+        const bool left = known != nullptr && known->report.phase != EndpointPhase::Serving;
+        if (!left && (!renew.routable_only || report.routable()))
             restored.reports.push_back(report);
+    }
     log(LogLevel::Info, "cached endpoints sent",
         {{"entry", renew.entry}, {"count", std::to_string(restored.reports.size())}});
     session.link->send(restored);
--- a/src/process/coordinatorregistry.cpp
+++ b/src/process/coordinatorregistry.cpp
@@ -49,10 +49,21 @@
     return registry_complete(now) && replica_ && replica_->raft().leader() != NoNode;
 }
 
-ReportFault Coordinator::merge_report(const EndpointReport& report) {
+// An endpoint that drains goes on reporting that. Only the first of these reports waits for the
+// log.
+ReportFault Coordinator::merge_report(const EndpointReport& report, Done done) {
     const ReportFault fault = fault_here(report);
-    if (fault == ReportFault::None)
-        merge(report, true, BootClock::now());
+    if (fault != ReportFault::None)
+        return fault;
+    const Registry::Item* before = registry_.find(report.id);
+    const bool drained_before = before != nullptr &&
+                                before->report.phase == EndpointPhase::Draining && replica_ &&
+                                replica_->state().departures().contains(report.id);
+    merge(report, true, BootClock::now());
+    if (report.phase == EndpointPhase::Serving || drained_before)
+        done({});
+    else
+        record_leave(report, std::move(done));
     return fault;
 }
 
@@ -86,15 +97,15 @@
     kind.since = 0;
 }
 
-void Coordinator::deregister(EndpointId id) {
+void Coordinator::deregister(EndpointId id, Done done) {
     const Registry::Item* last = registry_.latest(id.name);
     if (!id.has_start_time() && last != nullptr)
         id = last->report.id;
-    if (!registry_.mark_gone(id, BootClock::now()))
-        return;
-    changed_for_all(registry_.find(id)->report);
-    sending_changes_.run();
-    log(LogLevel::Info, "leave acknowledged", {{"endpoint", text_of(id)}, {"phase", "gone"}});
+    if (registry_.mark_gone(id, BootClock::now())) {
+        changed_for_all(registry_.find(id)->report);
+        sending_changes_.run();
+    }
+    record_leave(registry_.find(id)->report, std::move(done));
 }
 
 // Copies of registry ranges carry the age of each report.
@@ -131,11 +142,8 @@
     groups_.observe(current, BootClock::now());
     // The endpoint gets its answer after this. From then on no entry host may send it requests, so
     // the change is sent now.
-    if (first_hand && current.phase != EndpointPhase::Serving) {
+    if (first_hand && current.phase != EndpointPhase::Serving)
         sending_changes_.run();
-        log(LogLevel::Info, "leave acknowledged",
-            {{"endpoint", text_of(current.id)}, {"phase", "draining"}});
-    }
     plan_soon();
 }
 
--- a/src/process/metricnames.cpp
+++ b/src/process/metricnames.cpp
@@ -114,6 +114,13 @@
          "Groups written into the replicated log before their first order."},
         {"liftweir_order_seconds", Histogram, "s", "", SiteControl,
          "From an order to its answer or its timeout."},
+        {"liftweir_departures", Gauge, "endpoints", "", SiteControl,
+         "Endpoints in the replicated log that have left or are about to."},
+        {"liftweir_leave_seconds", Histogram, "s", "", SiteControl,
+         "From the report of an endpoint that leaves to its acknowledgement."},
+        {"liftweir_leaves_unrecorded", Counter, "reports", "", SiteControl,
+         "Reports of endpoints that leave without an acknowledgement, since no leader recorded "
+         "them."},
         {"liftweir_document_seconds", Histogram, "s", "", SiteControl,
          "From the receipt of an operators' document to its acknowledgement."},
         {"liftweir_endpoints", Gauge, "endpoints", "", SiteControl, "Known endpoints."},
--- a/src/process/registry.cpp
+++ b/src/process/registry.cpp
@@ -32,22 +32,6 @@
 
 } // namespace
 
-std::string_view name_of(MemberState state) {
-    switch (state) {
-    case MemberState::Joining:
-        return "joining";
-    case MemberState::Ready:
-        return "ready";
-    case MemberState::Open:
-        return "open";
-    case MemberState::Closing:
-        return "closing";
-    case MemberState::Broken:
-        return "broken";
-    }
-    return "unknown";
-}
-
 std::string_view name_of(ReportFault fault) {
     switch (fault) {
     case ReportFault::None:
@@ -83,8 +67,7 @@
         return ReportFault::Name;
     if (report.slots > MaxEndpointSlots)
         return ReportFault::Slots;
-    if (report.membership.rank >= MaxGroupMembers ||
-        report.membership.state > MemberState::Broken)
+    if (report.membership.rank >= MaxGroupMembers || report.membership.state > MemberState::Broken)
         return ReportFault::Group;
     if (report.phase == EndpointPhase::Gone)
         return ReportFault::None;
@@ -99,12 +82,6 @@
     return ReportFault::None;
 }
 
-bool EndpointReport::same_content(const EndpointReport& other) const {
-    EndpointReport copy = other;
-    copy.sequence = sequence;
-    return *this == copy;
-}
-
 const Registry::Item* Registry::find(const EndpointId& id) const {
     const auto found = items_.find(id);
     return found == items_.end() ? nullptr : &found->second;
--- a/src/process/replica.h
+++ b/src/process/replica.h
@@ -52,6 +52,8 @@
     Version logged_lease_version() const {
         return std::max(state_.lease_version(), pending_lease_);
     }
+    // The endpoints that the log records as leaving, committed or not.
+    std::vector<EndpointReport> logged_departures() const;
     bool ready() const { return raft_.leads_with_commit() && applied_ == raft_.commit(); }
 
   private:
--- /dev/null
+++ b/src/version/departures.h
@@ -0,0 +1,40 @@
+// The endpoints that leave, as the replicated log holds them.
+
+#ifndef DEPARTURES_H_INCLUDED
+#define DEPARTURES_H_INCLUDED
+
+#include "version/endpointreport.h"
+#include "version/settings.h"
+
+#include <compare>
+#include <map>
+#include <msgpack.hpp>
+
+namespace liftweir {
+
+// The last report of an endpoint that leaves, with the index of the log entry that recorded it.
+struct Departure {
+    Version index = 0;
+    EndpointReport report; // draining or gone
+    auto operator<=>(const Departure&) const = default;
+    MSGPACK_DEFINE(index, report)
+};
+
+// The endpoints whose leave was acknowledged and that may still serve or send reports.
+struct Departures {
+    Version index = 0; // of the log entry that last changed them
+    std::map<EndpointId, Departure> all;
+    auto operator<=>(const Departures&) const = default;
+    MSGPACK_DEFINE(index, all)
+
+    bool contains(const EndpointId& id) const { return all.contains(id); }
+    // Whether it is known that the endpoint left with this report or with a later one.
+    bool cover(const EndpointReport& report) const;
+    // Returns false where there are too many to take another endpoint, whose leave must then not be
+    // acknowledged.
+    bool add(Version at, const EndpointReport& report);
+};
+
+} // namespace liftweir
+
+#endif // DEPARTURES_H_INCLUDED
--- a/src/version/state.cpp
+++ b/src/version/state.cpp
@@ -184,6 +184,16 @@
     return done(index);
 }
 
+ApplyResult State::on(Version index, const RecordDepartures& c) {
+    departures_.index = index;
+    for (const EndpointId& id : c.forgotten)
+        departures_.all.erase(id);
+    bool all_added = true;
+    for (const EndpointReport& report : c.departed)
+        all_added = departures_.add(index, report) && all_added;
+    return all_added ? done(index) : refuse(FailureKind::Overloaded, "too many endpoints leave");
+}
+
 ApplyResult State::on(Version index, const QuarantineRequest& c) {
     std::erase_if(quarantined_, [&](const auto& item) { return item.second.until_ms <= c.now_ms; });
     if (c.until_ms <= c.now_ms) {
--- a/src/version/state.h
+++ b/src/version/state.h
@@ -4,7 +4,10 @@
 #define STATE_H_INCLUDED
 
 #include "process/failure.h"
+#include "version/departures.h"
 #include "version/endpointid.h"
+#include "version/endpointreport.h"
+#include "version/epoch.h"
 #include "version/fingerprint.h"
 #include "version/settings.h"
 
@@ -23,11 +26,6 @@
 
 using HostName = std::string;
 using Incarnation = std::uint64_t;
-// A group's epoch is the log index of the command that formed it: unique and increasing.
-using Epoch = std::uint64_t;
-
-constexpr Epoch NoEpoch = 0;
-
 enum class HostRole : std::uint8_t { Engine, Service };
 enum class HostMode : std::uint8_t { Active, Draining, Forgotten };
 
@@ -336,10 +334,18 @@
 std::string text_of(const ZonesOutOfUse& zones);
 std::string to_json(const ZonesOutOfUse& zones);
 
+// Records endpoints whose leave a control host is about to acknowledge, by their last reports, and
+// removes those that can send no more reports.
+struct RecordDepartures {
+    std::vector<EndpointReport> departed; // draining or gone
+    std::vector<EndpointId> forgotten;
+    MSGPACK_DEFINE(departed, forgotten)
+};
+
 using Command = std::variant<RegisterHost, RegisterEntry, ReleaseHost, FormGroup, DissolveGroup,
                              DrainGroup, SetHostMode, ChangeSettings, ClaimOnce, CloseClaim,
                              DropClaim, ExpireClaims, ResolveClaim, RetireEntry, ReplaceDocument,
-                             QuarantineRequest, RecordGroups, SetZoneUse>;
+                             QuarantineRequest, RecordGroups, SetZoneUse, RecordDepartures>;
 
 // The result of applying a command. Equal on every replica.
 struct ApplyResult {
@@ -443,6 +449,7 @@
     Version table_version() const { return table_version_; }
     const StoredDocument& document() const { return document_; }
     const ZonesOutOfUse& zones_out_of_use() const { return zones_out_of_use_; }
+    const Departures& departures() const { return departures_; }
     // Requests that are sent to no endpoint.
     const std::map<Fingerprint, QuarantineRecord>& quarantined() const { return quarantined_; }
     // Groups of the service that may still bind their members.
@@ -462,7 +469,7 @@
     MSGPACK_DEFINE(hosts_, groups_, entries_, settings_, history_, settings_version_,
                    table_version_, claims_, orders_, order_queue_, lease_version_, removed_,
                    removed_floor_, dropped_, dropped_queue_, document_, quarantined_,
-                   planned_groups_, zones_out_of_use_)
+                   planned_groups_, zones_out_of_use_, departures_)
 
   private:
     using Claims = std::map<std::string, ClaimRecord>;
@@ -485,6 +492,7 @@
     ApplyResult on(Version index, const QuarantineRequest& c);
     ApplyResult on(Version index, const RecordGroups& c);
     ApplyResult on(Version index, const SetZoneUse& c);
+    ApplyResult on(Version index, const RecordDepartures& c);
 
     void mark_claims_unknown(Incarnation entry);
     void unbind(Version index, Host& host);
@@ -514,6 +522,7 @@
     std::map<Fingerprint, QuarantineRecord> quarantined_;
     std::map<std::string, PlannedGroups> planned_groups_; // by service
     ZonesOutOfUse zones_out_of_use_;
+    Departures departures_;
 };
 
 // True for commands that raise the lease version if they are applied successfully.
--- a/tests/site/standin.py
+++ b/tests/site/standin.py
@@ -41,6 +41,7 @@
         self.large_event_bytes, self.large_bytes = 32 << 10, 6 << 20  # of streams; of plain calls
         self.work_s = WORK_S  # duration of a plain call
         self.stopped = {}   # request id -> when the endpoint noticed that its connection was closed
+        self.heartbeats_off = set()  # ids of endpoints that serve on without further reports
         self.leaving = {}   # endpoint id -> when a control host acknowledged its drain
         self.ended_drains = []  # (endpoint id, since when, until its restart under the same id)
         self.poison = None  # request body that crashes the endpoint that runs it
@@ -135,7 +136,7 @@
 
     async def send_heartbeats(self):
         while True:
-            if not self.unresponsive:
+            if not self.unresponsive and self.id not in self.fleet.heartbeats_off:
                 await self.report()
             await asyncio.sleep(self.fleet.heartbeat_s)
 
