A response answers a request only if it repeats its id, a success only if it is signed

Cause: parse_response refused responses that name another request, and took those that name none. Change: the id must be there and be the request's, whatever the status; a 2xx needs a signature. Anything else ends the connection and the attempt like a broken answer. An endpoint that sends such bytes is not avoided.

--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -388,8 +388,8 @@
     MSGPACK_DEFINE(levels)
 };
 
-// Endpoints whose leave the sending control host may acknowledge once it is in the replicated log.
-// Sent to the leader, which proposes it.
+// Reports of endpoints that leave. Sent to the leader, which puts them into the replicated log; the
+// sending control host acknowledges them once they are there.
 struct LeavesToRecord {
     std::vector<EndpointReport> reports;
     MSGPACK_DEFINE(reports)
--- a/src/process/coordinatordepartures.cpp
+++ b/src/process/coordinatordepartures.cpp
@@ -33,7 +33,6 @@
     const Time now = BootClock::now();
     waiting_leaves_.push_back({report, std::move(done), now, now});
     answer_waiting_leaves();
-    request_leave_records(now);
 }
 
 // The leader proposes them; another host asks the leader to.
@@ -116,7 +115,8 @@
     }
 }
 
-// A commit is on a majority of the disks, which is one more than may be lost at once.
+// Answers those that are recorded or have waited for too long, and asks for the others to be
+// recorded. A commit is on a majority of the disks, which is one more than may be lost at once.
 void Coordinator::answer_waiting_leaves() {
     if (waiting_leaves_.empty())
         return;
--- a/src/request/callerprotocol.h
+++ b/src/request/callerprotocol.h
@@ -59,9 +59,9 @@
 
 // What the head of an endpoint's response says beyond its status.
 struct ResponseSignals {
-    bool not_run = false;             // the endpoint guarantees that it did not run the request
-    bool request_id_mismatch = false; // the response belongs to another request
-    bool misdirected = false;         // another incarnation has the address
+    bool not_run = false;     // the endpoint guarantees that it did not run the request
+    bool foreign = false;     // not an answer of the endpoint to this request
+    bool misdirected = false; // another incarnation has the address
     // Requests per second that the endpoint accepts from all entry hosts together; zero if it
     // reports no limit or an invalid one.
     double limit_per_second = 0;
--- a/src/request/relayedanswer.cpp
+++ b/src/request/relayedanswer.cpp
@@ -50,8 +50,8 @@
 void RelayedCall::on_head(const HttpResponseHead& head) {
     head_ = head;
     signals_ = host_.protocol().parse_response(head, request_);
-    if (signals_.request_id_mismatch) {
-        on_broken("the answer belongs to another request");
+    if (signals_.foreign) {
+        on_broken("the response does not belong to the request");
         return;
     }
     report_limit();
--- a/tests/site/standin.py
+++ b/tests/site/standin.py
@@ -87,6 +87,8 @@
         self.tasks = []
         self.writers = set()  # stream writers of its open connections
         self.added_headers = {}  # added to its responses to requests
+        self.stray = b""  # bytes sent after whole answers, when the next request has arrived
+        self.strays_sent, self.answered_on = 0, set()  # connections that had a whole answer
         self.backoff_s = 0  # if not 0, it rejects all requests and requests this back-off
         fleet.endpoints[self.id] = self
 
@@ -174,7 +176,8 @@
             await asyncio.sleep(3600)
         self.writers = {w for w in self.writers if not w.transport.is_closing()} | {writer}
         if headers.get("target-instance", self.id) != self.id:
-            return self.respond(writer, 421, {"Instance-Id": self.id})
+            return self.respond(writer, 421, {"Instance-Id": self.id,
+                                             "Request-Id": headers.get("request-id", "")})
         if path == "/report":
             state = {"born": self.born, "sequence": self.orders}
             if self.group:
@@ -282,9 +285,9 @@
             self.fleet.break_rule("zone", "%s in %s got a request" % (self.id, self.zone))
         if self.domain:
             if not self.group or self.group["rank"] != 0:
-                return self.respond(writer, 421, {"Instance-Id": self.id})
+                return self.respond(writer, 421, {"Instance-Id": self.id, "Request-Id": request})
             if self.group["state"] != "open":
-                return self.respond(writer, 503, {"Not-Executed": "1"})
+                return self.respond(writer, 503, {"Not-Executed": "1", "Request-Id": request})
             group_members = tuple(self.group["members"])
             for member in group_members:
                 other = self.fleet.endpoints.get(member)
@@ -292,8 +295,11 @@
                     self.fleet.break_rule("partial group", "member %s was never ready" % member)
         if self.backoff_s:
             self.fleet.backoffs.append((time.monotonic(), self.id, request, self.backoff_s))
-            return self.respond(writer, 503, {"Not-Executed": "1",
+            return self.respond(writer, 503, {"Not-Executed": "1", "Request-Id": request,
                                              "Retry-After": str(self.backoff_s)})
+        if self.stray and writer in self.answered_on:
+            await self.send_stray(writer)
+        self.answered_on = {w for w in self.answered_on if w in self.writers} | {writer}
         self.fleet.runs.setdefault(request, []).append((time.monotonic(), self.id))
         self.fleet.keys[request] = headers.get("tenant-id")
         if self.fleet.is_poisonous(headers, body):
@@ -318,6 +324,15 @@
             return self.respond(writer, 200, own, respond)
         await self.stream(int(headers.get("last-event-id", "0")), own, writer)
 
+    async def send_stray(self, writer):
+        """Sends the bytes in two parts, split at another byte each time."""
+        self.strays_sent += 1
+        split = self.strays_sent * 7 % len(self.stray)
+        for part in (self.stray[:split], self.stray[split:]):
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0.002)
+
     async def respond_unframed(self, own, body, writer):
         """Sends an answer with neither a length nor chunks, and closes or resets the connection."""
         reset = self.fleet.stream_ends.random() < self.fleet.reset_share
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -234,10 +234,23 @@
     EXPECT_FALSE(protocol.parse_response({503, {}}, request).not_run);
     EXPECT_TRUE(protocol.parse_response({503, {{"Not-Executed", "1"}}}, request).not_run);
     EXPECT_TRUE(protocol.parse_response({421, {}}, request).not_run);
-    EXPECT_TRUE(
-        protocol.parse_response({200, {{"Request-Id", "r2"}}}, request).request_id_mismatch);
-    EXPECT_FALSE(
-        protocol.parse_response({200, {{"Request-Id", "r1"}}}, request).request_id_mismatch);
+}
+
+// Bytes that a faulty endpoint sends after an answer may look like a response without an id.
+TEST(ClientProtocol, OnlyAResponseThatNamesTheRequestAnswersIt) {
+    const ClientProtocol protocol;
+    CallerRequest request;
+    request.id = "r1";
+    const auto foreign = [&](int status, const HttpHeaders& headers) {
+        return protocol.parse_response({status, headers}, request).foreign;
+    };
+    for (const int status : {200, 204, 301, 400, 421, 429, 500, 503}) {
+        EXPECT_TRUE(foreign(status, {})) << status;
+        EXPECT_TRUE(foreign(status, {{"Request-Id", ""}})) << status;
+        EXPECT_TRUE(foreign(status, {{"Request-Id", "r2"}, {"Response-Signature", "s"}})) << status;
+        EXPECT_FALSE(foreign(status, {{"Request-Id", "r1"}, {"Response-Signature", "s"}}));
+        EXPECT_EQ(foreign(status, {{"request-id", "r1"}}), status / 100 == 2) << status;
+    }
 }
 
 ResponseSignals signals_of(HttpHeaders headers) {
--- a/tests/unit/promptparts_test.cpp
+++ b/tests/unit/promptparts_test.cpp
@@ -39,7 +39,9 @@
 
     CallEvents& endpoint() { return host_.pool().calls.back().events; }
     void begin_response() {
-        endpoint().on_head({200, {{"Content-Type", "text/event-stream"}}, BodyFraming::Chunked});
+        endpoint().on_head({200,
+                            {{"Content-Type", "text/event-stream"}, {"Response-Signature", "s"}},
+                            BodyFraming::Chunked});
     }
 
     FakeRelayHost host_{AdmissionRefusal::None};
