--- a/tests/unit/brokenstream_test.cpp
+++ b/tests/unit/brokenstream_test.cpp
@@ -30,7 +30,8 @@
     // The response of the endpoint that has the request now, to the end of the message.
     void respond(BodyFraming framing, const std::string& body) {
         const CallEvents events = host_.pool().calls.back().events;
-        events.on_head({200, {{"Content-Type", media_type_}, {"Response-Signature", "s"}}, framing});
+        events.on_head(
+            {200, {{"Content-Type", media_type_}, {"Response-Signature", "s"}}, framing});
         for (const char byte : body)
             events.on_body({&byte, 1});
         events.on_end(CallEnd::Complete, true);
--- a/tests/unit/outofrange_test.cpp
+++ b/tests/unit/outofrange_test.cpp
@@ -141,9 +141,9 @@
 }
 
 TEST(OutOfRange, ARejectedRegistrationChangesNothing) {
-    const std::vector<std::vector<std::string>> fields = {
-        {"slots"}, {"sequence"}, {"born"}, {"cold-remaining-ms"}, {"group", "epoch"},
-        {"group", "rank"}};
+    const std::vector<std::vector<std::string>> fields = {{"slots"},          {"sequence"},
+                                                          {"born"},           {"cold-remaining-ms"},
+                                                          {"group", "epoch"}, {"group", "rank"}};
     for (const auto& field : fields) {
         int rejected = 0;
         for (const std::string& value : Extremes) {
@@ -171,13 +171,9 @@
 }
 
 TEST(OutOfRange, AnEngineThatCanNotBePlannedForIsRejected) {
-    const std::vector<std::vector<std::string>> fields = {{"loads_per_s"},
-                                                          {"step_ms"},
-                                                          {"per_seq_ms"},
-                                                          {"read_per_s"},
-                                                          {"far_x"},
-                                                          {"models", "share"},
-                                                          {"models", "pace"}};
+    const std::vector<std::vector<std::string>> fields = {
+        {"loads_per_s"}, {"step_ms"},         {"per_seq_ms"},    {"read_per_s"},
+        {"far_x"},       {"models", "share"}, {"models", "pace"}};
     for (const auto& field : fields)
         for (const char* value : {"1e18", "1e300", "-1"}) {
             std::vector<std::string> path = {"services", "engine"};
@@ -185,18 +181,18 @@
             EXPECT_FALSE(read_document(with_field(ValidEngine, path, value)))
                 << field.back() << " " << value;
         }
-    EXPECT_FALSE(read_document(
-        with_field(ValidEngine, {"services", "engine", "models", "size"}, "1025")));
-    EXPECT_TRUE(read_document(
-        with_field(ValidEngine, {"services", "engine", "models", "size"}, "1024")));
+    EXPECT_FALSE(
+        read_document(with_field(ValidEngine, {"services", "engine", "models", "size"}, "1025")));
+    EXPECT_TRUE(
+        read_document(with_field(ValidEngine, {"services", "engine", "models", "size"}, "1024")));
 }
 
 RC_GTEST_PROP(OutOfRange, EveryDocumentThatIsAcceptedCanBePlannedFor, ()) {
     const std::vector<std::vector<std::string>> fields = {
-        {"slots"},        {"stride"},         {"chunk"},          {"step_ms"},
-        {"per_seq_ms"},   {"read_per_s"},     {"loads_per_s"},    {"loads_at_once"},
-        {"far_x"},        {"form_ms"},        {"keeps"},          {"usual", "answer"},
-        {"models", "size"}, {"models", "share"}, {"models", "pace"}, {"models", "load_s"},
+        {"slots"},           {"stride"},          {"chunk"},          {"step_ms"},
+        {"per_seq_ms"},      {"read_per_s"},      {"loads_per_s"},    {"loads_at_once"},
+        {"far_x"},           {"form_ms"},         {"keeps"},          {"usual", "answer"},
+        {"models", "size"},  {"models", "share"}, {"models", "pace"}, {"models", "load_s"},
         {"models", "warm-s"}};
     std::string document = ValidEngine;
     const auto changes = *rc::gen::inRange(1, 3);
