Cached endpoints are sent only once the log tells which of them have left

Until the log was applied, the cache was filtered by what the own log held. Cause: the cache on disk had no place in the order of the log. Change: the cache carries the index of the entry that last removed leaves; a host whose log has removed others since drops it. It sends the cache only once it has applied an entry of the current leader. The filter by uncommitted entries and the messages that took back what was sent too early are gone. Fixture and fakes shared with the link tests moved to loopback.h. Conclusion: a cache is believed only as far as the log can correct it.

--- a/src/process/changefeed.cpp
+++ b/src/process/changefeed.cpp
@@ -34,12 +34,4 @@
     for_entries_.push_back(report);
 }
 
-// Entry hosts never knew a member other than the lead as routable.
-void ChangeFeed::add_for_entries(const EndpointReport& report) {
-    announced_.erase(report.id);
-    const bool leads = report.grouped() && report.membership.rank == 0;
-    if (report.domain.empty() || leads)
-        for_entries_.push_back(report);
-}
-
 } // namespace liftweir
--- a/src/process/changefeed.h
+++ b/src/process/changefeed.h
@@ -24,9 +24,6 @@
     // A change that all hosts need, whatever they know.
     void add_for_all(const EndpointReport& report);
 
-    // A change that peers have learnt from the replicated log.
-    void add_for_entries(const EndpointReport& report);
-
     std::vector<EndpointReport> take_for_peers() { return std::exchange(for_peers_, {}); }
     std::vector<EndpointReport> take_for_entries() { return std::exchange(for_entries_, {}); }
 
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -67,11 +67,10 @@
     if (auto opened = coordinator->open_replica(); !opened)
         coordinator->storage_failed(opened.error());
     coordinator->endpoint_cache_ = std::make_unique<EndpointCacheFile>(coordinator->storage_);
-    coordinator->cached_endpoints_ = coordinator->endpoint_cache_->load();
-    coordinator->drop_cached_departures();
+    coordinator->cached_ = coordinator->endpoint_cache_->load();
     coordinator->started_ = BootClock::now();
     log(LogLevel::Info, "cached endpoints loaded",
-        {{"count", std::to_string(coordinator->cached_endpoints_.size())}});
+        {{"count", std::to_string(coordinator->cached_.reports.size())}});
     return coordinator;
 }
 
@@ -291,6 +290,8 @@
     zones_applied();
     quarantine_applied();
     departures_applied();
+    if (!caught_up_ && replica_->caught_up())
+        log_caught_up();
     adjust_voters();
     answer_waiting();
     answer_waiting_leaves();
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -191,6 +191,7 @@
     RetryShare grant_retry_share(const LeaseRenewal& renew, Time now);
     void send_digests_if_different(EntrySession& session, bool new_link, Time now);
     void send_restored(EntrySession& session, bool new_link);
+    void log_caught_up();
     void count_entries(Time now);
     std::vector<NodeId> known_nodes() const;
 
@@ -218,7 +219,6 @@
     void request_leave_records(Time now);
     void propose_leave(const EndpointReport& report);
     void on_leaves_to_record(const Link::Ptr& link, const LeavesToRecord& received);
-    void drop_cached_departures();
     void departures_applied();
     void answer_waiting_leaves();
     void forget_departures(Time now);
@@ -289,8 +289,9 @@
     Registry registry_;
     RegistryRepair repair_;
     std::unique_ptr<EndpointCacheFile> endpoint_cache_;
-    std::vector<EndpointReport> cached_endpoints_; // read at the start, until they are outdated
-    bool peer_has_registry_ = false;               // another control host has a complete registry
+    CachedEndpoints cached_;         // read at the start, until it is outdated
+    bool caught_up_ = false;         // with the leaves that the log held at the start
+    bool peer_has_registry_ = false; // another control host has a complete registry
     Time started_{};
     Time cache_write_due_{};
     std::set<std::string> services_;                          // of the document in force
--- a/src/process/coordinatordepartures.cpp
+++ b/src/process/coordinatordepartures.cpp
@@ -7,9 +7,7 @@
 #include "process/metrics.h"
 #include "process/node.h"
 
-#include <algorithm>
 #include <iterator>
-#include <set>
 #include <utility>
 
 namespace liftweir {
@@ -78,41 +76,16 @@
     pump_soon();
 }
 
-// After a start the log is applied only once there is a leader. What it holds, committed or not,
-// was reported by the endpoint.
-void Coordinator::drop_cached_departures() {
-    if (!replica_)
-        return;
-    std::set<EndpointId> left;
-    for (const EndpointReport& report : replica_->logged_departures())
-        left.insert(report.id);
-    std::erase_if(cached_endpoints_,
-                  [&](const EndpointReport& report) { return left.contains(report.id); });
-}
-
 // Takes over the leaves of the log that this host does not know yet: after its start, or where the
-// message of the host that received the report was lost. While this host has cached endpoints, it
-// may have sent them to entry hosts before, and tells these of every leave.
+// message of the host that received the report was lost.
 void Coordinator::departures_applied() {
     const Departures& departures = replica_->state().departures();
     if (departures.index == applied_departures_)
         return;
     const Version applied = std::exchange(applied_departures_, departures.index);
-    for (const auto& [id, departure] : departures.all) {
-        if (departure.index <= applied)
-            continue;
-        const bool is_change = registry_.merge(departure.report, BootClock::now());
-        forward_resolved();
-        const Registry::Item* item = registry_.find(id);
-        const bool serves_again = item != nullptr && item->report.phase == EndpointPhase::Serving;
-        if (serves_again || (!is_change && cached_endpoints_.empty()))
-            continue;
-        changes_.add_for_entries(departure.report);
-        note_change(departure.report);
-        if (is_change)
-            groups_.observe(item->report, BootClock::now());
-        plan_soon();
-    }
+    for (const auto& [id, departure] : departures.all)
+        if (departure.index > applied)
+            merge(departure.report, false, BootClock::now());
 }
 
 // Answers those that are recorded or have waited for too long, and asks for the others to be
--- a/src/process/coordinatorlinks.cpp
+++ b/src/process/coordinatorlinks.cpp
@@ -272,15 +272,16 @@
 }
 
 // An entry host that has just started asks one control host after the other for the endpoints that
-// were known before. Entry hosts of earlier releases do not ask, and get them from all.
+// were known before. Entry hosts of earlier releases do not ask, and get them from all. This host
+// must know first which of them have left since.
 void Coordinator::send_restored(EntrySession& session, bool new_link) {
     const LeaseRenewal& renew = session.renew;
     const bool wanted = renew.routable_only ? renew.wants_restored : new_link;
-    if (!wanted || session.restored || cached_endpoints_.empty())
+    if (!wanted || session.restored || !caught_up_ || cached_.reports.empty())
         return;
     session.restored = true;
     EndpointsRestored restored;
-    for (const EndpointReport& report : cached_endpoints_) {
+    for (const EndpointReport& report : cached_.reports) {
         const Registry::Item* known = registry_.find(report.id);
         const bool left = known != nullptr && known->report.phase != EndpointPhase::Serving;
         if (!left && (!renew.routable_only || report.routable()))
@@ -291,6 +292,23 @@
     session.link->send(restored);
 }
 
+// Called once the log is known up to the last leader's last entry. Where it has forgotten leaves
+// since the cache was written, the cache may name endpoints that left. An entry host waits this
+// long for one control host before it asks the next.
+void Coordinator::log_caught_up() {
+    constexpr Duration AskedLately = std::chrono::milliseconds(150);
+    caught_up_ = true;
+    if (replica_->state().departures().forgotten > cached_.leaves_forgotten) {
+        log(LogLevel::Info, "cached endpoints are outdated",
+            {{"count", std::to_string(cached_.reports.size())}});
+        cached_ = {};
+    }
+    const Time now = BootClock::now();
+    for (auto& [name, session] : entries_)
+        if (session.link && now - session.seen <= AskedLately)
+            send_restored(session, false);
+}
+
 // ---- load reports of the entry hosts
 
 void Coordinator::on_load_reports(const GroupLoadReports& shares, Time now) {
--- a/src/process/coordinatorregistry.cpp
+++ b/src/process/coordinatorregistry.cpp
@@ -233,15 +233,16 @@
 // running in the meantime.
 void Coordinator::write_endpoint_cache(Time now) {
     if (peer_has_registry_)
-        cached_endpoints_.clear();
+        cached_ = {};
     const bool copied = peer_has_registry_ && !registry_.items().empty();
-    if (!registry_complete(now) && !copied)
+    if ((!registry_complete(now) && !copied) || !caught_up_ || !replica_)
         return;
-    cached_endpoints_.clear();
+    cached_ = {};
     if (now < cache_write_due_)
         return;
     cache_write_due_ = now + CacheWriteInterval;
-    endpoint_cache_->keep(registry_, now - heartbeats().two_missed());
+    endpoint_cache_->keep(registry_, now - heartbeats().two_missed(),
+                          replica_->state().departures().forgotten);
 }
 
 } // namespace liftweir
--- a/src/process/endpointcachefile.cpp
+++ b/src/process/endpointcachefile.cpp
@@ -22,11 +22,6 @@
 // failure.
 constexpr Duration RetryInterval = std::chrono::milliseconds(500);
 
-struct CachedEndpoints {
-    std::vector<EndpointReport> reports;
-    MSGPACK_DEFINE(reports)
-};
-
 // The sequence number rises with each report and would make every write differ from the last one.
 EndpointReport without_sequence(EndpointReport report) {
     report.sequence = 0;
@@ -106,7 +101,7 @@
     writer_->stop();
 }
 
-std::vector<EndpointReport> EndpointCacheFile::load() const {
+CachedEndpoints EndpointCacheFile::load() const {
     const auto names = storage_->list();
     if (!names || std::find(names->begin(), names->end(), FileName) == names->end())
         return {};
@@ -122,13 +117,14 @@
             {{"detail", cached.error().detail}});
         return {};
     }
-    return std::move(cached->reports);
+    return std::move(*cached);
 }
 
 // The registry keeps unresponsive endpoints for long, as they may be partitioned from control only,
 // so the cache is restricted to recent ones.
-void EndpointCacheFile::keep(const Registry& registry, Time since) {
+void EndpointCacheFile::keep(const Registry& registry, Time since, Version leaves_forgotten) {
     CachedEndpoints cached;
+    cached.leaves_forgotten = leaves_forgotten;
     for (const auto& [id, item] : registry.items())
         if (item.report.phase == EndpointPhase::Serving && item.last_contact >= since)
             cached.reports.push_back(without_sequence(item.report));
--- a/src/process/endpointcachefile.h
+++ b/src/process/endpointcachefile.h
@@ -12,6 +12,16 @@
 
 namespace liftweir {
 
+// The endpoints of a control host, and which leaves its log had forgotten when it stored them. The
+// list may name endpoints that have left since; the log tells which, until it forgets that too.
+struct CachedEndpoints {
+    std::vector<EndpointReport> reports;
+    Version leaves_forgotten = 0; // Departures::forgotten
+
+    auto operator<=>(const CachedEndpoints&) const = default;
+    MSGPACK_DEFINE(reports, leaves_forgotten)
+};
+
 // After a power failure of all hosts, entry hosts can serve with this cache until the endpoints
 // have registered again. It is only a hint: reports of the endpoints take precedence, and groups
 // are never formed from it.
@@ -26,12 +36,12 @@
     EndpointCacheFile(const EndpointCacheFile&) = delete;
     EndpointCacheFile& operator=(const EndpointCacheFile&) = delete;
 
-    // The endpoints stored before this process started; empty if the file is missing or unreadable.
-    std::vector<EndpointReport> load() const;
+    // What was stored before this process started; empty if the file is missing or unreadable.
+    CachedEndpoints load() const;
     // Stores, in the background, the endpoints that serve and were known to be alive at `since` or
-    // later. Replaces a write that has not started yet. A list that equals the last one is not
+    // later. Replaces a write that has not started yet. Contents that equal the last ones are not
     // written again.
-    void keep(const Registry& registry, Time since);
+    void keep(const Registry& registry, Time since, Version leaves_forgotten);
 
   private:
     class Writer;
--- a/src/process/replica.cpp
+++ b/src/process/replica.cpp
@@ -185,20 +185,9 @@
     }
 }
 
-std::vector<EndpointReport> Replica::logged_departures() const {
-    std::vector<EndpointReport> reports;
-    for (const auto& [id, departure] : state_.departures().all)
-        reports.push_back(departure.report);
-    for (const LogEntry& entry : raft_.log()) {
-        if (entry.index <= applied_ || entry.kind != EntryKind::Command)
-            continue;
-        const auto command = decode<Command>(entry.data);
-        if (!command)
-            continue;
-        if (const auto* record = std::get_if<RecordDepartures>(&*command))
-            reports.insert(reports.end(), record->departed.begin(), record->departed.end());
-    }
-    return reports;
+bool Replica::caught_up() const {
+    return raft_.leader() != NoNode && applied_ == raft_.commit() &&
+           raft_.term_at(applied_) == raft_.term();
 }
 
 Expected<void> Replica::maybe_compact() {
--- a/src/process/replica.h
+++ b/src/process/replica.h
@@ -52,8 +52,9 @@
     Version logged_lease_version() const {
         return std::max(state_.lease_version(), pending_lease_);
     }
-    // The endpoints that the log records as leaving, committed or not.
-    std::vector<EndpointReport> logged_departures() const;
+    // True where this host has applied an entry of the current leader, and so everything that was
+    // committed under earlier ones.
+    bool caught_up() const;
     bool ready() const { return raft_.leads_with_commit() && applied_ == raft_.commit(); }
 
   private:
--- a/src/version/departures.h
+++ b/src/version/departures.h
@@ -24,8 +24,9 @@
 struct Departures {
     Version index = 0; // of the log entry that last changed them
     std::map<EndpointId, Departure> all;
+    Version forgotten = 0; // index of the log entry that last removed some
     auto operator<=>(const Departures&) const = default;
-    MSGPACK_DEFINE(index, all)
+    MSGPACK_DEFINE(index, all, forgotten)
 
     bool contains(const EndpointId& id) const { return all.contains(id); }
     // Whether it is known that the endpoint left with this report or with a later one.
--- a/src/version/state.cpp
+++ b/src/version/state.cpp
@@ -188,6 +188,8 @@
     departures_.index = index;
     for (const EndpointId& id : c.forgotten)
         departures_.all.erase(id);
+    if (!c.forgotten.empty())
+        departures_.forgotten = index;
     bool all_added = true;
     for (const EndpointReport& report : c.departed)
         all_added = departures_.add(index, report) && all_added;
--- a/tests/unit/endpointcachefile_test.cpp
+++ b/tests/unit/endpointcachefile_test.cpp
@@ -26,7 +26,7 @@
 // Waits for the write, which another thread does.
 std::vector<EndpointReport> written(const std::shared_ptr<Storage>& storage) {
     for (int i = 0; i < 200; ++i) {
-        auto reports = EndpointCacheFile(storage).load();
+        auto reports = EndpointCacheFile(storage).load().reports;
         if (!reports.empty())
             return reports;
         std::this_thread::sleep_for(std::chrono::milliseconds(10));
@@ -39,15 +39,16 @@
     ASSERT_TRUE(directory);
     const std::shared_ptr<Storage> storage = std::move(*directory);
     EndpointCacheFile cached(storage);
-    EXPECT_TRUE(cached.load().empty());
+    EXPECT_TRUE(cached.load().reports.empty());
     Registry registry;
     registry.merge(endpoint("heard"), Start);
     registry.merge(endpoint("silent"), Start - std::chrono::seconds(9));
     registry.merge(endpoint("leaving", EndpointPhase::Draining), Start);
-    cached.keep(registry, Start - std::chrono::seconds(2));
+    cached.keep(registry, Start - std::chrono::seconds(2), 7);
     const auto reports = written(storage);
     ASSERT_EQ(reports.size(), 1u);
     EXPECT_EQ(reports.front().id, "heard");
+    EXPECT_EQ(EndpointCacheFile(storage).load().leaves_forgotten, 7u);
     EXPECT_EQ(reports.front().sequence, 0u); // so that any report of the endpoint takes precedence
     ASSERT_TRUE(storage->remove("endpoints"));
 }
@@ -55,7 +56,7 @@
 TEST(EndpointCacheFile, AnUnreadableFileIsIgnored) {
     const auto storage = std::make_shared<MemStorage>();
     ASSERT_TRUE(storage->replace("endpoints", "\xff\x00 not a roster"));
-    EXPECT_TRUE(EndpointCacheFile(storage).load().empty());
+    EXPECT_EQ(EndpointCacheFile(storage).load(), CachedEndpoints{});
 }
 
 // Fails the first writes, like a disk that is full for a while.
@@ -75,7 +76,7 @@
     EndpointCacheFile cached(storage);
     Registry registry;
     registry.merge(endpoint("heard"), Start);
-    cached.keep(registry, Start);
+    cached.keep(registry, Start, 0);
     const auto reports = written(storage);
     ASSERT_EQ(reports.size(), 1u);
     EXPECT_EQ(reports.front().id, "heard");
--- a/tests/unit/gatewaylink_test.cpp
+++ b/tests/unit/gatewaylink_test.cpp
@@ -3,6 +3,7 @@
 #include "connection/link.h"
 #include "process/gateway.h"
 #include "process/metrics.h"
+#include "unit/loopback.h"
 
 #include <gtest/gtest.h>
 
@@ -13,20 +14,8 @@
 
 using std::chrono::milliseconds;
 
-class NoCallers final : public CallerProtocol {
-  public:
-    CallerRequest read(const HttpExchange&) const override { return {}; }
-    HttpRequestHead forward(const HttpExchange&, const ForwardedFields&) const override {
-        return {};
-    }
-    ResponseSignals parse_response(const HttpResponseHead&, const CallerRequest&) const override {
-        return {};
-    }
-    HttpHeaders local_response_headers(const CallerRequest&, Duration) const override { return {}; }
-};
-
 // A control host that answers lease renewals, except on `unanswered_link`.
-struct EntryHostsLink : testing::Test {
+struct EntryHostsLink : LoopbackTest {
     EntryHostsLink() {
         listener.start([this](const Link::Ptr& link) { links.push_back(link); },
                        [this](const Link::Ptr& link, WireMessage&& message) {
@@ -56,39 +45,10 @@
         ++answers;
     }
 
-    static std::uint16_t free_port() {
-        asio::io_context io;
-        return asio::ip::tcp::acceptor(
-                   io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
-            .local_endpoint()
-            .port();
-    }
-    static SiteConfig config_for(std::uint16_t port) {
-        SiteConfig config;
-        config.name = "e";
-        config.ip = "127.0.0.1";
-        config.link_port = port;
-        config.seeds = {"127.0.0.1:1"};
-        config.callers = config.ready = config.metrics = "127.0.0.1:0";
-        return config;
-    }
-    template <typename Done>
-    bool run_until(Done done, Duration limit) {
-        const Time end = BootClock::now() + limit;
-        while (!done() && BootClock::now() < end) {
-            io.restart();
-            io.run_for(milliseconds(5));
-        }
-        return done();
-    }
-
-    asio::io_context io;
-    const std::uint16_t port = free_port();
     const Identity self{ProcessRole::Control, "c", 1};
-    const ClusterKeys keys = ClusterKeys::none();
     LinkListener listener{io, "127.0.0.1:" + std::to_string(port), self, keys};
     NoCallers callers;
-    Gateway gateway{io, config_for(port), callers,
+    Gateway gateway{io, config_for(port, "e"), callers,
                     [](const std::string&) -> Expected<Deployment> { return Deployment{}; }};
     std::vector<Link::Ptr> links;
     Link::Ptr unanswered_link;
@@ -127,7 +87,7 @@
 
 // Two control hosts that have the document. The one that is asked for it first answers late. The
 // other one announces at once that it has the document too.
-struct TwoControlHosts : testing::Test {
+struct TwoControlHosts : LoopbackTest {
     struct Host {
         Host(TwoControlHosts& all, const std::string& ip, NodeId number)
             : node(number),
@@ -147,7 +107,7 @@
     };
 
     static SiteConfig config_for(std::uint16_t port) {
-        SiteConfig config = EntryHostsLink::config_for(port);
+        SiteConfig config = LoopbackTest::config_for(port, "e");
         config.ip = "127.0.0.3";
         config.seeds = {"127.0.0.1:1", "127.0.0.2:1"};
         return config;
@@ -175,17 +135,7 @@
         if (renew.wants_restored && &host == restored_at)
             link->send(EndpointsRestored{{endpoint}});
     }
-    void run_for(Duration time) {
-        for (const Time end = BootClock::now() + time; BootClock::now() < end;) {
-            io.restart();
-            io.run_for(milliseconds(5));
-        }
-    }
-
-    asio::io_context io;
-    const std::uint16_t port = EntryHostsLink::free_port();
     const Identity self{ProcessRole::Control, "c", 1};
-    const ClusterKeys keys = ClusterKeys::none();
     Host* source = nullptr;
     bool source_is_silent = true;
     Host* restored_at = nullptr; // the control host that still has the endpoints it stored
--- a/tests/unit/peernumbers_test.cpp
+++ b/tests/unit/peernumbers_test.cpp
@@ -4,7 +4,7 @@
 #include "connection/codec.h"
 #include "process/coordinator.h"
 #include "process/gateway.h"
-#include "process/metrics.h"
+#include "unit/loopback.h"
 
 #include <gtest/gtest.h>
 
@@ -119,28 +119,6 @@
     return out;
 }
 
-class NoOrders final : public EndpointOrders {
-  public:
-    void send(const EndpointOrder&, std::function<void(OrderAnswer)> on_answer) override {
-        on_answer(OrderAnswer::Taken);
-    }
-    void probe(const EndpointReport&, std::function<void(bool)> on_answer) override {
-        on_answer(true);
-    }
-};
-
-class NoCallers final : public CallerProtocol {
-  public:
-    CallerRequest read(const HttpExchange&) const override { return {}; }
-    HttpRequestHead forward(const HttpExchange&, const ForwardedFields&) const override {
-        return {};
-    }
-    ResponseSignals parse_response(const HttpResponseHead&, const CallerRequest&) const override {
-        return {};
-    }
-    HttpHeaders local_response_headers(const CallerRequest&, Duration) const override { return {}; }
-};
-
 Expected<Deployment> decode_document(const std::string&) {
     Deployment deployment;
     Service service;
@@ -151,46 +129,12 @@
     return deployment;
 }
 
-std::uint16_t free_port() {
-    asio::io_context io;
-    return asio::ip::tcp::acceptor(io,
-                                   asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
-        .local_endpoint()
-        .port();
-}
-
-struct PeerNumbers : testing::Test {
-    SiteConfig config_of(const std::string& name) const {
-        SiteConfig config;
-        config.name = name;
-        config.ip = "127.0.0.1";
-        config.link_port = port;
-        config.seeds = {"127.0.0.1:1"};
-        config.tolerated_hosts = 0;
-        config.callers = config.ready = config.metrics = "127.0.0.1:0";
-        return config;
-    }
-    template <typename Done>
-    bool run_until(Done done, Duration limit) {
-        const Time end = BootClock::now() + limit;
-        while (!done() && BootClock::now() < end) {
-            io.restart();
-            io.run_for(milliseconds(5));
-        }
-        return done();
-    }
-    void run_for(Duration time) {
-        run_until([] { return false; }, time);
-    }
-
-    asio::io_context io;
-    const std::uint16_t port = free_port();
-    const ClusterKeys keys = ClusterKeys::none();
-};
+struct PeerNumbers : LoopbackTest {};
 
 TEST_F(PeerNumbers, EndNoControlHost) {
-    SiteConfig config = config_of("c");
+    SiteConfig config = config_for(port, "c");
     config.first_start = true;
+    config.tolerated_hosts = 0;
     config.data = testing::TempDir() + "/peer-numbers";
     std::filesystem::remove_all(config.data);
     NoOrders orders;
@@ -237,7 +181,7 @@
                    },
                    [](const Link::Ptr&) {});
     NoCallers callers;
-    Gateway gateway(io, config_of("e"), callers, decode_document);
+    Gateway gateway(io, config_for(port, "e"), callers, decode_document);
     gateway.start();
     ASSERT_TRUE(run_until([&] { return link != nullptr && renewals > 0; }, milliseconds(3000)));
     std::size_t sent = 0;
--- a/tests/unit/storage_test.cpp
+++ b/tests/unit/storage_test.cpp
@@ -74,7 +74,7 @@
 
 TEST_F(UnreadableFile, EndpointCacheIsEmpty) {
     put("endpoints");
-    EXPECT_TRUE(EndpointCacheFile(storage).load().empty());
+    EXPECT_TRUE(EndpointCacheFile(storage).load().reports.empty());
 }
 
 TEST(ReadFile, ReturnsTheWholeContentsOrFails) {
