A leave is acknowledged by the rule of documents, by the leader, and not before it

A leave was acknowledged on a majority of the voters, however few these were: with one voter of three, on one disk where two may be lost. And the second report of an endpoint that drains was acknowledged although the first had not been. Cause: followers answered on their own commit, which says nothing of disks; a record in the log was taken for an acknowledgement. Change: the leader answers (LeavesRecorded) once is_durable holds for the entry, as for documents and zone orders; a host remembers which drains it has acknowledged. The request goes only to leaders whose hello says that they know it: a host of the release before closes a link on it. The answer no longer waits for the heartbeat that carries the commit. Conclusion: one rule for everything that is acknowledged.

--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -257,7 +257,8 @@
     std::uint64_t registry = 0;     // digest of the endpoints that it knows
     bool registry_complete = false; // it has run long enough to have a report from every endpoint
     std::uint64_t term = 0;         // of its log; only earlier releases read it
-    MSGPACK_DEFINE(node, nodes, registry, registry_complete, term)
+    bool records_leaves = false;    // it takes LeavesToRecord; false for earlier releases
+    MSGPACK_DEFINE(node, nodes, registry, registry_complete, term, records_leaves)
 };
 
 // Reports of endpoints that the receiver may not have yet.
@@ -388,20 +389,27 @@
     MSGPACK_DEFINE(levels)
 };
 
-// Reports of endpoints that leave. Sent to the leader, which puts them into the replicated log; the
-// sending control host acknowledges them once they are there.
+// Reports of endpoints that leave. Sent to the leader, which puts them into the replicated log and
+// returns those that are on enough disks.
 struct LeavesToRecord {
     std::vector<EndpointReport> reports;
     MSGPACK_DEFINE(reports)
 };
 
+// Leaves that the receiver may acknowledge.
+struct LeavesRecorded {
+    std::vector<LeaveId> leaves;
+    MSGPACK_DEFINE(leaves)
+};
+
 using WireMessage =
     std::variant<RaftPacket, AgentStatus, AgentOrder, NotLeaderReply, LeaseRenewal, LeaseAck,
                  CommandRequest, CommandReply, Attempt, CancelAttempt, Credit, GateState, Refused,
                  Head, Chunk, End, Broken, PeerHello, EndpointChanges, EndpointsAlive, DocumentPush,
                  GroupSuspected, GroupsDissolved, EndpointsRestored, GroupLoadReports,
                  RegistryDigests, RangesRequested, RequestsAborted, SuspectRequests, LimitReports,
-                 LimitShares, EndpointsLeaving, DemandReports, AdmissionPlan, LeavesToRecord>;
+                 LimitShares, EndpointsLeaving, DemandReports, AdmissionPlan, LeavesToRecord,
+                 LeavesRecorded>;
 
 // Names of the alternatives in their order, as metrics label them.
 constexpr std::array<std::string_view, std::variant_size_v<WireMessage>> MessageNames = {
@@ -439,7 +447,8 @@
     "leaving",
     "demand_reports",
     "admission_plan",
-    "leaves_to_record"};
+    "leaves_to_record",
+    "leaves_recorded"};
 
 // ---- member to member, by UDP
 
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -87,7 +87,7 @@
 
     // Merges the registration of an endpoint. A rejected report changes nothing, and `done` is not
     // called. An endpoint that drains is announced to all hosts before this returns, and `done` is
-    // called once the replicated log holds it; it fails with NoQuorum where that takes too long.
+    // called once that is on enough disks; it fails with NoQuorum where that takes too long.
     ReportFault merge_report(const EndpointReport& report, Done done);
     // Deregisters an endpoint, and announces that to all hosts before it returns. `done` is called
     // as above.
@@ -124,6 +124,7 @@
         std::unique_ptr<Dialer> dialer;
         std::unique_ptr<Dialer> raft; // carries only the messages of the replicated log
         NodeId node = NoNode;
+        bool records_leaves = false;
     };
     // Rejected reports of one kind of fault.
     struct RejectedReports {
@@ -142,12 +143,14 @@
         Done done;
     };
 
-    // The leave of an endpoint that waits to be acknowledged.
+    // The leave of an endpoint that waits to be on enough disks.
     struct WaitingLeave {
         EndpointReport report;
         Done done;
+        Link::Ptr peer; // that is told instead of calling `done`; null for an endpoint's own call
         Time started{};
-        Time request_due{}; // when the leader is asked again
+        Time request_due{};    // when it is proposed, or the leader is asked, again
+        bool recorded = false; // the leader has said so
     };
 
     // storage and replicated log
@@ -218,9 +221,13 @@
     void record_leave(const EndpointReport& report, Done done);
     void request_leave_records(Time now);
     void propose_leave(const EndpointReport& report);
-    void on_leaves_to_record(const Link::Ptr& link, const LeavesToRecord& received);
+    Dialer* leader_that_records_leaves();
+    void on_leaves_to_record(const Link::Ptr& link, const LeavesToRecord& received, Time now);
+    void on_leaves_recorded(const LeavesRecorded& received);
+    bool is_recorded(const WaitingLeave& leave) const;
     void departures_applied();
     void answer_waiting_leaves();
+    void answer(const WaitingLeave& leave, bool recorded, Duration took);
     void forget_departures(Time now);
 
     // groups
@@ -305,6 +312,7 @@
     std::vector<WaitingOrder> waiting_orders_;
     std::vector<WaitingLeave> waiting_leaves_;
     Departures proposed_leaves_;                    // in this term, and not yet applied
+    std::set<EndpointId> confirmed_drains_;         // that this host has acknowledged
     std::map<EndpointId, Time> departures_noticed_; // since when this host has led with them
     Version applied_departures_ = 0; // log index of the last change of the departures
     Version applied_document_ = 0;
--- a/src/process/coordinatordepartures.cpp
+++ b/src/process/coordinatordepartures.cpp
@@ -7,6 +7,7 @@
 #include "process/metrics.h"
 #include "process/node.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -21,15 +22,11 @@
 // As long as a registry remembers an endpoint that is gone.
 constexpr Duration DepartureKept = std::chrono::seconds(60);
 
-std::string phase_name(const EndpointReport& report) {
-    return report.phase == EndpointPhase::Gone ? "gone" : "draining";
-}
-
 } // namespace
 
 void Coordinator::record_leave(const EndpointReport& report, Done done) {
     const Time now = BootClock::now();
-    waiting_leaves_.push_back({report, std::move(done), now, now});
+    waiting_leaves_.push_back({report, std::move(done), nullptr, now, now});
     answer_waiting_leaves();
 }
 
@@ -42,24 +39,22 @@
         leave.request_due = now + LeaveRequestInterval;
         due.reports.push_back(leave.report);
     }
-    if (due.reports.empty() || !replica_)
+    if (due.reports.empty())
         return;
-    if (leads()) {
+    if (leads())
         for (const EndpointReport& report : due.reports)
             propose_leave(report);
-        return;
-    }
-    const auto leader = peers_.find(address_of(replica_->raft().leader(), config_.link_port));
-    if (leader != peers_.end())
-        leader->second.dialer->send(due);
+    else if (Dialer* leader = leader_that_records_leaves())
+        leader->send(due);
 }
 
-void Coordinator::on_leaves_to_record(const Link::Ptr& link, const LeavesToRecord& received) {
-    if (link->peer().role != ProcessRole::Control || !leads())
-        return;
-    for (const EndpointReport& report : received.reports)
-        if (fault_of(report) == ReportFault::None && report.phase != EndpointPhase::Serving)
-            propose_leave(report);
+// Null where none is known. A host of an earlier release would close the link.
+Dialer* Coordinator::leader_that_records_leaves() {
+    if (!replica_)
+        return nullptr;
+    const auto leader = peers_.find(address_of(replica_->raft().leader(), config_.link_port));
+    const bool able = leader != peers_.end() && leader->second.records_leaves;
+    return able ? leader->second.dialer.get() : nullptr;
 }
 
 void Coordinator::propose_leave(const EndpointReport& report) {
@@ -76,20 +71,41 @@
     pump_soon();
 }
 
-// Takes over the leaves of the log that this host does not know yet: after its start, or where the
-// message of the host that received the report was lost.
-void Coordinator::departures_applied() {
-    const Departures& departures = replica_->state().departures();
-    if (departures.index == applied_departures_)
+// The other host asks again until it is answered; each leave waits here once for each link.
+void Coordinator::on_leaves_to_record(const Link::Ptr& link, const LeavesToRecord& received,
+                                      Time now) {
+    if (link->peer().role != ProcessRole::Control || !leads())
         return;
-    const Version applied = std::exchange(applied_departures_, departures.index);
-    for (const auto& [id, departure] : departures.all)
-        if (departure.index > applied)
-            merge(departure.report, false, BootClock::now());
+    for (const EndpointReport& report : received.reports) {
+        if (fault_of(report) != ReportFault::None || report.phase == EndpointPhase::Serving)
+            continue;
+        const bool waits = std::any_of(
+            waiting_leaves_.begin(), waiting_leaves_.end(), [&](const WaitingLeave& leave) {
+                return leave.peer == link && leave_of(leave.report) == leave_of(report);
+            });
+        if (!waits)
+            waiting_leaves_.push_back({report, {}, link, now, now});
+    }
+    answer_waiting_leaves();
+}
+
+void Coordinator::on_leaves_recorded(const LeavesRecorded& received) {
+    for (const LeaveId& recorded : received.leaves)
+        for (WaitingLeave& leave : waiting_leaves_)
+            leave.recorded = leave.recorded || leave_of(leave.report) == recorded;
+    answer_waiting_leaves();
+}
+
+// Only the leader knows which disks hold an entry.
+bool Coordinator::is_recorded(const WaitingLeave& leave) const {
+    if (leave.recorded || !leads())
+        return leave.recorded;
+    const Departures& departures = replica_->state().departures();
+    return departures.cover(leave.report) && is_durable(departures.all.at(leave.report.id).index);
 }
 
 // Answers those that are recorded or have waited for too long, and asks for the others to be
-// recorded. A commit is on a majority of the disks, which is one more than may be lost at once.
+// recorded.
 void Coordinator::answer_waiting_leaves() {
     if (waiting_leaves_.empty())
         return;
@@ -97,27 +113,52 @@
     std::vector<WaitingLeave> unanswered;
     for (WaitingLeave& leave : std::exchange(waiting_leaves_, {})) {
         const Duration took = now - leave.started;
-        const bool recorded = replica_ && replica_->state().departures().cover(leave.report);
-        const bool given_up = leaving_ || !replica_ || took > MaxLeaveWait;
-        if (!recorded && !given_up) {
-            unanswered.push_back(std::move(leave));
-            continue;
-        }
-        log(recorded ? LogLevel::Info : LogLevel::Warning,
-            recorded ? "leave acknowledged" : "leave not acknowledged",
-            {{"endpoint", text_of(leave.report.id)},
-             {"phase", phase_name(leave.report)},
-             {"took_ms", std::to_string(to_millis(took))}});
-        if (recorded)
-            Metrics::instance().histogram("liftweir_leave_seconds").add(to_seconds(took));
+        const bool recorded = is_recorded(leave);
+        if (recorded || leaving_ || !replica_ || took > MaxLeaveWait)
+            answer(leave, recorded, took);
         else
-            Metrics::instance().counter("liftweir_leaves_unrecorded").add();
-        leave.done(recorded ? Expected<void>() : fail(FailureKind::NoQuorum, "not in the log"));
+            unanswered.push_back(std::move(leave));
     }
     std::move(unanswered.begin(), unanswered.end(), std::back_inserter(waiting_leaves_));
     request_leave_records(now);
 }
 
+void Coordinator::answer(const WaitingLeave& leave, bool recorded, Duration took) {
+    const EndpointReport& report = leave.report;
+    if (leave.peer) {
+        if (recorded)
+            leave.peer->send(LeavesRecorded{{leave_of(report)}});
+        return;
+    }
+    log(recorded ? LogLevel::Info : LogLevel::Warning,
+        recorded ? "leave acknowledged" : "leave not acknowledged",
+        {{"endpoint", text_of(report.id)},
+         {"phase", report.phase == EndpointPhase::Gone ? "gone" : "draining"},
+         {"took_ms", std::to_string(to_millis(took))}});
+    if (recorded) {
+        Metrics::instance().histogram("liftweir_leave_seconds").add(to_seconds(took));
+        if (report.phase == EndpointPhase::Draining)
+            confirmed_drains_.insert(report.id);
+    } else {
+        Metrics::instance().counter("liftweir_leaves_unrecorded").add();
+    }
+    leave.done(recorded ? Expected<void>() : fail(FailureKind::NoQuorum, "not recorded"));
+}
+
+// Takes over the leaves of the log that this host does not know yet: after its start, or where the
+// message of the host that received the report was lost.
+void Coordinator::departures_applied() {
+    const Departures& departures = replica_->state().departures();
+    if (departures.index == applied_departures_)
+        return;
+    const Version applied = std::exchange(applied_departures_, departures.index);
+    for (const auto& [id, departure] : departures.all)
+        if (departure.index > applied)
+            merge(departure.report, false, BootClock::now());
+    std::erase_if(confirmed_drains_,
+                  [&](const EndpointId& id) { return !departures.contains(id); });
+}
+
 // Removes endpoints from the log that send no more reports. Times are counted anew by each leader,
 // so that they need no common clock; a record is then only kept for longer.
 void Coordinator::forget_departures(Time now) {
--- a/src/process/coordinatorlinks.cpp
+++ b/src/process/coordinatorlinks.cpp
@@ -87,8 +87,9 @@
 void Coordinator::send_hello(Peer& peer) {
     if (node_ == NoNode)
         return;
-    peer.dialer->send(
-        PeerHello{node_, known_nodes(), registry_.digest(), registry_complete(BootClock::now())});
+    PeerHello hello{node_, known_nodes(), registry_.digest(), registry_complete(BootClock::now())};
+    hello.records_leaves = true;
+    peer.dialer->send(hello);
 }
 
 void Coordinator::send_hellos() {
@@ -108,6 +109,7 @@
     if (peer.node != hello.node)
         log(LogLevel::Info, "control host known", {{"node", text_of(hello.node)}});
     peer.node = hello.node;
+    peer.records_leaves = hello.records_leaves;
     peer_has_registry_ = peer_has_registry_ || hello.registry_complete;
     peer.dialer->retry_now();
     peer.raft->retry_now();
@@ -143,7 +145,9 @@
     } else if (const auto* leaving = std::get_if<EndpointsLeaving>(&message)) {
         on_leaving(link, *leaving, now);
     } else if (const auto* leaves = std::get_if<LeavesToRecord>(&message)) {
-        on_leaves_to_record(link, *leaves);
+        on_leaves_to_record(link, *leaves, now);
+    } else if (const auto* recorded = std::get_if<LeavesRecorded>(&message)) {
+        on_leaves_recorded(*recorded);
     } else if (const auto* limit_reports = std::get_if<LimitReports>(&message)) {
         on_limit_reports(link, *limit_reports, now);
     } else if (const auto* shares = std::get_if<GroupLoadReports>(&message)) {
--- a/src/process/coordinatorregistry.cpp
+++ b/src/process/coordinatorregistry.cpp
@@ -49,19 +49,21 @@
     return registry_complete(now) && replica_ && replica_->raft().leader() != NoNode;
 }
 
-// An endpoint that drains goes on reporting that. Only the first of these reports waits for the
-// log.
+// An endpoint that drains goes on reporting that. Its leave is recorded once, and only reports
+// before this host has acknowledged it wait for that.
 ReportFault Coordinator::merge_report(const EndpointReport& report, Done done) {
     const ReportFault fault = fault_here(report);
     if (fault != ReportFault::None)
         return fault;
     const Registry::Item* before = registry_.find(report.id);
-    const bool drained_before = before != nullptr &&
-                                before->report.phase == EndpointPhase::Draining && replica_ &&
-                                replica_->state().departures().contains(report.id);
+    const bool drained_before =
+        before != nullptr && before->report.phase == EndpointPhase::Draining;
     merge(report, true, BootClock::now());
-    if (report.phase == EndpointPhase::Serving || drained_before)
+    if (report.phase == EndpointPhase::Serving ||
+        (drained_before && confirmed_drains_.contains(report.id)))
         done({});
+    else if (drained_before && replica_ && replica_->state().departures().contains(report.id))
+        record_leave(replica_->state().departures().all.at(report.id).report, std::move(done));
     else
         record_leave(report, std::move(done));
     return fault;
--- a/src/version/departures.h
+++ b/src/version/departures.h
@@ -7,11 +7,25 @@
 #include "version/settings.h"
 
 #include <compare>
+#include <cstdint>
 #include <map>
 #include <msgpack.hpp>
 
 namespace liftweir {
 
+// Tells one leave of an endpoint from another.
+struct LeaveId {
+    EndpointId endpoint;
+    EndpointPhase phase = EndpointPhase::Gone;
+    std::uint64_t sequence = 0; // of the report
+    auto operator<=>(const LeaveId&) const = default;
+    MSGPACK_DEFINE(endpoint, phase, sequence)
+};
+
+inline LeaveId leave_of(const EndpointReport& report) {
+    return {report.id, report.phase, report.sequence};
+}
+
 // The last report of an endpoint that leaves, with the index of the log entry that recorded it.
 struct Departure {
     Version index = 0;
--- a/tests/unit/departures_test.cpp
+++ b/tests/unit/departures_test.cpp
@@ -168,6 +168,19 @@
         coordinator->start();
         ASSERT_TRUE(run_until([&] { return coordinator->leads(); }, seconds(5)));
     }
+    // What the report was answered with; empty if it was not within the time.
+    std::optional<bool> report(EndpointReport report, Duration limit) {
+        const auto answered = std::make_shared<std::optional<bool>>();
+        const auto done = [answered](const Expected<void>& result) {
+            *answered = result.has_value();
+        };
+        if (report.phase == EndpointPhase::Gone)
+            coordinator->deregister(report.id, done);
+        else
+            EXPECT_EQ(coordinator->merge_report(report, done), ReportFault::None);
+        run_until([&] { return answered->has_value(); }, limit);
+        return *answered;
+    }
     // Writes the directory that a host leaves whose log holds the commands and whose cache was
     // written at this point of it.
     void write_directory(const std::vector<Command>& commands, const EndpointReport& cached,
@@ -230,6 +243,24 @@
     return report;
 }
 
+// Documents wait for as many disks as may be lost, and one more. A host that is alone waits for the
+// others for some seconds.
+TEST_F(LeavingEndpoints, AreNotAcknowledgedOnFewerDisksThanADocument) {
+    start(1);
+    EXPECT_EQ(report(plain_endpoint(EndpointPhase::Gone, 5), seconds(2)), false);
+    run_for(seconds(3));
+    EXPECT_EQ(report(plain_endpoint(EndpointPhase::Gone, 5), seconds(2)), true);
+}
+
+TEST_F(LeavingEndpoints, ADrainThatWasNotAcknowledgedIsNotAcknowledgedByItsNextReport) {
+    start(1);
+    EXPECT_EQ(report(plain_endpoint(EndpointPhase::Draining, 5), seconds(2)), false);
+    EXPECT_EQ(report(plain_endpoint(EndpointPhase::Draining, 6), milliseconds(500)), std::nullopt);
+    run_for(seconds(3));
+    EXPECT_EQ(report(plain_endpoint(EndpointPhase::Draining, 7), seconds(2)), true);
+    EXPECT_EQ(report(plain_endpoint(EndpointPhase::Draining, 8), milliseconds(1)), true);
+}
+
 TEST_F(LeavingEndpoints, CachedEndpointsAreSentWithoutThoseThatTheLogNames) {
     write_directory({departed(plain_endpoint(EndpointPhase::Gone, 5))},
                     plain_endpoint(EndpointPhase::Serving, 4), 0);
--- a/tests/unit/peernumbers_test.cpp
+++ b/tests/unit/peernumbers_test.cpp
@@ -61,7 +61,8 @@
             EndpointsLeaving{{EndpointId("i-1", 17)}},
             DemandReports{"e", 500, {{"llm", "m", 1, "", 5, 500, 80, 1, 1}}},
             AdmissionPlan{{{"llm", "m", 1, 0.5, {}, 100, 1.5}}},
-            LeavesToRecord{{endpoint(EndpointPhase::Draining)}}};
+            LeavesToRecord{{endpoint(EndpointPhase::Draining)}},
+            LeavesRecorded{{leave_of(endpoint(EndpointPhase::Draining))}}};
 }
 
 void collect_numbers(msgpack::object& value, std::vector<msgpack::object*>& numbers) {
