Answers with malformed status or header lines are no answers

What callers saw: an endpoint's status 000, 001, 099, 20, 600 or 999 as their own status, 0200 and HTTP/9.9 as a 200, header lines whose name holds or ends with a blank passed on, also in informational heads; with 101 the call hung until its time limit.

Cause: http_parser takes any number for a status and blanks in names, and Channel took what it delivered. The same parser reads the answers to orders and probes.

Change: HeadCheck reads each head before the parser does and rejects status lines other than HTTP/1.x with a status from 100 to 599, names that are no tokens, control bytes, folded lines, and framing headers that are doubled, mixed or not plain. Such a response is Malformed, as other bytes that are none.

--- a/src/connection/channel.cpp
+++ b/src/connection/channel.cpp
@@ -84,6 +84,7 @@
     ++call_;
     written_ = message_complete_ = bytes_seen_ = paused_ = false;
     assembler_ = {};
+    head_check_ = HeadCheck(HeadKind::Response);
     head_ = {};
     head_bytes_ = 0;
     received_before_head_ = 0;
@@ -200,6 +201,11 @@
         received_before_head_ += bytes.size();
     const auto self = shared_from_this();
     while (!bytes.empty() && !closed_ && active_) {
+        // Before the parser, which would report an invalid head as a response.
+        if (!head_check_.read(bytes)) {
+            end(CallEnd::Malformed);
+            return;
+        }
         const auto parsed =
             http_parser_execute(&parser_, &parser_settings(), bytes.data(), bytes.size());
         if (closed_)
@@ -227,6 +233,7 @@
     if (!message_complete_ || status_class(static_cast<int>(parser_.status_code)) != 1)
         return false;
     message_complete_ = false;
+    head_check_ = HeadCheck(HeadKind::Response);
     http_parser_pause(&parser_, 0);
     return true;
 }
--- a/src/connection/channel.h
+++ b/src/connection/channel.h
@@ -3,6 +3,7 @@
 #ifndef CHANNEL_H_INCLUDED
 #define CHANNEL_H_INCLUDED
 
+#include "connection/headcheck.h"
 #include "connection/httpchannel.h"
 #include "connection/httpmessage.h"
 #include "process/clock.h"
@@ -81,6 +82,7 @@
     std::string out_;
     HttpResponseHead head_;
     HeaderAssembler assembler_;
+    HeadCheck head_check_{HeadKind::Response};
     std::size_t head_bytes_ = 0;           // names and values of headers and trailers
     std::size_t received_before_head_ = 0; // until the final head was complete
     CallEvents events_;
--- a/src/connection/httpmessage.cpp
+++ b/src/connection/httpmessage.cpp
@@ -43,6 +43,13 @@
     return {};
 }
 
+std::size_t count_headers(const HttpHeaders& headers, std::string_view name) {
+    return static_cast<std::size_t>(
+        std::count_if(headers.begin(), headers.end(), [name](const HttpHeader& header) {
+            return equals_ignoring_case(header.first, name);
+        }));
+}
+
 bool has_token(std::string_view value, std::string_view token) {
     while (!value.empty()) {
         const auto comma = std::min(value.find(','), value.size());
--- a/src/connection/httpmessage.h
+++ b/src/connection/httpmessage.h
@@ -3,6 +3,7 @@
 #ifndef HTTPMESSAGE_H_INCLUDED
 #define HTTPMESSAGE_H_INCLUDED
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -19,6 +20,9 @@
 // First value of a header; empty if it is missing.
 std::string_view find_header(const HttpHeaders& headers, std::string_view name);
 
+// How many headers have this name.
+std::size_t count_headers(const HttpHeaders& headers, std::string_view name);
+
 // True if a comma-separated header value contains a token, without regard to case.
 bool has_token(std::string_view value, std::string_view token);
 
