An answer that is reset during the upload is not complete

What callers saw: a part of an answer as a whole 200, where an endpoint answered a long upload at once without a length and reset the connection (9 or 10 of 10 with a reset at once, fewer when it came later).

Cause: the kernel hands the error of a socket out once. The write of the request took it, and the read that followed returned an end of file, which ends a response without a length. Channel assumed that the reader sees the error too. With strace: sendto ECONNRESET, recvfrom 99 bytes, recvfrom 0.

Change: an end of the connection counts as a reset if the write has failed, or if the request is not written and the kernel holds the connection as closed (TCP_CLOSE, after a reset) rather than half closed by the endpoint (TCP_CLOSE_WAIT). An endpoint that ends its side in order and reads on is still taken at its word, which has a test (10 uploads of 4 MiB).

A response that ends with an orderly close followed by a reset before it was read counts as broken: it can't be told from one that was cut off.

--- a/src/connection/channel.cpp
+++ b/src/connection/channel.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <climits>
 #include <cstdlib>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace liftweir {
 
@@ -82,7 +84,7 @@
                              CallEvents events) {
     active_ = true;
     ++call_;
-    written_ = message_complete_ = bytes_seen_ = paused_ = false;
+    written_ = write_failed_ = message_complete_ = bytes_seen_ = paused_ = false;
     assembler_ = {};
     head_check_ = HeadCheck(HeadKind::Response);
     head_ = {};
@@ -106,9 +108,9 @@
 void Channel::write_request() {
     asio::async_write(socket_, asio::buffer(out_),
                       [self = shared_from_this()](asio::error_code error, std::size_t) {
-                          // The reader sees the same error, after the bytes that arrived before it.
-                          if (!error)
-                              self->written_ = true;
+                          // The response may have arrived before the error, so reading goes on.
+                          self->written_ = !error;
+                          self->write_failed_ = !!error;
                       });
 }
 
@@ -243,14 +245,27 @@
     end(CallEnd::Complete);
 }
 
+// The kernel reports the reset of a connection once. If the write of the request has got the error,
+// a read that follows returns the end of the connection, like after an orderly close. That write
+// may have been made and not have been handled yet, but the kernel's state tells the two apart.
+bool Channel::was_reset() {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    const bool known =
+        getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+    return write_failed_ || (!written_ && known && info.tcpi_state == TCP_CLOSE);
+}
+
 // The end of the connection ends a response without a length, but only if it is an orderly close:
-// after a reset, part of the response may be missing.
+// after a reset, part of the response may be missing. An endpoint may close its sending side in
+// order while it still reads the request.
 void Channel::on_read_error(asio::error_code error) {
     if (!active_) {
         close();
         return;
     }
-    if (error == asio::error::eof && head_.status != 0) {
+    const bool orderly = error == asio::error::eof && !was_reset();
+    if (orderly && head_.status != 0) {
         http_parser_execute(&parser_, &parser_settings(), nullptr, 0);
         if (closed_)
             return;
--- a/src/connection/channel.h
+++ b/src/connection/channel.h
@@ -67,6 +67,7 @@
     void read_more();
     void on_bytes(std::string_view bytes);
     void on_read_error(asio::error_code error);
+    bool was_reset();
     bool skip_informational();
     void complete(Time keep_until);
     void end(CallEnd how);
@@ -88,8 +89,9 @@
     CallEvents events_;
     Time keep_until_{};
     bool connected_ = false;
-    bool active_ = false; // a call is in progress
-    bool written_ = false;
+    bool active_ = false;       // a call is in progress
+    bool written_ = false;      // the whole request
+    bool write_failed_ = false; // the connection was reset while the request was written
     bool reading_ = false;
     bool paused_ = false;
     bool closed_ = false;
