Requests with malformed header lines are refused, trailers are not forwarded

What callers saw: a request hidden in another one's body, behind "Transfer-Encoding : chunked", was run for another customer; a header of a request could also be added behind its body, as a trailer, after the head had been checked.

Cause: http_parser reads a name with a blank before its colon as the header without it, while the checks and filters of this process compared the name as it stands; and it delivers trailers like headers.

Change: the head of each request is checked by HeadCheck before it is parsed; an invalid one gets 400. Trailers are dropped.

--- a/src/connection/serverconnection.cpp
+++ b/src/connection/serverconnection.cpp
@@ -60,12 +60,15 @@
             of(p).message_.target.append(at, n);
             return 0;
         };
+        // Trailers follow the body of a request and are not forwarded.
         s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
-            of(p).assembler_.add_name(of(p).message_.headers, {at, n});
+            if (of(p).phase_ != Phase::Body)
+                of(p).assembler_.add_name(of(p).message_.headers, {at, n});
             return 0;
         };
         s.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
-            of(p).assembler_.add_value(of(p).message_.headers, {at, n});
+            if (of(p).phase_ != Phase::Body)
+                of(p).assembler_.add_value(of(p).message_.headers, {at, n});
             return 0;
         };
         s.on_headers_complete = [](http_parser* p) { return of(p).on_headers_complete(); };
@@ -78,25 +81,15 @@
     return settings;
 }
 
-// Refuses a request that two readers could frame differently (request smuggling), since the
-// endpoint may be one of them.
 int ServerConnection::refusal_of_head() const {
-    std::size_t hosts = 0;
-    std::size_t lengths = 0;
-    std::size_t encodings = 0;
-    for (const auto& [name, value] : message_.headers) {
-        hosts += equals_ignoring_case(name, "host") ? 1 : 0;
-        lengths += equals_ignoring_case(name, "content-length") ? 1 : 0;
-        encodings += equals_ignoring_case(name, "transfer-encoding") ? 1 : 0;
-    }
-    const bool ambiguous = lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0);
-    const bool host_missing = hosts != 1 && parser_.http_minor >= 1;
-    if (ambiguous || host_missing || parser_.http_major != 1 || parser_.upgrade != 0)
+    const bool host_missing =
+        count_headers(message_.headers, "host") != 1 && parser_.http_minor >= 1;
+    if (host_missing || parser_.http_major != 1 || parser_.upgrade != 0)
         return 400;
     if (message_.headers.size() > MaxHeaderCount)
         return 431;
-    if (lengths > 0 && parser_.content_length != ULLONG_MAX &&
-        parser_.content_length > core_->limits.body_bytes)
+    if (count_headers(message_.headers, "content-length") > 0 &&
+        parser_.content_length != ULLONG_MAX && parser_.content_length > core_->limits.body_bytes)
         return 413;
     return 0;
 }
@@ -179,6 +172,12 @@
 void ServerConnection::parse(std::string_view bytes) {
     if (phase_ == Phase::Idle)
         set_phase(Phase::Head, BootClock::now() + core_->limits.header_timeout);
+    // A request that two readers could frame differently hides another one (request smuggling),
+    // since the endpoint may be one of them.
+    if (!head_check_.read(bytes)) {
+        refuse(400);
+        return;
+    }
     const auto parsed =
         http_parser_execute(&parser_, &parser_settings(), bytes.data(), bytes.size());
     if (phase_ == Phase::Head && head_bytes() > core_->limits.header_bytes)
@@ -370,6 +369,7 @@
     http_parser_init(&parser_, HTTP_REQUEST);
     continue_sent_ = false;
     assembler_ = {};
+    head_check_ = HeadCheck(HeadKind::Request);
     set_phase(Phase::Idle, BootClock::now() + core_->limits.idle_timeout);
     if (buffered_.empty()) {
         read_more();
--- a/src/connection/serverconnection.h
+++ b/src/connection/serverconnection.h
@@ -3,6 +3,7 @@
 #ifndef SERVERCONNECTION_H_INCLUDED
 #define SERVERCONNECTION_H_INCLUDED
 
+#include "connection/headcheck.h"
 #include "connection/httpmessage.h"
 #include "connection/httpserver.h"
 #include "process/clock.h"
@@ -142,6 +143,7 @@
     bool reading_ = false;
     RequestMessage message_;
     HeaderAssembler assembler_;
+    HeadCheck head_check_{HeadKind::Request};
     int refused_ = 0;                 // status of the refusal; 0 if the request is valid so far
     bool complete_ = false;           // the request was read completely
     bool close_after_ = false;        // the response to the current request is the last one
