The agents' client rejects responses with malformed heads

What callers saw: by the test, an engine's status 600 or 999 as a status, and answers with blanks or control bytes in names, or with two lengths, as answers.

Cause: libcurl takes any status from 100 to 999 and passes over header lines that it does not know.

Change: each line of a head goes through HeadCheck in libcurl's header callback, which fails the transfer at an invalid one.

Result: HttpClient.StatusLinesOfNoResponseFail and MalformedHeaderLinesFail failed before (600, 999, a second blank; all lines) and pass.

--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -2,6 +2,8 @@
 
 #include "connection/httpclient.h"
 
+#include "connection/headcheck.h"
+
 #include <curl/curl.h>
 
 #include <algorithm>
@@ -23,6 +25,7 @@
     curl_slist* headers = nullptr;
     std::string body;
     HttpCallbacks callbacks;
+    ResponseHeadsCheck heads;
     bool head_reported = false;
     bool connect_only = false;
 
@@ -114,6 +117,8 @@
         curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &CurlClient::on_write);
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, &t);
+        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &check_header_line);
+        curl_easy_setopt(easy, CURLOPT_HEADERDATA, &t.heads);
         if (call.method != "GET") {
             curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
             curl_easy_setopt(easy, CURLOPT_POSTFIELDS, t.body.data());
