--- a/src/connection/channel.cpp
+++ b/src/connection/channel.cpp
@@ -5,10 +5,12 @@
 #include "connection/link.h"
 
 #include <algorithm>
+#include <array>
 #include <climits>
 #include <cstdlib>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace liftweir {
 
@@ -20,6 +22,10 @@
 // rarely race with that close.
 constexpr Duration KeepAliveMargin = std::chrono::milliseconds(700);
 constexpr std::size_t MaxHeadBytes = 64u << 10;
+// A small body is sent in one piece with the head.
+constexpr std::size_t MaxCopiedBody = 16u << 10;
+// An idle connection keeps a buffer of this size.
+constexpr std::size_t MaxKeptBuffer = 4096;
 // TCP_USER_TIMEOUT: a peer that has failed acknowledges nothing; a healthy one acknowledges
 // within a round trip.
 constexpr Duration UnacknowledgedTimeout = std::chrono::milliseconds(8000);
@@ -80,8 +86,7 @@
     });
 }
 
-std::uint64_t Channel::begin(const HttpRequestHead& head, const std::string& body,
-                             CallEvents events) {
+std::uint64_t Channel::begin(const HttpRequestHead& head, SharedBytes body, CallEvents events) {
     active_ = true;
     ++call_;
     written_ = write_failed_ = message_complete_ = bytes_seen_ = paused_ = false;
@@ -96,22 +101,34 @@
     parser_.data = this;
     out_ = head.method + " " + head.target + " HTTP/1.1\r\n";
     append_headers(out_, head.headers);
-    if (!body.empty() || head.method == "POST" || head.method == "PUT" || head.method == "PATCH")
-        out_ += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    const std::size_t length = body ? body->size() : 0;
+    if (length > 0 || head.method == "POST" || head.method == "PUT" || head.method == "PATCH")
+        out_ += "Content-Length: " + std::to_string(length) + "\r\n";
     out_ += "\r\n";
-    out_ += body;
+    if (length > MaxCopiedBody)
+        body_ = std::move(body);
+    else if (length > 0)
+        out_ += *body;
     if (connected_)
         write_request();
     return call_;
 }
 
 void Channel::write_request() {
-    asio::async_write(socket_, asio::buffer(out_),
-                      [self = shared_from_this()](asio::error_code error, std::size_t) {
-                          // The response may have arrived before the error, so reading goes on.
-                          self->written_ = !error;
-                          self->write_failed_ = !!error;
-                      });
+    auto on_written = [self = shared_from_this()](asio::error_code error, std::size_t) {
+        // The response may have arrived before the error, so reading goes on.
+        self->written_ = !error;
+        self->write_failed_ = !!error;
+        self->body_.reset();
+        if (self->out_.capacity() > MaxKeptBuffer)
+            self->out_ = {};
+    };
+    if (body_)
+        asio::async_write(socket_,
+                          std::array{asio::buffer(std::as_const(out_)), asio::buffer(*body_)},
+                          std::move(on_written));
+    else
+        asio::async_write(socket_, asio::buffer(out_), std::move(on_written));
 }
 
 const http_parser_settings& Channel::parser_settings() {
--- a/src/connection/channel.h
+++ b/src/connection/channel.h
@@ -43,7 +43,7 @@
     // Opens the connection. A call that was started before is sent once it is open.
     void connect(Duration timeout);
     // Starts a call and returns its number, which identifies it for cancel().
-    std::uint64_t begin(const HttpRequestHead& head, const std::string& body, CallEvents events);
+    std::uint64_t begin(const HttpRequestHead& head, SharedBytes body, CallEvents events);
     // Closes the connection, unless the call has already ended.
     void cancel(std::uint64_t call);
     // Stops and restarts reading of the response.
@@ -80,7 +80,8 @@
     std::uint64_t call_ = 0; // number of the last call that was started here
     http_parser parser_{};
     std::array<char, ReadBytes> in_{};
-    std::string out_;
+    std::string out_;  // the head of the request, and a small body
+    SharedBytes body_; // a larger one
     HttpResponseHead head_;
     HeaderAssembler assembler_;
     HeadCheck head_check_{HeadKind::Response};
--- a/src/connection/httpchannel.cpp
+++ b/src/connection/httpchannel.cpp
@@ -18,7 +18,7 @@
     explicit Pool(asio::io_context& io) : io_(io) {}
 
     std::unique_ptr<HttpCallHandle> start(const std::string& address, const HttpRequestHead& head,
-                                          const std::string& body, ChannelOptions options,
+                                          const SharedBytes& body, ChannelOptions options,
                                           CallEvents events);
     void forget(const std::string& address);
     void forget_all();
@@ -83,7 +83,7 @@
 }
 
 std::unique_ptr<HttpCallHandle> Pool::start(const std::string& address, const HttpRequestHead& head,
-                                            const std::string& body, ChannelOptions options,
+                                            const SharedBytes& body, ChannelOptions options,
                                             CallEvents events) {
     max_idle_[address] = options.max_idle_connections;
     ChannelPtr channel = options.new_connection ? nullptr : take_idle(address);
@@ -141,7 +141,7 @@
     SharedPool& operator=(const SharedPool&) = delete;
 
     std::unique_ptr<HttpCallHandle> start(const std::string& address, const HttpRequestHead& head,
-                                          const std::string& body, ChannelOptions options,
+                                          const SharedBytes& body, ChannelOptions options,
                                           CallEvents events) override {
         return pool_->start(address, head, body, options, std::move(events));
     }
--- a/src/connection/httpchannel.h
+++ b/src/connection/httpchannel.h
@@ -90,7 +90,7 @@
     // returns.
     virtual std::unique_ptr<HttpCallHandle> start(const std::string& address,
                                                   const HttpRequestHead& head,
-                                                  const std::string& body, ChannelOptions options,
+                                                  const SharedBytes& body, ChannelOptions options,
                                                   CallEvents events) = 0;
     // Closes the idle connections to an address, e.g. after another process has taken it over.
     virtual void forget(const std::string& address) = 0;
--- a/src/connection/httpmessage.h
+++ b/src/connection/httpmessage.h
@@ -4,6 +4,7 @@
 #define HTTPMESSAGE_H_INCLUDED
 
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -13,6 +14,8 @@
 
 using HttpHeader = std::pair<std::string, std::string>;
 using HttpHeaders = std::vector<HttpHeader>;
+// A body that several owners share and none changes. Null for an empty one.
+using SharedBytes = std::shared_ptr<const std::string>;
 
 // ASCII comparison without regard to case, as header names need.
 bool equals_ignoring_case(std::string_view a, std::string_view b);
--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -19,9 +19,12 @@
 // wake-up for every request.
 constexpr Duration SweepInterval = std::chrono::milliseconds(250);
 constexpr int ListenBacklog = 512;
-// At the limit of connections, this part of them is closed at once if they are idle: looking for
-// the longest idle ones takes a pass over all connections.
+// At the limit of connections, this part of them is closed at once: looking for those to close
+// takes a pass over all connections.
 constexpr std::size_t PartClosedAtLimit = 16;
+// Size of the kernel's receive buffer of a connection. By itself the kernel lets it grow to several
+// megabytes for a caller whose bytes are not read.
+constexpr int ReceiveBufferBytes = 64 << 10;
 // Without free descriptors a waiting connection can not be accepted, and trying again at once would
 // take all processor time.
 constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(20);
@@ -52,15 +55,13 @@
 
     std::string_view method() const override { return message_.method; }
     std::string_view target() const override { return message_.target; }
-    std::string_view path() const override { return target().substr(0, target().find('?')); }
-    std::string_view query() const override {
-        const auto mark = target().find('?');
-        return mark == std::string_view::npos ? std::string_view{} : target().substr(mark + 1);
-    }
-    std::string_view body() const override { return message_.body; }
     const HttpHeaders& headers() const override { return message_.headers; }
-    std::string header(std::string_view name) const override {
-        return std::string(find_header(message_.headers, name));
+    std::string_view body() const override {
+        return message_.body ? std::string_view(message_.body->bytes()) : std::string_view{};
+    }
+    // The body stays counted among the server's requests until its last owner is gone.
+    SharedBytes shared_body() const override {
+        return message_.body ? SharedBytes(message_.body, &message_.body->bytes()) : nullptr;
     }
     Time received() const override { return received_; }
     bool on_reused_connection() const override { return message_.on_reused_connection; }
@@ -119,6 +120,9 @@
         // would silently receive part of the connections.
         if (use == AddressUse::Shared)
             acceptor_.set_option(ReusePort(true));
+        // Accepted connections inherit it.
+        asio::error_code ignored;
+        acceptor_.set_option(asio::socket_base::receive_buffer_size(ReceiveBufferBytes), ignored);
         acceptor_.bind(endpoint);
         acceptor_.listen(ListenBacklog);
     }
@@ -155,7 +159,7 @@
             });
     }
     void accept_later() {
-        close_longest_idle();
+        make_room();
         accept_retry_.expires_after(AcceptRetryDelay);
         accept_retry_.async_wait([self = shared_from_this()](asio::error_code error) {
             if (!error && self->acceptor_.is_open())
@@ -165,26 +169,33 @@
     // Closes a new connection at once if there are too many that are in use, so that its caller
     // tries another host.
     void add_connection(asio::ip::tcp::socket socket) {
-        if (core_->connections.size() >= core_->limits.connections && close_longest_idle() == 0)
+        if (core_->connections.size() >= core_->limits.connections && !make_room())
             return;
         const auto connection = std::make_shared<ServerConnection>(std::move(socket), core_);
         core_->connections.insert(connection);
         connection->start();
     }
-    // Returns how many connections it has closed. They are freed in a later turn of the loop.
-    std::size_t close_longest_idle() {
-        std::vector<ConnectionPtr> idle;
-        std::copy_if(core_->connections.begin(), core_->connections.end(), std::back_inserter(idle),
-                     [](const ConnectionPtr& connection) { return connection->idle(); });
+    // Closes idle connections, or else some whose callers have stalled. False if there are none.
+    bool make_room() {
+        return close_earliest(&ServerConnection::idle) > 0;
+    }
+    // Closes some connections of a kind: those whose callers have sent nothing for longest. Returns
+    // how many. They are freed in a later turn of the loop.
+    std::size_t close_earliest(bool (ServerConnection::*is_of_kind)() const) {
+        std::vector<ConnectionPtr> found;
+        std::copy_if(
+            core_->connections.begin(), core_->connections.end(), std::back_inserter(found),
+            [&](const ConnectionPtr& connection) { return (connection.get()->*is_of_kind)(); });
         const std::size_t count =
-            std::min(idle.size(), core_->connections.size() / PartClosedAtLimit + 1);
-        const auto end = idle.begin() + static_cast<std::ptrdiff_t>(count);
-        std::partial_sort(idle.begin(), end, idle.end(),
+            std::min(found.size(), core_->connections.size() / PartClosedAtLimit + 1);
+        const auto end = found.begin() + static_cast<std::ptrdiff_t>(count);
+        std::partial_sort(found.begin(), end, found.end(),
                           [](const ConnectionPtr& a, const ConnectionPtr& b) {
-                              return a->deadline() < b->deadline();
+                              return a->sent_last() < b->sent_last();
                           });
-        std::for_each(idle.begin(), end,
+        std::for_each(found.begin(), end,
                       [](const ConnectionPtr& connection) { connection->close(); });
+        core_->closed_for_others += count;
         return count;
     }
     void sweep_later() {
@@ -208,18 +219,22 @@
 class AsioServer final : public HttpServer {
   public:
     AsioServer(asio::io_context& io, const std::string& address, const HttpServerLimits& limits,
-               HttpHandler handler, AddressUse use)
+               HttpHandler handler, AddressUse use, RequestScreen* screen)
         : core_(std::make_shared<ServerCore>(
               ServerCore{io, limits,
                          [handler = std::move(handler)](const ConnectionPtr& connection,
                                                         RequestMessage&& message) {
                              handler(std::make_shared<Exchange>(connection, std::move(message)));
-                         }})),
+                         },
+                         std::make_shared<MemoryBudget>(limits.request_bytes), screen})),
           listener_(std::make_shared<Listener>(core_, address, use)) {
         listener_->start();
     }
     // Does not free the shared ServerCore: pending handlers of the event loop still access it.
-    ~AsioServer() override { listener_->end(); }
+    ~AsioServer() override {
+        core_->screen = nullptr;
+        listener_->end();
+    }
     AsioServer(const AsioServer&) = delete;
     AsioServer& operator=(const AsioServer&) = delete;
 
@@ -235,9 +250,15 @@
             std::count_if(core_->connections.begin(), core_->connections.end(),
                           [](const ConnectionPtr& connection) { return connection->busy(); }));
     }
-    void set_limits(const HttpServerLimits& limits) override { core_->limits = limits; }
+    void set_limits(const HttpServerLimits& limits) override {
+        core_->limits = limits;
+        core_->requests->set_limit(limits.request_bytes);
+    }
     std::size_t connections() const override { return core_->connections.size(); }
     std::size_t held_bytes() const override { return core_->held_bytes; }
+    std::size_t request_bytes() const override { return core_->requests->held(); }
+    std::uint64_t refused_for_memory() const override { return core_->refused_for_memory; }
+    std::uint64_t closed_for_others() const override { return core_->closed_for_others; }
     std::vector<HeldResponse> held_responses() const override {
         std::vector<HeldResponse> out;
         for (const ConnectionPtr& connection : core_->connections)
@@ -261,10 +282,15 @@
 
 } // namespace
 
+std::string_view RequestView::query() const {
+    const auto mark = target().find('?');
+    return mark == std::string_view::npos ? std::string_view{} : target().substr(mark + 1);
+}
+
 std::unique_ptr<HttpServer> serve_http(asio::io_context& io, const std::string& address,
                                        const HttpServerLimits& limits, HttpHandler handler,
-                                       AddressUse use) {
-    return std::make_unique<AsioServer>(io, address, limits, std::move(handler), use);
+                                       AddressUse use, RequestScreen* screen) {
+    return std::make_unique<AsioServer>(io, address, limits, std::move(handler), use, screen);
 }
 
 } // namespace liftweir
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -30,20 +30,48 @@
     auto operator<=>(const HeldResponse&) const = default;
 };
 
-// One request and the means to respond to it. All calls are made on the server's io_context thread.
-class HttpExchange {
+// The head of a request.
+class RequestView {
   public:
-    virtual ~HttpExchange() = default;
+    virtual ~RequestView() = default;
 
     virtual std::string_view method() const = 0;
     // Path and query exactly as received.
     virtual std::string_view target() const = 0;
-    virtual std::string_view path() const = 0;
-    virtual std::string_view query() const = 0;
-    virtual std::string_view body() const = 0;
     virtual const HttpHeaders& headers() const = 0;
+    virtual std::string_view path() const { return target().substr(0, target().find('?')); }
+    virtual std::string_view query() const;
     // Empty if the header is missing.
-    virtual std::string header(std::string_view name) const = 0;
+    virtual std::string header(std::string_view name) const {
+        return std::string(find_header(headers(), name));
+    }
+};
+
+// A response to a request that was not run.
+struct HttpRefusal {
+    int status = 0;
+    HttpHeaders headers;
+    std::string body;
+
+    auto operator<=>(const HttpRefusal&) const = default;
+};
+
+// Decides by its head whether a request is refused before its body is read.
+class RequestScreen {
+  public:
+    virtual ~RequestScreen() = default;
+    // Empty if the body is to be read.
+    virtual std::optional<HttpRefusal> refuse(const RequestView& head) = 0;
+};
+
+// One request and the means to respond to it. All calls are made on the server's io_context thread.
+class HttpExchange : public RequestView {
+  public:
+    virtual std::string_view body() const = 0;
+    // The body, to be kept for longer than the exchange.
+    virtual SharedBytes shared_body() const {
+        return body().empty() ? nullptr : std::make_shared<const std::string>(body());
+    }
     // Time at which the complete request had arrived.
     virtual Time received() const = 0;
     // True if an earlier request was answered on the same connection.
@@ -71,14 +99,19 @@
 
 using HttpHandler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
-// Bounds on what a caller may send and how long it may take. A request that exceeds one is answered
-// with 431, 413 or 408, and its connection is closed.
+// Bounds on what callers may send and how long it may take. A request that exceeds one is answered
+// with 431, 413, 408 or 503, and its connection is closed.
 struct HttpServerLimits {
-    std::size_t body_bytes = 16u << 20;
+    std::size_t body_bytes = 16u << 20; // no more than half of request_bytes
     std::size_t header_bytes = 16u << 10;
-    // At this number of connections, idle ones are closed to accept a new one.
+    // Heads, bodies and pipelined bytes on all connections. If they need more, requests whose
+    // callers have stalled are refused, then the one that needs more.
+    std::size_t request_bytes = 64u << 20;
+    // At this number of connections, idle ones are closed to accept a new one, then those whose
+    // callers have sent nothing for longest.
     std::size_t connections = 16384;
-    // Longest time from the first byte of a head to its end, and longest pause within a body.
+    // Longest time from the first byte of a head to its end, and longest pause within a body. A
+    // whole body may take four times as long, and a second more for each 512 bytes.
     Duration header_timeout = std::chrono::seconds(10);
     // How long a connection may be idle between two requests.
     Duration idle_timeout = std::chrono::seconds(75);
@@ -106,6 +139,12 @@
     virtual std::size_t connections() const = 0;
     // Bytes of responses that this process holds on all connections, without the kernel's.
     virtual std::size_t held_bytes() const = 0;
+    // Bytes of requests that this process holds on all connections.
+    virtual std::size_t request_bytes() const = 0;
+    // Requests refused since the start because the memory for requests was short.
+    virtual std::uint64_t refused_for_memory() const = 0;
+    // Connections closed since the start, at the limit of connections, to accept new ones.
+    virtual std::uint64_t closed_for_others() const = 0;
     // The connections with a response in progress, or not fully passed to the kernel, of which
     // bytes are held.
     virtual std::vector<HeldResponse> held_responses() const = 0;
@@ -114,10 +153,12 @@
     virtual std::string reset(ConnectionId connection) = 0;
 };
 
-// Throws std::system_error if the address can not be bound.
+// Throws std::system_error if the address can not be bound. The screen, if any, sees the heads of
+// requests with large bodies; it must live as long as the server.
 std::unique_ptr<HttpServer> serve_http(asio::io_context& io, const std::string& address,
                                        const HttpServerLimits& limits, HttpHandler handler,
-                                       AddressUse use = AddressUse::Exclusive);
+                                       AddressUse use = AddressUse::Exclusive,
+                                       RequestScreen* screen = nullptr);
 
 } // namespace liftweir
 
--- a/src/connection/serverconnection.cpp
+++ b/src/connection/serverconnection.cpp
@@ -19,9 +19,8 @@
 // After an error response the rest of the request is read and discarded for this long: a close
 // with unread bytes would reset the connection and lose the response.
 constexpr Duration LingerTime = std::chrono::seconds(1);
-// Bytes of later requests that are buffered while one is processed.
-constexpr std::size_t MaxBufferedBytes = 64u << 10;
-constexpr std::size_t MaxHeaderCount = 128;
+// When memory for requests is short, it is free again once some requests have ended.
+constexpr const char* RetryAfterSeconds = "1";
 // The kernel holds at most about this many bytes that are not in transit. Without it, it accepts
 // megabytes for a caller that does not read, which no limit of this process covers.
 constexpr int MaxUnsentInKernel = 128 << 10;
@@ -29,12 +28,27 @@
 // response.
 constexpr std::size_t MaxKeptBuffer = 16u << 10;
 
+// A request that is being read, as its screen sees it.
+class MessageView final : public RequestView {
+  public:
+    explicit MessageView(const RequestMessage& message) : message_(message) {}
+    std::string_view method() const override { return message_.method; }
+    std::string_view target() const override { return message_.target; }
+    const HttpHeaders& headers() const override { return message_.headers; }
+
+  private:
+    const RequestMessage& message_;
+};
+
 using UnsentLimit = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
 
 } // namespace
 
 ServerConnection::ServerConnection(asio::ip::tcp::socket socket, std::shared_ptr<ServerCore> core)
-    : socket_(std::move(socket)), core_(std::move(core)), id_(++core_->last_id) {
+    : socket_(std::move(socket)),
+      core_(std::move(core)),
+      id_(++core_->last_id),
+      buffered_charge_(core_->requests) {
     http_parser_init(&parser_, HTTP_REQUEST);
     parser_.data = this;
     asio::error_code ignored;
@@ -43,7 +57,8 @@
 }
 
 void ServerConnection::start() {
-    set_phase(Phase::Idle, BootClock::now() + core_->limits.idle_timeout);
+    sent_last_ = BootClock::now();
+    set_phase(Phase::Idle, sent_last_ + core_->limits.idle_timeout);
     read_more();
 }
 
@@ -58,18 +73,14 @@
         http_parser_settings_init(&s);
         s.on_url = [](http_parser* p, const char* at, std::size_t n) {
             of(p).message_.target.append(at, n);
+            of(p).head_bytes_ += n;
             return 0;
         };
-        // Trailers follow the body of a request and are not forwarded.
         s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
-            if (of(p).phase_ != Phase::Body)
-                of(p).assembler_.add_name(of(p).message_.headers, {at, n});
-            return 0;
+            return of(p).on_header({at, n}, &HeaderAssembler::add_name);
         };
         s.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
-            if (of(p).phase_ != Phase::Body)
-                of(p).assembler_.add_value(of(p).message_.headers, {at, n});
-            return 0;
+            return of(p).on_header({at, n}, &HeaderAssembler::add_value);
         };
         s.on_headers_complete = [](http_parser* p) { return of(p).on_headers_complete(); };
         s.on_body = [](http_parser* p, const char* at, std::size_t n) {
@@ -81,28 +92,60 @@
     return settings;
 }
 
+// Trailers follow the body of a request and are not forwarded. A head may hold far more headers
+// than it holds bytes of names and values.
+int ServerConnection::on_header(std::string_view piece,
+                                void (HeaderAssembler::*add)(HttpHeaders&, std::string_view)) {
+    if (phase_ == Phase::Body)
+        return 0;
+    (assembler_.*add)(message_.headers, piece);
+    head_bytes_ += piece.size();
+    if (message_.headers.size() <= MaxHeaderCount)
+        return 0;
+    refused_ = 431;
+    return -1;
+}
+
 int ServerConnection::refusal_of_head() const {
     const bool host_missing =
         count_headers(message_.headers, "host") != 1 && parser_.http_minor >= 1;
     if (host_missing || parser_.http_major != 1 || parser_.upgrade != 0)
         return 400;
-    if (message_.headers.size() > MaxHeaderCount)
+    if (is_head_too_large())
         return 431;
-    if (count_headers(message_.headers, "content-length") > 0 &&
-        parser_.content_length != ULLONG_MAX && parser_.content_length > core_->limits.body_bytes)
+    if (parser_.content_length != ULLONG_MAX && parser_.content_length > largest_body())
         return 413;
     return 0;
 }
 
+bool ServerConnection::is_head_too_large() const {
+    constexpr std::size_t Separators = 4; // of each header
+    return head_bytes_ + Separators * message_.headers.size() > core_->limits.header_bytes;
+}
+
+bool ServerConnection::is_screened_out() {
+    if (core_->screen != nullptr && !std::exchange(screened_, true))
+        screened_out_ = core_->screen->refuse(MessageView(message_));
+    if (screened_out_)
+        refused_ = screened_out_->status;
+    return screened_out_.has_value();
+}
+
 int ServerConnection::on_headers_complete() {
     if (const int refusal = refusal_of_head(); refusal != 0)
         refused_ = refusal;
+    if (refused_ == 0 && !hold_head())
+        refused_ = 503;
     if (refused_ != 0)
         return -1;
     message_.method = http_method_str(static_cast<http_method>(parser_.method));
     message_.keep_alive = http_should_keep_alive(&parser_) != 0;
     accepts_chunks_ = parser_.http_minor >= 1;
-    set_phase(Phase::Body, BootClock::now() + core_->limits.header_timeout);
+    if (parser_.content_length != ULLONG_MAX && parser_.content_length > MaxUnscreenedBody &&
+        is_screened_out())
+        return -1;
+    sent_last_ = body_began_ = BootClock::now();
+    set_phase(Phase::Body, sent_last_ + core_->limits.header_timeout);
     if (has_token(find_header(message_.headers, "expect"), "100-continue") &&
         !std::exchange(continue_sent_, true))
         send("HTTP/1.1 100 Continue\r\n\r\n", nullptr);
@@ -110,12 +153,17 @@
 }
 
 int ServerConnection::on_body(std::string_view bytes) {
-    if (message_.body.size() + bytes.size() > core_->limits.body_bytes) {
+    const std::size_t size = body_bytes_ + bytes.size();
+    if (size > largest_body())
         refused_ = 413;
+    else if (size > MaxUnscreenedBody && is_screened_out())
         return -1;
-    }
-    message_.body.append(bytes);
-    deadline_ = BootClock::now() + core_->limits.header_timeout;
+    else if (!hold_body(size))
+        refused_ = 503;
+    if (refused_ != 0)
+        return -1;
+    message_.body->append(bytes);
+    note_body_bytes(bytes.size());
     return 0;
 }
 
@@ -156,22 +204,17 @@
     if (phase_ == Phase::Lingering)
         return;
     if (phase_ == Phase::Working) {
-        buffered_.append(bytes);
+        hold_pipelined(bytes);
         return;
     }
     parse(bytes);
 }
 
-std::size_t ServerConnection::head_bytes() const {
-    std::size_t bytes = message_.target.size();
-    for (const auto& [name, value] : message_.headers)
-        bytes += name.size() + value.size() + 4;
-    return bytes;
-}
-
 void ServerConnection::parse(std::string_view bytes) {
-    if (phase_ == Phase::Idle)
-        set_phase(Phase::Head, BootClock::now() + core_->limits.header_timeout);
+    if (phase_ == Phase::Idle) {
+        sent_last_ = BootClock::now();
+        set_phase(Phase::Head, sent_last_ + core_->limits.header_timeout);
+    }
     // A request that two readers could frame differently hides another one (request smuggling),
     // since the endpoint may be one of them.
     if (!head_check_.read(bytes)) {
@@ -180,10 +223,15 @@
     }
     const auto parsed =
         http_parser_execute(&parser_, &parser_settings(), bytes.data(), bytes.size());
-    if (phase_ == Phase::Head && head_bytes() > core_->limits.header_bytes)
-        refused_ = 431;
+    if (phase_ == Phase::Head && refused_ == 0) {
+        if (is_head_too_large())
+            refused_ = 431;
+        else if (!hold_head())
+            refused_ = 503;
+    }
     if (complete_) {
         buffered_.assign(bytes.substr(std::min(parsed, bytes.size())));
+        buffered_charge_.set(2 * buffered_.size());
         request_done();
         return;
     }
@@ -197,10 +245,6 @@
 }
 
 void ServerConnection::request_done() {
-    if (head_bytes() > core_->limits.header_bytes) {
-        refuse(431);
-        return;
-    }
     complete_ = false;
     close_after_ = !message_.keep_alive;
     message_.on_reused_connection = std::exchange(reused_, true);
@@ -211,15 +255,26 @@
 void ServerConnection::refuse(int status) {
     close_after_ = true;
     set_phase(Phase::Working, Time::max());
-    const std::string body = "{\"error\":{\"kind\":\"bad_request\",\"outcome\":\"not-run\"}}\n";
-    send_head(status, {{"Content-Type", "application/json"}}, body.size());
-    send(body, nullptr);
+    HttpRefusal refusal{status,
+                        {{"Content-Type", "application/json"}},
+                        "{\"error\":{\"kind\":\"bad_request\",\"outcome\":\"not-run\"}}\n"};
+    if (screened_out_) {
+        refusal = *std::exchange(screened_out_, std::nullopt);
+    } else if (status == 503) {
+        ++core_->refused_for_memory;
+        refusal.headers.emplace_back("Retry-After", RetryAfterSeconds);
+        refusal.body = "{\"error\":{\"kind\":\"no_memory\",\"outcome\":\"not-run\"}}\n";
+    }
+    send_head(refusal.status, refusal.headers, refusal.body.size());
+    send(std::move(refusal.body), nullptr);
     linger();
 }
 
 void ServerConnection::linger() {
     set_phase(Phase::Lingering, BootClock::now() + LingerTime);
-    buffered_.clear();
+    message_ = {};
+    buffered_ = {};
+    buffered_charge_.set(0);
     read_more();
 }
 
@@ -370,7 +425,10 @@
     continue_sent_ = false;
     assembler_ = {};
     head_check_ = HeadCheck(HeadKind::Request);
-    set_phase(Phase::Idle, BootClock::now() + core_->limits.idle_timeout);
+    head_bytes_ = body_bytes_ = unnoted_bytes_ = 0;
+    screened_ = false;
+    sent_last_ = BootClock::now();
+    set_phase(Phase::Idle, sent_last_ + core_->limits.idle_timeout);
     if (buffered_.empty()) {
         read_more();
         return;
@@ -381,6 +439,7 @@
         if (self->phase_ != Phase::Idle || self->buffered_.empty())
             return;
         const std::string bytes = std::exchange(self->buffered_, {});
+        self->buffered_charge_.set(0);
         self->parse(bytes);
         self->read_more();
     });
@@ -452,6 +511,9 @@
     socket_.close(ignored);
     asio::post(core_->io, [self] {
         self->core_->connections.erase(self);
+        self->message_ = {};
+        self->buffered_ = {};
+        self->buffered_charge_.set(0);
         for (const PendingWrite& item : std::exchange(self->queue_, {})) {
             self->set_held(self->held_ - item.bytes.size());
             if (item.on_written)
--- a/src/connection/serverconnection.h
+++ b/src/connection/serverconnection.h
@@ -6,6 +6,8 @@
 #include "connection/headcheck.h"
 #include "connection/httpmessage.h"
 #include "connection/httpserver.h"
+#include "connection/memorybudget.h"
+#include "connection/requestbody.h"
 #include "process/clock.h"
 
 #include <asio.hpp>
@@ -28,9 +30,10 @@
     std::string method;
     std::string target;
     HttpHeaders headers;
-    std::string body;
+    std::shared_ptr<RequestBody> body; // null while it is empty
     bool keep_alive = true;
     bool on_reused_connection = false; // an earlier request was answered on it
+    MemoryCharge head_charge;
 };
 
 class ServerConnection;
@@ -43,10 +46,14 @@
     HttpServerLimits limits;
     // Called when a connection has read a complete request and waits for the response.
     std::function<void(const ConnectionPtr&, RequestMessage&&)> on_request;
+    std::shared_ptr<MemoryBudget> requests; // what requests hold on all connections
+    RequestScreen* screen = nullptr;        // null without one, and once the server is gone
     ServerConnections connections{};
     bool closing = false; // connections are closed after their next response
     ConnectionId last_id = 0;
     std::size_t held_bytes = 0; // of responses, on all connections
+    std::uint64_t refused_for_memory = 0;
+    std::uint64_t closed_for_others = 0;
 };
 
 // One caller's connection: reads one request at a time and writes its response.
@@ -67,9 +74,11 @@
     HeldResponse held();
     // True between two requests, with nothing left to send.
     bool idle() const { return phase_ == Phase::Idle && reused_ && !write_active_; }
-    // When the current phase times out; of two idle connections, the earlier one has been idle for
-    // longer.
-    Time deadline() const { return deadline_; }
+    // True while the next bytes of a request are waited for, and of a body for longer than a caller
+    // that sends lets pass.
+    bool stalled() const;
+    // When the caller last sent a request or a considerable part of one.
+    Time sent_last() const { return sent_last_; }
     // True while a request is being read or processed, or a response is not fully written.
     bool busy() const {
         const bool reads = phase_ == Phase::Head || phase_ == Phase::Body;
@@ -94,6 +103,12 @@
 
   private:
     static constexpr std::size_t ReadBytes = 4096;
+    static constexpr std::size_t MaxHeaderCount = 128;
+    // Once more bytes of later requests are buffered while one is processed, reading stops.
+    static constexpr std::size_t MaxBufferedBytes = 16u << 10;
+    // The body of a request that is refused by its head is read and discarded up to this size, so
+    // that the connection can be kept.
+    static constexpr std::size_t MaxUnscreenedBody = 16u << 10;
 
     enum class Phase : unsigned char { Idle, Head, Body, Working, Lingering, Closed };
 
@@ -113,6 +128,8 @@
     static ServerConnection& of(http_parser* parser) {
         return *static_cast<ServerConnection*>(parser->data);
     }
+    int on_header(std::string_view piece,
+                  void (HeaderAssembler::*add)(HttpHeaders&, std::string_view));
     int on_headers_complete();
     int on_body(std::string_view bytes);
     int on_message_complete();
@@ -121,13 +138,21 @@
     void on_read_error(asio::error_code error);
     void on_bytes(std::string_view bytes);
     int refusal_of_head() const;
+    bool is_head_too_large() const;
+    bool is_screened_out();
+    std::size_t largest_body() const;
+    bool hold_head();
+    bool hold_body(std::size_t size);
+    void hold_pipelined(std::string_view bytes);
+    bool make_room(std::size_t before, std::size_t after);
+    std::size_t request_bytes() const;
+    void note_body_bytes(std::size_t count);
     void parse(std::string_view bytes);
     void request_done();
     void refuse(int status);
     void linger();
     void write_next();
     void notify_disconnect();
-    std::size_t head_bytes() const;
     void set_phase(Phase phase, Time deadline);
 
     asio::ip::tcp::socket socket_;
@@ -140,11 +165,20 @@
     Time deadline_{};
     std::array<char, ReadBytes> in_{};
     std::string buffered_; // bytes of later requests
+    MemoryCharge buffered_charge_;
+    bool drops_buffered_ = false; // later requests are not read, and the connection closes
     bool reading_ = false;
     RequestMessage message_;
+    std::size_t head_bytes_ = 0; // of the target, and of names and values
+    Time sent_last_{};
+    Time body_began_{};
+    std::size_t body_bytes_ = 0;
+    std::size_t unnoted_bytes_ = 0; // of the body, since sent_last_
     HeaderAssembler assembler_;
     HeadCheck head_check_{HeadKind::Request};
-    int refused_ = 0;                 // status of the refusal; 0 if the request is valid so far
+    int refused_ = 0;       // status of the refusal; 0 if the request is valid so far
+    bool screened_ = false; // the head was shown to the screen
+    std::optional<HttpRefusal> screened_out_;
     bool complete_ = false;           // the request was read completely
     bool close_after_ = false;        // the response to the current request is the last one
     bool close_when_written_ = false; // the caller has closed its sending side
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -5,10 +5,10 @@
 
 #include "process/logging.h"
 #include "process/metrics.h"
+#include "process/serverlimits.h"
 #include "process/siteprogram.h"
 
 #include <algorithm>
-#include <sys/resource.h>
 
 namespace liftweir {
 
@@ -26,6 +26,9 @@
 // A stalled group gets no new requests for this long. Then one request tries it.
 constexpr Duration StalledAvoidTime = std::chrono::milliseconds(1000);
 constexpr Duration RetryAfterUnready = std::chrono::milliseconds(1000);
+constexpr GatewayRefusal BadRequest{400, "bad_request", Duration::zero()};
+constexpr GatewayRefusal Leaving{503, "leaving", RetryAfterUnready};
+constexpr GatewayRefusal NoSettings{503, "no_settings", RetryAfterUnready};
 // The load balancer probes readiness every second and removes a host after two failed probes. Until
 // then new requests are admitted, after that none. Where most hosts of a zone shut down together,
 // the balancer keeps sending to all of them, and requests admitted late would be aborted at the
@@ -42,45 +45,6 @@
 // without a stall.
 constexpr int StallRecordIntervals = 10;
 
-// Callers that do not read may take this part of the process's memory. Answers that are read may
-// take as much again for a moment, and the kernel's buffers need up to twice what they hold.
-constexpr std::size_t UnreadPartOfMemory = 4;
-
-std::size_t max_unread_bytes(std::uint32_t memory_mb) {
-    return (std::size_t{memory_mb} << 20) / UnreadPartOfMemory;
-}
-
-// Responses that endpoints have not completed may take this part of the process's memory.
-constexpr std::size_t IncompletePartOfMemory = 4;
-
-std::size_t max_incomplete_bytes(std::uint32_t memory_mb) {
-    return (std::size_t{memory_mb} << 20) / IncompletePartOfMemory;
-}
-
-// Files, listening sockets and links to control hosts.
-constexpr std::size_t OwnDescriptors = 264;
-// Connections to endpoints need the remaining descriptors.
-constexpr std::size_t CallerPartOfDescriptors = 3;
-constexpr std::size_t DescriptorParts = 4;
-constexpr std::size_t MinCallerConnections = 64;
-
-std::size_t max_caller_connections(std::size_t max_descriptors) {
-    if (rlimit system{}; max_descriptors == 0 && getrlimit(RLIMIT_NOFILE, &system) == 0)
-        max_descriptors = system.rlim_cur;
-    const std::size_t left = max_descriptors - std::min(max_descriptors, OwnDescriptors);
-    return std::max(MinCallerConnections, left / DescriptorParts * CallerPartOfDescriptors);
-}
-
-HttpServerLimits limits_of(const CallerLimits& limits, std::size_t max_descriptors) {
-    HttpServerLimits out;
-    out.connections = max_caller_connections(max_descriptors);
-    out.header_bytes = limits.header_bytes;
-    out.body_bytes = limits.body_bytes;
-    out.header_timeout = limits.header_timeout;
-    out.idle_timeout = limits.idle_timeout;
-    return out;
-}
-
 } // namespace
 
 Gateway::Gateway(asio::io_context& io, SiteConfig config, const CallerProtocol& protocol,
@@ -93,9 +57,9 @@
       lease_({}, identity_.incarnation, std::max(MinLease, config_.bounds.revoke - LeaseMargin)),
       directory_(identity_.incarnation),
       pool_(make_channel_pool(io)),
-      response_memory_(max_incomplete_bytes(config_.memory_mb)),
+      response_memory_(max_incomplete_bytes(config_)),
       random_(static_cast<std::minstd_rand::result_type>(identity_.incarnation)),
-      unread_(max_unread_bytes(config_.memory_mb)),
+      unread_(max_unread_bytes(config_)),
       ticker_(io, TickInterval, [this] { tick(); }) {
     directory_.zones().set_return_delay(config_.bounds.heartbeat_interval + HeartbeatSlack);
 }
@@ -104,11 +68,14 @@
 
 void Gateway::start() {
     reconfigure(config_);
-    callers_ = serve_http(io_, config_.callers, limits_of({}, config_.max_descriptors),
-                          [this](const std::shared_ptr<HttpExchange>& e) { on_request(e); });
-    ready_ = serve_http(io_, config_.ready, {}, [this](const std::shared_ptr<HttpExchange>& e) {
-        e->respond(ready() ? 200 : 503, {}, ready() ? "ready\n" : "not ready\n");
-    });
+    callers_ = serve_http(
+        io_, config_.callers, caller_limits({}, config_),
+        [this](const std::shared_ptr<HttpExchange>& e) { on_request(e); }, AddressUse::Exclusive,
+        this);
+    ready_ = serve_http(
+        io_, config_.ready, {}, [this](const std::shared_ptr<HttpExchange>& e) {
+            e->respond(ready() ? 200 : 503, {}, ready() ? "ready\n" : "not ready\n");
+        });
     metrics_ = serve_metrics(io_, config_.metrics);
     gauges_.add("liftweir_calls_in_flight", [this] { return static_cast<double>(calls_.size()); });
     gauges_.add("liftweir_requests_held",
@@ -123,6 +90,12 @@
     gauges_.add("liftweir_zones_out_of_use",
                 [this] { return static_cast<double>(directory_.zones().current().zones.size()); });
     gauges_.add("liftweir_unread_bytes", [this] { return static_cast<double>(unread_.bytes()); });
+    gauges_.add("liftweir_request_bytes",
+                [this] { return static_cast<double>(callers_->request_bytes()); });
+    gauges_.add("liftweir_refused_for_memory",
+                [this] { return static_cast<double>(callers_->refused_for_memory()); });
+    gauges_.add("liftweir_closed_for_others",
+                [this] { return static_cast<double>(callers_->closed_for_others()); });
     gauges_.add("liftweir_incomplete_bytes",
                 [this] { return static_cast<double>(response_memory_.held()); });
     gauges_.add("liftweir_document_version",
@@ -147,7 +120,7 @@
 void Gateway::put_in_force(Deployment deployment) {
     table_ = std::make_shared<const RouteTable>(std::move(deployment));
     urgency_ranks_ = UrgencyRanks(table_->deployment());
-    callers_->set_limits(limits_of(table_->deployment().limits, config_.max_descriptors));
+    callers_->set_limits(caller_limits(table_->deployment().limits, config_));
     for (const Service& service : table_->deployment().services)
         if (!budgets_.contains(service.name))
             budget(service.name)
@@ -161,17 +134,24 @@
         .first->second;
 }
 
-void Gateway::respond_error(HttpExchange& exchange, const CallerRequest& request, int status,
-                            const char* kind, Duration retry_after) {
-    Metrics::instance().counter("liftweir_refused", std::string("kind=\"") + kind + "\"").add();
+HttpRefusal Gateway::refusal_of(const CallerRequest& request, const GatewayRefusal& refusal) {
+    Metrics::instance()
+        .counter("liftweir_refused", std::string("kind=\"") + refusal.kind + "\"")
+        .add();
     log(LogLevel::Info, "refused",
         {{"request", request.id},
-         {"kind", kind},
-         {"status", std::to_string(status)},
+         {"kind", refusal.kind},
+         {"status", std::to_string(refusal.status)},
          {"document", std::to_string(document_.version)}});
-    exchange.respond(status, protocol_.local_response_headers(request, retry_after),
-                     std::string("{\"error\":{\"kind\":\"") + kind +
-                         "\",\"outcome\":\"not-run\"}}\n");
+    return {refusal.status, protocol_.local_response_headers(request, refusal.retry_after),
+            std::string("{\"error\":{\"kind\":\"") + refusal.kind +
+                "\",\"outcome\":\"not-run\"}}\n"};
+}
+
+void Gateway::respond_error(HttpExchange& exchange, const CallerRequest& request,
+                            const GatewayRefusal& refusal) {
+    HttpRefusal response = refusal_of(request, refusal);
+    exchange.respond(response.status, response.headers, std::move(response.body));
 }
 
 const Service* Gateway::choose_service(const RouteTable& table, const Route& route) {
@@ -187,25 +167,48 @@
     return nullptr;
 }
 
-// Sets the customer and its urgency in the plan and returns true, or rejects the request and
-// returns false.
-bool Gateway::authorise(HttpExchange& exchange, const CallerRequest& request, Time now,
-                        RelayedCallRoute& plan) {
+std::optional<GatewayRefusal> Gateway::find_route(const CallerRequest& request, Time now,
+                                                  RelayedCallRoute& plan) const {
+    plan.table = table_;
+    plan.route = table_->find(request.host, request.path);
+    // Without contact to control, the route may just have been added.
+    if (plan.route == nullptr && !lease_holds(now))
+        return GatewayRefusal{503, "no_lease", RetryAfterUnready};
+    if (plan.route == nullptr)
+        return GatewayRefusal{404, "not_found", Duration::zero()};
+    return authorise(request, now, plan);
+}
+
+std::optional<GatewayRefusal> Gateway::authorise(const CallerRequest& request, Time now,
+                                                 RelayedCallRoute& plan) const {
     plan.urgency = urgency_of(0, plan.route->priority);
     if (!plan.route->needs_key || plan.table->deployment().customers.empty())
-        return true;
-    if (!lease_holds(now)) {
-        respond_error(exchange, request, 503, "no_lease", RetryAfterUnready);
-        return false;
-    }
+        return std::nullopt;
+    if (!lease_holds(now))
+        return GatewayRefusal{503, "no_lease", RetryAfterUnready};
     const CustomerKeys* customer = request.key ? plan.table->customer(*request.key) : nullptr;
-    if (customer == nullptr) {
-        respond_error(exchange, request, 401, "unauthorized", Duration::zero());
-        return false;
-    }
+    if (customer == nullptr)
+        return GatewayRefusal{401, "unauthorized", Duration::zero()};
     plan.customer = customer->name;
     plan.urgency = urgency_of(customer->priority, plan.route->priority);
-    return true;
+    return std::nullopt;
+}
+
+// Without settings, nothing is known of the request.
+std::optional<HttpRefusal> Gateway::refuse(const RequestView& head) {
+    const CallerRequest request = protocol_.read(head);
+    const Time now = BootClock::now();
+    std::optional<GatewayRefusal> refusal;
+    RelayedCallRoute plan;
+    if (!request.wellformed)
+        refusal = BadRequest;
+    else if (is_draining(now))
+        refusal = Leaving;
+    else if (in_service(now))
+        refusal = find_route(request, now, plan);
+    if (!refusal)
+        return std::nullopt;
+    return refusal_of(request, *refusal);
 }
 
 void Gateway::on_request(const std::shared_ptr<HttpExchange>& exchange) {
@@ -213,19 +216,19 @@
     const Time now = BootClock::now();
     exchange->set_label(request.id);
     if (!request.wellformed) {
-        respond_error(*exchange, request, 400, "bad_request", Duration::zero());
+        respond_error(*exchange, request, BadRequest);
         return;
     }
     if (leaving_since_ != Time{})
         note_admitted_while_leaving(*exchange, request, now);
     if (is_draining(now)) {
-        respond_error(*exchange, request, 503, "leaving", RetryAfterUnready);
+        respond_error(*exchange, request, Leaving);
         return;
     }
     if (in_service(now))
         admit(exchange, request);
     else if (leaving_since_ != Time{} || !startup_queue_.add(exchange, request, now))
-        respond_error(*exchange, request, 503, "no_settings", RetryAfterUnready);
+        respond_error(*exchange, request, NoSettings);
 }
 
 // Records whether a late request came on a kept connection, or on a new one because the load
@@ -262,24 +265,16 @@
         return;
     }
     for (const StartupQueue::QueuedRequest& item : startup_queue_.expired(now))
-        respond_error(*item.exchange, item.request, 503, "no_settings", RetryAfterUnready);
+        respond_error(*item.exchange, item.request, NoSettings);
 }
 
 void Gateway::admit(const std::shared_ptr<HttpExchange>& exchange, const CallerRequest& request) {
     const Time now = BootClock::now();
     RelayedCallRoute plan;
-    plan.table = table_;
-    plan.route = table_->find(request.host, request.path);
-    if (plan.route == nullptr) {
-        // Without contact to control, the route may just have been added.
-        const bool has_lease = lease_holds(now);
-        respond_error(*exchange, request, has_lease ? 404 : 503,
-                      has_lease ? "not_found" : "no_lease",
-                      has_lease ? Duration::zero() : RetryAfterUnready);
+    if (const auto refusal = find_route(request, now, plan)) {
+        respond_error(*exchange, request, *refusal);
         return;
     }
-    if (!authorise(*exchange, request, now, plan))
-        return;
     plan.service = choose_service(*table_, *plan.route);
     plan.urgency_rank = urgency_ranks_.rank(plan.service->name, plan.urgency);
     if (request.time_limit)
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -34,8 +34,15 @@
 
 namespace liftweir {
 
+// Why a request is refused by what its head tells. It has not run.
+struct GatewayRefusal {
+    int status = 0;
+    const char* kind = "";
+    Duration retry_after{};
+};
+
 // Single-threaded.
-class Gateway final : public RelayedCallContext {
+class Gateway final : public RelayedCallContext, private RequestScreen {
   public:
     using Decoder = std::function<Expected<Deployment>(const std::string& body)>;
 
@@ -54,7 +61,7 @@
   private:
     Directory& directory() override { return directory_; }
     HttpChannelPool& pool() override { return *pool_; }
-    ResponseMemory& response_memory() override { return response_memory_; }
+    MemoryBudget& response_memory() override { return response_memory_; }
     const CallerProtocol& protocol() const override { return protocol_; }
     WindowedRetryBudget& budget(const std::string& service) override;
     bool discovering_endpoints(Time now) const override;
@@ -136,10 +143,17 @@
                                      Time now);
     bool in_service(Time now) const;
     void admit_queued(Time now);
-    void respond_error(HttpExchange& exchange, const CallerRequest& request, int status,
-                       const char* kind, Duration retry_after);
-    bool authorise(HttpExchange& exchange, const CallerRequest& request, Time now,
-                   RelayedCallRoute& plan);
+    // Called before a large body is read.
+    std::optional<HttpRefusal> refuse(const RequestView& head) override;
+    // Counts and logs the refusal.
+    HttpRefusal refusal_of(const CallerRequest& request, const GatewayRefusal& refusal);
+    void respond_error(HttpExchange& exchange, const CallerRequest& request,
+                       const GatewayRefusal& refusal);
+    // Sets the route and the customer of a request in the plan. Returns a refusal if there is none.
+    std::optional<GatewayRefusal> find_route(const CallerRequest& request, Time now,
+                                             RelayedCallRoute& plan) const;
+    std::optional<GatewayRefusal> authorise(const CallerRequest& request, Time now,
+                                            RelayedCallRoute& plan) const;
     const Service* choose_service(const RouteTable& table, const Route& route);
     std::set<std::shared_ptr<RelayedCall>> calls() const { return calls_; }
     void tick();
@@ -169,7 +183,7 @@
     StartupQueue startup_queue_; // holds requests until this host is first in service
     Directory directory_;
     std::unique_ptr<HttpChannelPool> pool_;
-    ResponseMemory response_memory_;
+    MemoryBudget response_memory_;
     std::unique_ptr<HttpServer> callers_;
     std::unique_ptr<HttpServer> ready_;
     std::unique_ptr<HttpServer> metrics_;
--- a/src/process/metricnames.cpp
+++ b/src/process/metricnames.cpp
@@ -96,6 +96,12 @@
          "Requests that arrived after the signal to stop, on a kept or on a new connection."},
         {"liftweir_unread_bytes", Gauge, "bytes", "", SiteEntry,
          "Bytes of answers held for callers that have not read them yet, the kernel's included."},
+        {"liftweir_request_bytes", Gauge, "bytes", "", SiteEntry,
+         "Bytes of callers' requests that are held: heads, bodies and pipelined bytes."},
+        {"liftweir_refused_for_memory", Gauge, "requests", "", SiteEntry,
+         "Requests refused with 503 since the start because the memory for requests was short."},
+        {"liftweir_closed_for_others", Gauge, "connections", "", SiteEntry,
+         "Callers' connections closed since the start, at the limit of connections, for new ones."},
         {"liftweir_incomplete_bytes", Gauge, "bytes", "", SiteEntry,
          "Bytes of endpoints' responses that are held until the responses, or their events, are "
          "complete."},
--- /dev/null
+++ b/src/process/serverlimits.cpp
@@ -0,0 +1,71 @@
+// Divides memory and descriptors among the ports of a process.
+
+#include "process/serverlimits.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <sys/resource.h>
+
+namespace liftweir {
+
+namespace {
+
+// Parts of the process's memory. An eighth is left for its own state and for connections.
+constexpr std::size_t MemoryParts = 8;
+constexpr std::size_t RequestParts = 3;
+// Answers that are read may take as much again for a moment, and the kernel's buffers need up to
+// twice what they hold.
+constexpr std::size_t UnreadParts = 2;
+constexpr std::size_t IncompleteParts = 2;
+
+std::size_t part_of_memory(const SiteConfig& config, std::size_t parts) {
+    return (std::size_t{config.memory_mb} << 20) / MemoryParts * parts;
+}
+
+// Files, listening sockets, and links to control hosts.
+constexpr std::size_t OwnDescriptors = 264;
+// Connections to endpoints need the remaining descriptors.
+constexpr std::size_t ClientPartOfDescriptors = 3;
+constexpr std::size_t DescriptorParts = 4;
+constexpr std::size_t MinClientConnections = 64;
+
+std::size_t max_client_connections(std::size_t max_descriptors) {
+    if (rlimit system{}; max_descriptors == 0 && getrlimit(RLIMIT_NOFILE, &system) == 0)
+        max_descriptors = system.rlim_cur;
+    const std::size_t left = max_descriptors - std::min(max_descriptors, OwnDescriptors);
+    return std::max(MinClientConnections, left / DescriptorParts * ClientPartOfDescriptors);
+}
+
+constexpr std::size_t MaxDocumentBytes = 16u << 20;
+constexpr std::size_t MaxControlConnections = 1024;
+
+} // namespace
+
+HttpServerLimits caller_limits(const CallerLimits& limits, const SiteConfig& config) {
+    HttpServerLimits out;
+    out.connections = max_client_connections(config.max_descriptors);
+    out.request_bytes = part_of_memory(config, RequestParts);
+    out.header_bytes = limits.header_bytes;
+    out.body_bytes = limits.body_bytes;
+    out.header_timeout = limits.header_timeout;
+    out.idle_timeout = limits.idle_timeout;
+    return out;
+}
+
+HttpServerLimits control_limits(const SiteConfig& config) {
+    HttpServerLimits out;
+    out.connections = MaxControlConnections;
+    out.request_bytes = part_of_memory(config, RequestParts);
+    out.body_bytes = MaxDocumentBytes;
+    return out;
+}
+
+std::size_t max_incomplete_bytes(const SiteConfig& config) {
+    return part_of_memory(config, IncompleteParts);
+}
+
+std::size_t max_unread_bytes(const SiteConfig& config) {
+    return part_of_memory(config, UnreadParts);
+}
+
+} // namespace liftweir
--- a/src/request/callerprotocol.h
+++ b/src/request/callerprotocol.h
@@ -79,7 +79,7 @@
 class CallerProtocol {
   public:
     virtual ~CallerProtocol() = default;
-    virtual CallerRequest read(const HttpExchange& exchange) const = 0;
+    virtual CallerRequest read(const RequestView& head) const = 0;
     virtual HttpRequestHead forward(const HttpExchange& exchange,
                                     const ForwardedFields& note) const = 0;
     virtual ResponseSignals parse_response(const HttpResponseHead& head,
--- a/src/request/relayattempt.h
+++ b/src/request/relayattempt.h
@@ -30,7 +30,7 @@
     bool streaming = false; // the response is a stream of events
     EventSplitter splitter;
     std::string body;                   // of a response without a stream
-    std::size_t held = 0;               // bytes in splitter and body, as counted by ResponseMemory
+    std::size_t held = 0;               // bytes in splitter and body, as counted by MemoryBudget
     std::size_t bytes_without_data = 0; // of a stream, since its last event with data
 
     bool active() const { return !endpoint.empty(); }
--- a/src/request/relayedcall.cpp
+++ b/src/request/relayedcall.cpp
@@ -237,7 +237,7 @@
     options.max_idle_connections = host_.directory().connections_allowed(*plan_.service);
     current_.call =
         host_.pool().start(pick.address, host_.protocol().forward(*exchange_, fields),
-                           std::string(exchange_->body()), options, events_of(current_.number));
+                           exchange_->shared_body(), options, events_of(current_.number));
 }
 
 void RelayedCall::log_retry(const Pick& pick, Time now) const {
--- a/src/request/relayedcall.h
+++ b/src/request/relayedcall.h
@@ -4,6 +4,7 @@
 #define RELAYEDCALL_H_INCLUDED
 
 #include "connection/httpserver.h"
+#include "connection/memorybudget.h"
 #include "process/quarantine.h"
 #include "request/admissionlevels.h"
 #include "request/callerprotocol.h"
@@ -11,7 +12,6 @@
 #include "request/demandmeter.h"
 #include "request/directory.h"
 #include "request/relayattempt.h"
-#include "request/responsememory.h"
 #include "request/urgencyranks.h"
 #include "request/windowedretrybudget.h"
 #include "version/fingerprint.h"
@@ -57,7 +57,7 @@
     virtual ~RelayedCallContext() = default;
     virtual Directory& directory() = 0;
     virtual HttpChannelPool& pool() = 0;
-    virtual ResponseMemory& response_memory() = 0;
+    virtual MemoryBudget& response_memory() = 0;
     virtual const CallerProtocol& protocol() const = 0;
     virtual WindowedRetryBudget& budget(const std::string& service) = 0;
     // This process has started recently and may not know all endpoints yet.
--- a/tests/unit/endlessresponse_test.cpp
+++ b/tests/unit/endlessresponse_test.cpp
@@ -1,7 +1,7 @@
 // Endpoints that send bytes without end: each response that is held has a bound, and so have all of
 // them together.
 
-#include "request/responsememory.h"
+#include "connection/memorybudget.h"
 #include "unit/relayfakes.h"
 #include "unit/streamroute.h"
 
@@ -14,9 +14,9 @@
 
 constexpr std::size_t Mebibyte = 1u << 20;
 
-TEST(ResponseMemory, EndlessResponsesLeaveRoomForTheNextOne) {
+TEST(MemoryBudget, EndlessResponsesLeaveRoomForTheNextOne) {
     for (const std::size_t endless : {1u, 10u, 1000u}) {
-        ResponseMemory memory(64 * Mebibyte);
+        MemoryBudget memory(64 * Mebibyte);
         std::vector<std::size_t> held(endless, 0);
         bool growing = true;
         while (growing) {
@@ -34,8 +34,8 @@
     }
 }
 
-TEST(ResponseMemory, IsFreeAgainOnceAResponseHasEnded) {
-    ResponseMemory memory(Mebibyte);
+TEST(MemoryBudget, IsFreeAgainOnceAResponseHasEnded) {
+    MemoryBudget memory(Mebibyte);
     memory.change(0, Mebibyte);
     EXPECT_FALSE(memory.allows(1));
     memory.change(Mebibyte, 0);
--- a/tests/unit/httpchannel_test.cpp
+++ b/tests/unit/httpchannel_test.cpp
@@ -69,8 +69,8 @@
         events.on_head = [&](const HttpResponseHead& head) { result.status = head.status; };
         events.on_body = [&](std::string_view bytes) { result.body.append(bytes); };
         events.on_end = [&](CallEnd how, bool) { result.end = how; };
-        const auto handle =
-            pool_->start(address_, {"GET", "/", {{"Host", "x"}}}, "", options, std::move(events));
+        const auto handle = pool_->start(address_, {"GET", "/", {{"Host", "x"}}}, nullptr, options,
+                                         std::move(events));
         for (int i = 0; i < 200 && !result.end; ++i)
             io_.run_for(std::chrono::milliseconds(5));
         return result;
@@ -119,7 +119,7 @@
         got += bytes.size();
     };
     events.on_end = [&](CallEnd how, bool) { end = how; };
-    handle = pool_->start(address_, {"GET", "/", {{"Host", "x"}}}, "", {}, std::move(events));
+    handle = pool_->start(address_, {"GET", "/", {{"Host", "x"}}}, nullptr, {}, std::move(events));
     io_.run_for(std::chrono::milliseconds(50));
     EXPECT_GT(got, 0u);
     EXPECT_LT(got, body.size());
@@ -198,7 +198,7 @@
     scripts_ = {};
     {
         const auto handle =
-            pool_->start(address_, {"GET", "/", {{"Host", "x"}}}, "", {}, CallEvents{});
+            pool_->start(address_, {"GET", "/", {{"Host", "x"}}}, nullptr, {}, CallEvents{});
         io_.run_for(std::chrono::milliseconds(20));
     }
     io_.run_for(std::chrono::milliseconds(20));
@@ -211,7 +211,8 @@
     asio::ip::tcp::acceptor slow(io_, {asio::ip::make_address("127.0.0.1"), 0});
     const std::string address = "127.0.0.1:" + std::to_string(slow.local_endpoint().port());
     const HttpRequestHead head{"POST", "/", {{"Host", "x"}}};
-    auto handle = pool_->start(address, head, std::string(16u << 20, 'b'), {}, CallEvents{});
+    auto handle = pool_->start(address, head, std::make_shared<const std::string>(16u << 20, 'b'),
+                               {}, CallEvents{});
     io_.run_for(std::chrono::milliseconds(50));
     asio::ip::tcp::socket endpoint = slow.accept();
     io_.run_for(std::chrono::milliseconds(50));
@@ -232,7 +233,7 @@
     std::unique_ptr<HttpCallHandle> handle;
     CallEvents events;
     events.on_connected = [&] { handle->cancel(); };
-    handle = pool_->start(address_, {"GET", "/", {{"Host", "x"}}}, "", {}, std::move(events));
+    handle = pool_->start(address_, {"GET", "/", {{"Host", "x"}}}, nullptr, {}, std::move(events));
     io_.run_for(std::chrono::milliseconds(50));
     EXPECT_EQ(accepted_, 1);
     EXPECT_EQ(requests_, "");
--- a/tests/unit/loopback.h
+++ b/tests/unit/loopback.h
@@ -15,7 +15,7 @@
 
 class NoCallers final : public CallerProtocol {
   public:
-    CallerRequest read(const HttpExchange&) const override { return {}; }
+    CallerRequest read(const RequestView&) const override { return {}; }
     HttpRequestHead forward(const HttpExchange&, const ForwardedFields&) const override {
         return {};
     }
--- a/tests/unit/relayfakes.h
+++ b/tests/unit/relayfakes.h
@@ -81,7 +81,7 @@
     };
 
     std::unique_ptr<HttpCallHandle> start(const std::string& address, const HttpRequestHead& head,
-                                          const std::string&, ChannelOptions,
+                                          const SharedBytes&, ChannelOptions,
                                           CallEvents events) override {
         calls.push_back({address, head, std::move(events)});
         return std::make_unique<Handle>(calls.back().cancelled);
@@ -111,7 +111,7 @@
 
     Directory& directory() override { return directory_; }
     FakeChannelPool& pool() override { return pool_; }
-    ResponseMemory& response_memory() override { return memory; }
+    MemoryBudget& response_memory() override { return memory; }
     const CallerProtocol& protocol() const override { return protocol_; }
     WindowedRetryBudget& budget(const std::string&) override { return budget_; }
     bool discovering_endpoints(Time) const override { return false; }
@@ -144,7 +144,7 @@
     int aborts = 0;                          // reported of endpoints
     std::vector<Fingerprint> suspect_parts;  // of the request that was aborted last
     std::vector<Fingerprint> answered_parts; // of the request that was answered last
-    ResponseMemory memory{64u << 20};
+    MemoryBudget memory{64u << 20};
     int status = -1; // of the ended call; -1 while it has not ended
 
   private:
--- a/tests/unit/serverfixture.h
+++ b/tests/unit/serverfixture.h
@@ -16,7 +16,8 @@
 
 class ServerTest : public testing::Test {
   protected:
-    void serve(HttpServerLimits limits = {}, AddressUse use = AddressUse::Exclusive) {
+    void serve(HttpServerLimits limits = {}, AddressUse use = AddressUse::Exclusive,
+               RequestScreen* screen = nullptr) {
         {
             const asio::ip::tcp::acceptor probe(io_, {asio::ip::make_address("127.0.0.1"), 0});
             address_ = "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
@@ -29,7 +30,7 @@
                 last_target_ = e->target();
                 handler_(e);
             },
-            use);
+            use, screen);
     }
 
     // Sends bytes and returns all that is received until the connection closes or the time is over.
