Connections that send nothing give way, and probes' ports are small

What callers saw: 700 connections to the readiness or the metrics address, or to a control host, took more descriptors than the process may open (715 to 718 of 600), after which it accepts nobody, reaches no endpoint and opens no file; bodies of the general limit (16 MiB) were read there (162 to 167 MB of 64).

Cause: these servers ran with the general limits; the limit of a control host's connections did not follow max_descriptors. At the limit only connections that had been used and rest were closed for new ones, so that silent ones kept all others out until the idle timeout.

Change: addresses for readiness and metrics take 64 connections, bodies of 4 KiB and 1 MiB in all; a control host's clients take at most three quarters of the descriptors that its files and links leave. At the limit, where none rests, the connections whose callers have sent nothing for longest are closed.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -177,7 +177,8 @@
     }
     // Closes idle connections, or else some whose callers have stalled. False if there are none.
     bool make_room() {
-        return close_earliest(&ServerConnection::idle) > 0;
+        return close_earliest(&ServerConnection::idle) > 0 ||
+               close_earliest(&ServerConnection::stalled) > 0;
     }
     // Closes some connections of a kind: those whose callers have sent nothing for longest. Returns
     // how many. They are freed in a later turn of the loop.
--- a/src/process/gateway.cpp
+++ b/src/process/gateway.cpp
@@ -73,7 +73,7 @@
         [this](const std::shared_ptr<HttpExchange>& e) { on_request(e); }, AddressUse::Exclusive,
         this);
     ready_ = serve_http(
-        io_, config_.ready, {}, [this](const std::shared_ptr<HttpExchange>& e) {
+        io_, config_.ready, probe_limits(), [this](const std::shared_ptr<HttpExchange>& e) {
             e->respond(ready() ? 200 : 503, {}, ready() ? "ready\n" : "not ready\n");
         });
     metrics_ = serve_metrics(io_, config_.metrics);
--- a/src/process/serverlimits.cpp
+++ b/src/process/serverlimits.cpp
@@ -22,7 +22,7 @@
     return (std::size_t{config.memory_mb} << 20) / MemoryParts * parts;
 }
 
-// Files, listening sockets, and links to control hosts.
+// Files, listening sockets, links to control hosts, and connections of probes.
 constexpr std::size_t OwnDescriptors = 264;
 // Connections to endpoints need the remaining descriptors.
 constexpr std::size_t ClientPartOfDescriptors = 3;
@@ -39,6 +39,10 @@
 constexpr std::size_t MaxDocumentBytes = 16u << 20;
 constexpr std::size_t MaxControlConnections = 1024;
 
+constexpr std::size_t MaxProbeBytes = 4096;
+constexpr std::size_t MaxProbeConnections = 64;
+constexpr std::size_t MaxProbesBytes = 1u << 20;
+
 } // namespace
 
 HttpServerLimits caller_limits(const CallerLimits& limits, const SiteConfig& config) {
@@ -54,12 +58,21 @@
 
 HttpServerLimits control_limits(const SiteConfig& config) {
     HttpServerLimits out;
-    out.connections = MaxControlConnections;
+    out.connections =
+        std::min(MaxControlConnections, max_client_connections(config.max_descriptors));
     out.request_bytes = part_of_memory(config, RequestParts);
     out.body_bytes = MaxDocumentBytes;
     return out;
 }
 
+HttpServerLimits probe_limits() {
+    HttpServerLimits out;
+    out.connections = MaxProbeConnections;
+    out.request_bytes = MaxProbesBytes;
+    out.body_bytes = MaxProbeBytes;
+    return out;
+}
+
 std::size_t max_incomplete_bytes(const SiteConfig& config) {
     return part_of_memory(config, IncompleteParts);
 }
--- a/src/process/serverlimits.h
+++ b/src/process/serverlimits.h
@@ -15,6 +15,8 @@
 HttpServerLimits caller_limits(const CallerLimits& limits, const SiteConfig& config);
 // Of operators and endpoints that call a control host.
 HttpServerLimits control_limits(const SiteConfig& config);
+// Of load balancers and monitors, which send short requests without a body.
+HttpServerLimits probe_limits();
 
 // Bytes of responses that endpoints have not completed.
 std::size_t max_incomplete_bytes(const SiteConfig& config);
--- a/src/process/siteprogram.cpp
+++ b/src/process/siteprogram.cpp
@@ -5,6 +5,7 @@
 #include "process/logging.h"
 #include "process/metrics.h"
 #include "process/program.h"
+#include "process/serverlimits.h"
 
 #include <iostream>
 #include <utility>
@@ -56,7 +57,7 @@
         exchange->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                           Metrics::instance().text());
     };
-    return serve_http(io, address, {}, respond);
+    return serve_http(io, address, probe_limits(), respond);
 }
 
 } // namespace liftweir
