--- a/src/process/serverlimits.cpp
+++ b/src/process/serverlimits.cpp
@@ -17,6 +17,8 @@
 // twice what they hold.
 constexpr std::size_t UnreadParts = 2;
 constexpr std::size_t IncompleteParts = 2;
+// The log holds documents while they are agreed on.
+constexpr std::size_t ParsedParts = 2;
 
 std::size_t part_of_memory(const SiteConfig& config, std::size_t parts) {
     return (std::size_t{config.memory_mb} << 20) / MemoryParts * parts;
@@ -81,4 +83,8 @@
     return part_of_memory(config, UnreadParts);
 }
 
+std::size_t max_parsed_bytes(const SiteConfig& config) {
+    return part_of_memory(config, ParsedParts);
+}
+
 } // namespace liftweir
--- a/src/process/serverlimits.h
+++ b/src/process/serverlimits.h
@@ -22,6 +22,8 @@
 std::size_t max_incomplete_bytes(const SiteConfig& config);
 // Bytes of responses that callers have not read.
 std::size_t max_unread_bytes(const SiteConfig& config);
+// Bytes that one document may take once it is parsed.
+std::size_t max_parsed_bytes(const SiteConfig& config);
 
 } // namespace liftweir
 
