The first voters of the log are stored at the first start

What callers saw: no leader for good, the document can not be read, and 503 for every request with a key, after the seeds were exchanged and control hosts started again; 5 control hosts, one of which may be lost.

Cause: the first set of voters was computed at each start from the seeds that the settings name then.

Change: founders write the seeds of the first start to a file before the number of their node, and read it at later starts. A founder that is killed between the two has not voted and is a founder still. Directories of earlier releases have no such file; they take the seeds as before.

--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -79,12 +79,8 @@
 // A data directory that fails its checks is treated like a lost disk: it is emptied, and the host
 // joins again as another node.
 Expected<void> Coordinator::open_replica() {
-    const std::vector<std::string> seeds = config_.seed_ips();
-    const bool founder =
-        config_.first_start && std::find(seeds.begin(), seeds.end(), config_.ip) != seeds.end();
     for (int attempt = 0; attempt < 2; ++attempt) {
-        const auto node = node_of_directory(*storage_, config_.ip, founder && attempt == 0);
-        Expected<void> opened = node ? open_replica_as(*node) : tl::make_unexpected(node.error());
+        const Expected<void> opened = open_log(config_.first_start && attempt == 0);
         if (opened || opened.error().kind != FailureKind::Damaged)
             return opened;
         log(LogLevel::Error, "data directory is damaged; starting as a new node",
@@ -95,10 +91,29 @@
     return fail(FailureKind::Damaged, "data directory is damaged even after it was emptied");
 }
 
-Expected<void> Coordinator::open_replica_as(NodeId node) {
+// The first voters are the seeds of the first start. They are stored, since the log holds no set of
+// voters until it changes, and the settings name other seeds once machines have been replaced. They
+// are stored before the node's number: a founder that was killed between the two has not voted, and
+// is a founder still.
+Expected<void> Coordinator::open_log(bool first_start) {
+    const std::vector<std::string> seeds = config_.seed_ips();
+    const auto has_own_ip = [this](const std::vector<std::string>& ips) {
+        return std::find(ips.begin(), ips.end(), config_.ip) != ips.end();
+    };
+    const auto founders = founders_of_directory(*storage_, seeds, first_start && has_own_ip(seeds));
+    if (!founders)
+        return tl::make_unexpected(founders.error());
+    const auto node = node_of_directory(*storage_, config_.ip, has_own_ip(*founders));
+    if (!node)
+        return tl::make_unexpected(node.error());
+    // Directories of earlier releases have no list of founders.
+    return open_replica_as(*node, founders->empty() ? seeds : *founders);
+}
+
+Expected<void> Coordinator::open_replica_as(NodeId node, const std::vector<std::string>& founders) {
     Voters bootstrap;
     if (node == founder_node(config_.ip))
-        for (const std::string& ip : config_.seed_ips())
+        for (const std::string& ip : founders)
             bootstrap.insert(founder_node(ip));
     std::random_device device;
     auto replica = Replica::open(*storage_, node, bootstrap, Tuning, device(), BootClock::now());
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -155,7 +155,8 @@
 
     // storage and replicated log
     Expected<void> open_replica();
-    Expected<void> open_replica_as(NodeId node);
+    Expected<void> open_log(bool first_start);
+    Expected<void> open_replica_as(NodeId node, const std::vector<std::string>& founders);
     Expected<void> empty_directory();
     void storage_failed(const Failure& failure);
     void pump();
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <charconv>
 #include <random>
+#include <sstream>
 #include <xxhash.h>
 
 namespace liftweir {
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr const char* NodeFile = "node";
+constexpr const char* FoundersFile = "founders"; // an address a line, and an empty last line
 constexpr unsigned AddressBits = 32;
 constexpr NodeId AddressMask = 0xffffffff;
 
@@ -49,6 +51,36 @@
     return (a & AddressMask) == (b & AddressMask);
 }
 
+Expected<std::vector<std::string>>
+founders_of_directory(Storage& storage, const std::vector<std::string>& seeds, bool founding) {
+    const auto names = storage.list();
+    if (!names)
+        return tl::make_unexpected(names.error());
+    if (std::find(names->begin(), names->end(), FoundersFile) == names->end()) {
+        if (!founding)
+            return std::vector<std::string>{};
+        std::string text;
+        for (const std::string& seed : seeds)
+            text += seed + "\n";
+        if (auto kept = storage.replace(FoundersFile, text); !kept)
+            return tl::make_unexpected(kept.error());
+        return seeds;
+    }
+    const auto text = storage.read(FoundersFile);
+    if (!text)
+        return tl::make_unexpected(text.error());
+    std::vector<std::string> founders;
+    std::istringstream lines(*text);
+    for (std::string line; std::getline(lines, line);)
+        founders.push_back(line);
+    const bool whole = !founders.empty() && text->ends_with('\n') &&
+                       std::all_of(founders.begin(), founders.end(),
+                                   [](const std::string& ip) { return address_bits(ip) != 0; });
+    if (!whole)
+        return fail(FailureKind::Damaged, "the founders file does not contain addresses");
+    return founders;
+}
+
 Expected<NodeId> node_of_directory(Storage& storage, const std::string& ip, bool founder) {
     const auto names = storage.list();
     if (!names)
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -36,6 +36,11 @@
 // file holds no number.
 Expected<NodeId> node_of_directory(Storage& storage, const std::string& ip, bool founder);
 
+// Reads the hosts that founded the deployment, by IP address, or stores `seeds` where `founding` is
+// set and none are stored. Empty where none are stored. Fails with Storage, or with Damaged.
+Expected<std::vector<std::string>>
+founders_of_directory(Storage& storage, const std::vector<std::string>& seeds, bool founding);
+
 } // namespace liftweir
 
 #endif // NODE_H_INCLUDED
