Control hosts leave links that carry nothing any more

What callers saw: no leader and no document to read, for good, after open links between control hosts had gone silent while something on the way still acknowledged their bytes.

Cause: each host sends on the links that it opened and hears the others on theirs. TCP_USER_TIMEOUT sees acknowledged bytes, and only entry hosts expected replies over the link that they sent on.

Change: once a second a control host sends a probe on each of its links to other control hosts, for Raft and for the rest, and the other side replies over the same link. Probes go only to hosts whose hello says that they answer.

--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -258,7 +258,8 @@
     bool registry_complete = false; // it has run long enough to have a report from every endpoint
     std::uint64_t term = 0;         // of its log; only earlier releases read it
     bool records_leaves = false;    // it takes LeavesToRecord; false for earlier releases
-    MSGPACK_DEFINE(node, nodes, registry, registry_complete, term, records_leaves)
+    bool answers_probes = false;    // it takes LinkProbe; false for earlier releases
+    MSGPACK_DEFINE(node, nodes, registry, registry_complete, term, records_leaves, answers_probes)
 };
 
 // Reports of endpoints that the receiver may not have yet.
@@ -402,6 +403,12 @@
     MSGPACK_DEFINE(leaves)
 };
 
+// Asks whether a link still carries messages both ways. The reply comes over the same link.
+struct LinkProbe {
+    bool reply = false;
+    MSGPACK_DEFINE(reply)
+};
+
 using WireMessage =
     std::variant<RaftPacket, AgentStatus, AgentOrder, NotLeaderReply, LeaseRenewal, LeaseAck,
                  CommandRequest, CommandReply, Attempt, CancelAttempt, Credit, GateState, Refused,
@@ -409,7 +416,7 @@
                  GroupSuspected, GroupsDissolved, EndpointsRestored, GroupLoadReports,
                  RegistryDigests, RangesRequested, RequestsAborted, SuspectRequests, LimitReports,
                  LimitShares, EndpointsLeaving, DemandReports, AdmissionPlan, LeavesToRecord,
-                 LeavesRecorded>;
+                 LeavesRecorded, LinkProbe>;
 
 // Names of the alternatives in their order, as metrics label them.
 constexpr std::array<std::string_view, std::variant_size_v<WireMessage>> MessageNames = {
@@ -448,7 +455,8 @@
     "demand_reports",
     "admission_plan",
     "leaves_to_record",
-    "leaves_recorded"};
+    "leaves_recorded",
+    "link_probe"};
 
 // ---- member to member, by UDP
 
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -251,6 +251,7 @@
             if (voter != node_)
                 add_control_host(voter);
     send_hellos();
+    probe_links(now);
     if (leads())
         log_peers_behind();
     if (leads())
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -125,6 +125,7 @@
         std::unique_ptr<Dialer> raft; // carries only the messages of the replicated log
         NodeId node = NoNode;
         bool records_leaves = false;
+        bool answers_probes = false;
     };
     // Rejected reports of one kind of fault.
     struct RejectedReports {
@@ -184,6 +185,8 @@
     void add_control_host(NodeId node);
     void send_hello(Peer& peer);
     void send_hellos();
+    void probe_links(Time now);
+    void on_peer_message(Dialer& dialer, const Link::Ptr& link, WireMessage&& message);
     void on_message(const Link::Ptr& link, WireMessage&& message);
     void on_raft(const Link::Ptr& link, const RaftPacket& packet, Time now);
     void on_suspected(const GroupSuspected& suspected, Time now);
--- a/src/process/coordinatorlinks.cpp
+++ b/src/process/coordinatorlinks.cpp
@@ -56,15 +56,38 @@
         return;
     Peer& peer = peers_[address];
     peer.dialer = std::make_unique<Dialer>(io_, address, identity_, keys_);
-    peer.dialer->start(
-        [this, &peer](const Link::Ptr&) { send_hello(peer); },
-        [this](const Link::Ptr& link, WireMessage&& m) { on_message(link, std::move(m)); },
-        [](const Link::Ptr&) {});
+    peer.dialer->start([this, &peer](const Link::Ptr&) { send_hello(peer); },
+                       [this, &peer](const Link::Ptr& link, WireMessage&& m) {
+                           on_peer_message(*peer.dialer, link, std::move(m));
+                       },
+                       [](const Link::Ptr&) {});
     peer.raft = std::make_unique<Dialer>(io_, address, identity_, keys_);
-    peer.raft->start(
-        [](const Link::Ptr&) {},
-        [this](const Link::Ptr& link, WireMessage&& m) { on_message(link, std::move(m)); },
-        [](const Link::Ptr&) {});
+    peer.raft->start([](const Link::Ptr&) {},
+                     [this, &peer](const Link::Ptr& link, WireMessage&& m) {
+                         on_peer_message(*peer.raft, link, std::move(m));
+                     },
+                     [](const Link::Ptr&) {});
+}
+
+void Coordinator::on_peer_message(Dialer& dialer, const Link::Ptr& link, WireMessage&& message) {
+    const auto* probe = std::get_if<LinkProbe>(&message);
+    if (probe != nullptr && probe->reply)
+        dialer.answered();
+    else
+        on_message(link, std::move(message));
+}
+
+// A link may stay open and carry nothing, while something on the way still acknowledges its bytes.
+// Each of the two hosts sends on the link that it opened and hears the other one on the other link,
+// so only a reply over the same link shows that it works.
+void Coordinator::probe_links(Time now) {
+    const EncodedMessage probe(LinkProbe{});
+    for (auto& [address, peer] : peers_)
+        for (Dialer* dialer : {peer.dialer.get(), peer.raft.get()}) {
+            dialer->close_if_unresponsive(now);
+            if (peer.answers_probes && dialer->send(probe))
+                dialer->expect_reply(now);
+        }
 }
 
 void Coordinator::add_control_host(NodeId node) {
@@ -89,6 +112,7 @@
         return;
     PeerHello hello{node_, known_nodes(), registry_.digest(), registry_complete(BootClock::now())};
     hello.records_leaves = true;
+    hello.answers_probes = true;
     peer.dialer->send(hello);
 }
 
@@ -110,6 +134,7 @@
         log(LogLevel::Info, "control host known", {{"node", text_of(hello.node)}});
     peer.node = hello.node;
     peer.records_leaves = hello.records_leaves;
+    peer.answers_probes = hello.answers_probes;
     peer_has_registry_ = peer_has_registry_ || hello.registry_complete;
     peer.dialer->retry_now();
     peer.raft->retry_now();
@@ -128,6 +153,8 @@
     const Time now = BootClock::now();
     if (const auto* packet = std::get_if<RaftPacket>(&message)) {
         on_raft(link, *packet, now);
+    } else if (std::holds_alternative<LinkProbe>(message)) {
+        link->send(LinkProbe{true});
     } else if (const auto* hello = std::get_if<PeerHello>(&message)) {
         on_hello(*hello);
     } else if (const auto* renew = std::get_if<LeaseRenewal>(&message)) {
