Partial heads and pipelined requests give way to callers that send

What callers saw: none; by reading the bound on requests. Heads that stop short of their end, and requests behind one in progress, could hold the whole budget for a header timeout or for the time of the request in progress, and large bodies of others got 503 meanwhile. A stalled body behind an unread answer was not taken into account either.

Change: where memory is short, what has been held without progress for more than half a second gives way, by bytes times time: bodies and heads with 503, pipelined requests by being discarded; the answer in progress is still sent.

--- a/src/connection/requestintake.cpp
+++ b/src/connection/requestintake.cpp
@@ -30,10 +30,6 @@
     return std::min(core_->limits.body_bytes, (limit - std::min(limit, head)) / 2);
 }
 
-std::size_t ServerConnection::request_bytes() const {
-    return message_.head_charge.bytes() + (message_.body ? message_.body->capacity() : 0);
-}
-
 bool ServerConnection::stalled() const {
     if (write_active_)
         return false;
@@ -42,17 +38,39 @@
     return phase_ == Phase::Idle || phase_ == Phase::Head || phase_ == Phase::Lingering;
 }
 
-// Requests whose callers have stalled give way to one whose caller sends, the largest first.
+// Bytes times seconds for which a request has been held while its caller stalls, or while it waits
+// behind one in progress. Zero if it does not give way.
+double ServerConnection::idle_memory(Time now) const {
+    const Duration idle = now - sent_last_;
+    if (idle <= StallTime)
+        return 0;
+    if (phase_ == Phase::Working)
+        return static_cast<double>(buffered_charge_.bytes()) * to_seconds(idle);
+    if (phase_ != Phase::Head && phase_ != Phase::Body)
+        return 0;
+    const std::size_t body = message_.body ? message_.body->capacity() : 0;
+    return static_cast<double>(message_.head_charge.bytes() + body) * to_seconds(idle);
+}
+
+void ServerConnection::give_way() {
+    if (phase_ == Phase::Working)
+        drop_pipelined();
+    else
+        refuse(503);
+}
+
+// Requests whose callers have stalled give way to one whose caller sends. None of them has run.
 bool ServerConnection::make_room(std::size_t before, std::size_t after) {
+    const Time now = BootClock::now();
     while (!core_->requests->allows_change(before, after)) {
-        ConnectionPtr largest;
+        ConnectionPtr first;
         for (const ConnectionPtr& other : core_->connections)
-            if (other.get() != this && other->phase_ == Phase::Body && other->stalled() &&
-                other->request_bytes() > (largest ? largest->request_bytes() : 0))
-                largest = other;
-        if (!largest)
+            if (other.get() != this &&
+                other->idle_memory(now) > (first ? first->idle_memory(now) : 0))
+                first = other;
+        if (!first)
             return false;
-        largest->refuse(503);
+        first->give_way();
     }
     return true;
 }
@@ -82,8 +100,6 @@
     return true;
 }
 
-// Where even this does not fit, the response in progress is the last one: the requests behind it
-// are discarded unread and not run.
 void ServerConnection::hold_pipelined(std::string_view bytes) {
     if (drops_buffered_)
         return;
@@ -94,9 +110,15 @@
         buffered_.append(bytes);
         return;
     }
+    drop_pipelined();
+}
+
+// The response in progress becomes the last one: the requests behind it are discarded and not run.
+void ServerConnection::drop_pipelined() {
     buffered_ = {};
     buffered_charge_.set(0);
     close_after_ = drops_buffered_ = true;
+    read_more();
 }
 
 void ServerConnection::note_body_bytes(std::size_t count) {
--- a/src/connection/serverconnection.h
+++ b/src/connection/serverconnection.h
@@ -144,8 +144,10 @@
     bool hold_head();
     bool hold_body(std::size_t size);
     void hold_pipelined(std::string_view bytes);
+    void drop_pipelined();
     bool make_room(std::size_t before, std::size_t after);
-    std::size_t request_bytes() const;
+    double idle_memory(Time now) const;
+    void give_way();
     void note_body_bytes(std::size_t count);
     void parse(std::string_view bytes);
     void request_done();
--- a/tests/unit/badrequests_test.cpp
+++ b/tests/unit/badrequests_test.cpp
@@ -163,6 +163,24 @@
         EXPECT_TRUE(caller->read_until("ok").starts_with("HTTP/1.1 200"));
 }
 
+// Heads without an end, and requests behind one in progress, hold all memory.
+TEST_F(RequestMemoryTest, HeadsAndPipelinedRequestsGiveWayToOneWhoSends) {
+    std::vector<std::shared_ptr<HttpExchange>> held;
+    handler_ = [&](const std::shared_ptr<HttpExchange>& e) { held.push_back(e); };
+    for (int n = 0; n < 4; ++n)
+        callers_.push_back(call("GET / HTTP/1.1\r\nHost: x\r\n\r\n" + post(Body, 60 * Kibibyte)));
+    for (int n = 0; n < 40; ++n)
+        callers_.push_back(call("GET / HTTP/1.1\r\nHost: x\r\nA: " + std::string(14000, 'a')));
+    run(600ms);
+    EXPECT_GT(server_->request_bytes(), Bound - 2 * Body);
+    handler_ = [](const std::shared_ptr<HttpExchange>& e) { e->respond(200, {}, "ok"); };
+    EXPECT_TRUE(call(post(Body, Body))->read().starts_with("HTTP/1.1 200"));
+    for (const auto& exchange : held)
+        exchange->respond(200, {}, "ok");
+    for (int n = 0; n < 4; ++n)
+        EXPECT_TRUE(callers_[n]->read_until("ok").starts_with("HTTP/1.1 200")) << "ready answers";
+}
+
 // ---- time
 
 TEST_F(BadRequestTest, ABodyThatGetsAByteNowAndThenEnds) {
