--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,6 +1,7 @@
 // liftweirctl, the operators' command line tool: its options and commands.
 
 #include "connection/secret.h"
+#include "ctl/httpget.h"
 #include "ctl/session.h"
 #include "ctl/timelineview.h"
 #include "ctl/why.h"
--- a/src/ctl/rpcclient.h
+++ b/src/ctl/rpcclient.h
@@ -5,7 +5,7 @@
 
 #include <string>
 
-// HTTP and JSON-RPC calls of liftweirctl to one process. This header does not include the JSON-RPC
+// JSON-RPC calls of liftweirctl to one process. This header does not include the JSON-RPC
 // library's client header, which does not compile as C++17 or later.
 
 struct RpcResponse {
@@ -20,12 +20,4 @@
 RpcResponse call_rpc(const std::string& url, const std::string& token, long timeout_ms,
                      const std::string& method, const Json::Value& params);
 
-struct HttpGetResponse {
-    long status = 0; // 0: no response
-    std::string body;
-};
-
-// Fetches a URL, with the token as bearer token.
-HttpGetResponse http_get(const std::string& url, const std::string& token, long timeout_ms);
-
 #endif // RPCCLIENT_H_INCLUDED
--- a/src/ctl/timelineview.cpp
+++ b/src/ctl/timelineview.cpp
@@ -2,6 +2,8 @@
 
 #include "ctl/timelineview.h"
 
+#include "ctl/httpget.h"
+
 #include "process/clock.h"
 #include "version/keys.h"
 
