JSON texts are bounded by what they take once parsed, everywhere

What callers saw: none; by reading. A body of 16 MiB at an entry host with agents, or of 4 MiB at the administration interface before its token is checked, may hold millions of values of two bytes each.

Cause: the estimate of parsed bytes stood in the adapter for documents only.

Change: it stands beside parse_json, which refuses texts of more than 64 MiB by it (half a million values).

--- a/src/version/keys.cpp
+++ b/src/version/keys.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int MaxJsonDepth = 32;
+constexpr std::size_t MaxParsedBytes = 64u << 20;
 constexpr std::size_t DigestHexLength = 64;
 
 std::vector<std::string_view> split(std::string_view key) {
@@ -312,7 +313,19 @@
     return {};
 }
 
+// Each element of an array or an object stands behind one of these characters. Those within strings
+// are counted too: documents hold few of them.
+std::size_t parsed_bytes(std::string_view text) {
+    constexpr std::size_t BytesPerValue = 128; // a tree node with its key and value
+    const auto begins_value = [](char c) { return c == ',' || c == '[' || c == '{'; };
+    const auto values =
+        static_cast<std::size_t>(std::count_if(text.begin(), text.end(), begins_value));
+    return values * BytesPerValue + text.size();
+}
+
 Expected<Json::Value> parse_json(std::string_view text) {
+    if (parsed_bytes(text) > MaxParsedBytes)
+        return fail(FailureKind::BadSettings, "the JSON text has too many values");
     Json::CharReaderBuilder builder;
     Json::CharReaderBuilder::strictMode(&builder.settings_);
     builder["stackLimit"] = MaxJsonDepth;
--- a/src/version/keys.h
+++ b/src/version/keys.h
@@ -42,7 +42,12 @@
 // Describes the allowed values, for messages and documentation.
 std::string allowed_values(const KeySpec& spec);
 
-// Parses JSON strictly, with a bound on the depth. Fails with BadSettings.
+// About how many bytes a text takes once it is parsed, at least. It may be many times as long as
+// the text.
+std::size_t parsed_bytes(std::string_view text);
+
+// Parses JSON strictly, with a bound on the depth and on what the values take. Fails with
+// BadSettings.
 Expected<Json::Value> parse_json(std::string_view text);
 std::string to_text(const Json::Value& value);
 
