--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -80,7 +80,7 @@
 // joins again as another node.
 Expected<void> Coordinator::open_replica() {
     for (int attempt = 0; attempt < 2; ++attempt) {
-        const Expected<void> opened = open_log(config_.first_start && attempt == 0);
+        Expected<void> opened = open_log(config_.first_start && attempt == 0);
         if (opened || opened.error().kind != FailureKind::Damaged)
             return opened;
         log(LogLevel::Error, "data directory is damaged; starting as a new node",
